--- /dev/null
+++ b/apps/emulator/main.cpp
@@ -0,0 +1,280 @@
+/// \file
+/// tackpick-emulator: engines, weight store, machine list and scorer as stand-ins on loopback.
+#include <asio.hpp>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "emulator/emulated_engine.h"
+#include "emulator/platform.h"
+#include "http/client.h"
+#include "runtime/engine_json.h"
+
+namespace {
+
+using tackpick::base::SeededRandom;
+namespace base = tackpick::base;
+namespace emulator = tackpick::emulator;
+namespace engine = tackpick::engine;
+namespace http = tackpick::http;
+namespace runtime = tackpick::runtime;
+
+struct Options {
+  std::uint32_t engines = 0;
+  std::uint32_t firstEngine = 1;
+  std::vector<std::string> zones;
+  std::string platformUrl;
+  bool servePlatform = false;
+  std::uint16_t platformPort = 0;
+  std::uint16_t adminPort = 0;
+  std::string portFile;
+  std::uint64_t seed = 1;
+  std::uint64_t storeRate = 0;
+  engine::EngineModelSettings model;
+};
+
+std::vector<std::string> split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream stream(text);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+Options parseOptions(int argc, char** argv) {
+  cxxopts::Options parser("tackpick-emulator", "Stand-ins for engines and platform services");
+  const engine::EngineModelSettings defaults;
+  parser.add_options()("engines", "number of engines",
+                       cxxopts::value<std::uint32_t>()->default_value("0"))(
+      "first-engine", "number of the first engine",
+      cxxopts::value<std::uint32_t>()->default_value("1"))(
+      "zones", "zones, given to the engines in turn",
+      cxxopts::value<std::string>()->default_value("zone-a"))(
+      "platform", "URL of the platform to announce engines to",
+      cxxopts::value<std::string>()->default_value(""))("serve-platform",
+                                                        "serve machine list and scorer")(
+      "platform-port", "port of the platform; 0: any",
+      cxxopts::value<std::uint16_t>()->default_value("0"))(
+      "admin-port", "port for faults; 0: any", cxxopts::value<std::uint16_t>()->default_value("0"))(
+      "port-file", "write the chosen ports to this file as JSON",
+      cxxopts::value<std::string>()->default_value(""))(
+      "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "slots", "sequences decoded together",
+      cxxopts::value<std::uint32_t>()->default_value(std::to_string(defaults.slots)))(
+      "waiting-limit", "requests an engine queues",
+      cxxopts::value<std::uint32_t>()->default_value(std::to_string(defaults.waitingLimit)))(
+      "step-us", "base time of a decode step",
+      cxxopts::value<std::int64_t>()->default_value(std::to_string(defaults.stepBase.count())))(
+      "step-per-sequence-us", "time each sequence adds to a step",
+      cxxopts::value<std::int64_t>()->default_value(
+          std::to_string(defaults.stepPerSequence.count())))(
+      "prefill-us", "time each uncached prompt token adds to a step",
+      cxxopts::value<std::int64_t>()->default_value(
+          std::to_string(defaults.prefillPerToken.count())))(
+      "tokens-per-chunk", "tokens sent together",
+      cxxopts::value<std::uint32_t>()->default_value(std::to_string(defaults.tokensPerChunk)))(
+      "swap-failure", "share of weight swaps that fail partway",
+      cxxopts::value<double>()->default_value("0"))(
+      "store-rate", "bytes a second of the weight store",
+      cxxopts::value<std::uint64_t>()->default_value("20000000000"))(
+      "no-run-records", "do not keep a record of every run")("help", "show this text");
+  const auto parsed = parser.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << parser.help();
+    std::exit(0);
+  }
+  Options options;
+  options.engines = parsed["engines"].as<std::uint32_t>();
+  options.firstEngine = parsed["first-engine"].as<std::uint32_t>();
+  options.zones = split(parsed["zones"].as<std::string>());
+  options.platformUrl = parsed["platform"].as<std::string>();
+  options.servePlatform = parsed.count("serve-platform") > 0;
+  options.platformPort = parsed["platform-port"].as<std::uint16_t>();
+  options.adminPort = parsed["admin-port"].as<std::uint16_t>();
+  options.portFile = parsed["port-file"].as<std::string>();
+  options.seed = parsed["seed"].as<std::uint64_t>();
+  options.storeRate = parsed["store-rate"].as<std::uint64_t>();
+  options.model.slots = parsed["slots"].as<std::uint32_t>();
+  options.model.waitingLimit = parsed["waiting-limit"].as<std::uint32_t>();
+  options.model.stepBase = base::Duration(parsed["step-us"].as<std::int64_t>());
+  options.model.stepPerSequence = base::Duration(parsed["step-per-sequence-us"].as<std::int64_t>());
+  options.model.prefillPerToken = base::Duration(parsed["prefill-us"].as<std::int64_t>());
+  options.model.tokensPerChunk = parsed["tokens-per-chunk"].as<std::uint32_t>();
+  options.model.swapFailure = parsed["swap-failure"].as<double>();
+  return options;
+}
+
+/// All that one emulator process runs.
+class Process {
+ public:
+  explicit Process(const Options& options)
+      : options_(options),
+        random_(options.seed),
+        store_(options.storeRate),
+        client_(context_),
+        announce_timer_(context_),
+        signals_(context_, SIGINT, SIGTERM),
+        admin_(context_, adminSettings(options),
+               [this](const http::Request& request, std::shared_ptr<http::Responder> responder) {
+                 handleAdmin(request, responder);
+               }) {
+    if (options.servePlatform) {
+      emulator::PlatformSettings settings;
+      settings.port = options.platformPort;
+      platform_ = std::make_unique<emulator::Platform>(context_, settings);
+      platform_url_ = "http://127.0.0.1:" + std::to_string(platform_->port());
+    } else {
+      platform_url_ = options.platformUrl;
+    }
+    startEngines();
+    writePortFile();
+    signals_.async_wait([this](const asio::error_code& error, int) {
+      if (!error) {
+        context_.stop();
+      }
+    });
+    announce();
+  }
+
+  void run() { context_.run(); }
+
+ private:
+  static http::ServerSettings adminSettings(const Options& options) {
+    http::ServerSettings settings;
+    settings.port = options.adminPort;
+    return settings;
+  }
+
+  void startEngines() {
+    const auto incarnation =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                       std::chrono::system_clock::now().time_since_epoch())
+                                       .count());
+    for (std::uint32_t i = 0; i < options_.engines; ++i) {
+      emulator::EmulatedEngineSettings settings;
+      settings.id = {options_.firstEngine + i};
+      settings.incarnation = {incarnation};
+      settings.zone = options_.zones.at(i % options_.zones.size());
+      settings.model = options_.model;
+      engines_.push_back(
+          std::make_unique<emulator::EmulatedEngine>(context_, settings, store_, random_));
+    }
+  }
+
+  void writePortFile() const {
+    if (options_.portFile.empty()) {
+      return;
+    }
+    runtime::Json ports{{"admin", admin_.port()},
+                        {"platform", platform_ ? platform_->port() : 0},
+                        {"engines", runtime::Json::array()}};
+    for (const auto& engine : engines_) {
+      ports["engines"].push_back(engine->port());
+    }
+    const std::string temporary = options_.portFile + ".tmp";
+    {
+      std::ofstream stream(temporary);
+      stream << ports.dump();
+    }
+    std::rename(temporary.c_str(), options_.portFile.c_str());
+  }
+
+  void announce() {
+    std::vector<tackpick::control::MachineListing> machines;
+    for (const auto& engine : engines_) {
+      tackpick::control::MachineListing machine;
+      machine.engine.engine = engine->settings().id;
+      machine.engine.incarnation = engine->settings().incarnation;
+      machine.engine.host = engine->settings().host;
+      machine.engine.port = engine->port();
+      machine.engine.zone = engine->settings().zone;
+      machine.engine.model = engine->settings().model.model;
+      machine.engine.leaving = engine->model().status().leaving;
+      machines.push_back(machine);
+    }
+    if (!machines.empty() && !platform_url_.empty()) {
+      http::ClientRequest request;
+      request.method = "POST";
+      request.url = platform_url_ + "/machines";
+      request.body = runtime::toJson(machines);
+      request.timeout = base::seconds(1);
+      client_.start(request, nullptr, [](const http::ClientResult&) {});
+    }
+    constexpr auto kAnnounceInterval = std::chrono::milliseconds(300);
+    announce_timer_.expires_after(kAnnounceInterval);
+    announce_timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        announce();
+      }
+    });
+  }
+
+  /// POST /leave?engine=N, POST /fail-next-swap?engine=N, GET /record.
+  void handleAdmin(const http::Request& request,
+                   const std::shared_ptr<http::Responder>& responder) {
+    constexpr int kOk = 200;
+    const std::string wanted = request.queryValue("engine");
+    runtime::Json record{{"not_repeatable_run_twice", 0}, {"runs", 0}};
+    std::uint64_t doubled = 0;
+    std::uint64_t runs = 0;
+    for (const auto& engine : engines_) {
+      doubled += engine->notRepeatableRunTwice();
+      runs += engine->model().runs().size();
+      if (std::to_string(engine->settings().id.value) != wanted && wanted != "all") {
+        continue;
+      }
+      if (request.path == "/leave") {
+        engine->model().startLeaving();
+      } else if (request.path == "/fail-next-swap") {
+        engine->model().failNextSwap();
+      }
+    }
+    record["not_repeatable_run_twice"] = doubled;
+    record["runs"] = runs;
+    if (request.path == "/record") {
+      addNotRepeatableRuns(record);
+    }
+    responder->respond(kOk, {{"Content-Type", "application/json"}}, record.dump());
+  }
+
+  /// Lists the runs of not-repeatable requests, so that a checker can compare engines.
+  void addNotRepeatableRuns(runtime::Json& record) const {
+    record["not_repeatable_runs"] = runtime::Json::array();
+    for (const auto& engine : engines_) {
+      for (const auto& [attempt, run] : engine->model().runs()) {
+        if (run.notRepeatable) {
+          record["not_repeatable_runs"].push_back(run.prompt + "#" + std::to_string(run.seed));
+        }
+      }
+    }
+  }
+
+  const Options options_;
+  asio::io_context context_;
+  SeededRandom random_;
+  engine::WeightStore store_;
+  http::Client client_;
+  asio::steady_timer announce_timer_;
+  asio::signal_set signals_;
+  std::unique_ptr<emulator::Platform> platform_;
+  std::string platform_url_;
+  std::vector<std::unique_ptr<emulator::EmulatedEngine>> engines_;
+  http::Server admin_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    Process process(parseOptions(argc, argv));
+    process.run();
+  } catch (const std::exception& error) {
+    std::cerr << "tackpick-emulator: " << error.what() << "\n";
+    constexpr int kUsageError = 2;
+    return kUsageError;
+  }
+  return 0;
+}
--- /dev/null
+++ b/apps/tackpickctl/commands.h
@@ -0,0 +1,49 @@
+/// \file
+/// The commands of tackpickctl. Each returns the exit code.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "control_client.h"
+
+namespace tackpick::ctl {
+
+// Exit codes, documented in docs/OPERATIONS.md.
+inline constexpr int kSuccess = 0;
+inline constexpr int kRefused = 1;       ///< the controllers refused the change
+inline constexpr int kUsage = 2;         ///< wrong flags or files
+inline constexpr int kUnreachable = 3;   ///< no leading controller answered
+inline constexpr int kConflictExit = 4;  ///< somebody else changed the same node
+inline constexpr int kDiffers = 5;       ///< `diff` found differences
+
+/// What every command knows.
+struct Invocation {
+  ControlAddress address;
+  std::vector<std::string> arguments;  ///< after the command's name
+  std::string folder;                  ///< -f
+  std::string requestId;
+  std::string expectedRevision;
+  std::string tenant;
+  std::string role;
+  bool dryRun = false;
+  bool undo = false;
+  bool json = false;
+  bool prune = false;
+};
+
+int apply(const Invocation& invocation);
+int diff(const Invocation& invocation);
+int get(const Invocation& invocation);
+int set(const Invocation& invocation);
+int explain(const Invocation& invocation);
+int history(const Invocation& invocation);
+int watch(const Invocation& invocation);
+int engines(const Invocation& invocation);
+int drain(const Invocation& invocation);
+int tenants(const Invocation& invocation);
+int members(const Invocation& invocation);
+int token(const Invocation& invocation);
+int status(const Invocation& invocation);
+
+}  // namespace tackpick::ctl
--- /dev/null
+++ b/apps/tackpickd/main.cpp
@@ -0,0 +1,109 @@
+/// \file
+/// tackpickd: the daemon. Exit codes: 0 stopped as planned, 1 failed while running, 2 refused its
+/// flags, settings or data folder.
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "config/process_settings.h"
+#include "runtime/daemon.h"
+#include "telemetry/log.h"
+
+namespace {
+
+namespace base = tackpick::base;
+namespace config = tackpick::config;
+namespace runtime = tackpick::runtime;
+namespace telemetry = tackpick::telemetry;
+
+constexpr int kRefused = 2;
+
+struct Options {
+  std::string settingsFile;
+  bool checkOnly = false;
+  runtime::FolderMode mode = runtime::FolderMode::kExisting;
+  std::string internal;
+  std::string http;
+  std::string zone;
+  std::string dataFolder;
+};
+
+Options parseOptions(int argc, char** argv) {
+  cxxopts::Options parser("tackpickd", "Rollout service daemon");
+  parser.add_options()("settings", "settings file", cxxopts::value<std::string>())(
+      "check", "check the settings and exit")("init",
+                                              "initialise empty data folders for a new cluster")(
+      "join", "initialise empty data folders as a new node of an existing cluster")(
+      "internal", "overrides internal", cxxopts::value<std::string>()->default_value(""))(
+      "http", "overrides http", cxxopts::value<std::string>()->default_value(""))(
+      "zone", "overrides zone", cxxopts::value<std::string>()->default_value(""))(
+      "data-folder", "overrides data_folder", cxxopts::value<std::string>()->default_value(""))(
+      "events", "print the event catalogue and exit")("help", "show this text");
+  const auto parsed = parser.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << parser.help();
+    std::exit(0);
+  }
+  if (parsed.count("events") > 0) {
+    std::cout << telemetry::catalogueAsMarkdown();
+    std::exit(0);
+  }
+  Options options;
+  options.settingsFile = parsed["settings"].as<std::string>();
+  options.checkOnly = parsed.count("check") > 0;
+  if (parsed.count("init") > 0) {
+    options.mode = runtime::FolderMode::kInitialise;
+  }
+  if (parsed.count("join") > 0) {
+    options.mode = runtime::FolderMode::kJoin;
+  }
+  options.internal = parsed["internal"].as<std::string>();
+  options.http = parsed["http"].as<std::string>();
+  options.zone = parsed["zone"].as<std::string>();
+  options.dataFolder = parsed["data-folder"].as<std::string>();
+  return options;
+}
+
+base::Result<config::ProcessSettings> loadSettings(const Options& options) {
+  BOOST_LEAF_AUTO(settings, config::loadProcessSettings(options.settingsFile));
+  if (!options.internal.empty()) {
+    BOOST_LEAF_ASSIGN(settings.internal, config::parseEndpoint(options.internal));
+  }
+  if (!options.http.empty()) {
+    BOOST_LEAF_ASSIGN(settings.http, config::parseEndpoint(options.http));
+  }
+  settings.zone = options.zone.empty() ? settings.zone : options.zone;
+  settings.dataFolder = options.dataFolder.empty() ? settings.dataFolder : options.dataFolder;
+  return settings;
+}
+
+base::Result<int> start(const Options& options) {
+  BOOST_LEAF_AUTO(settings, loadSettings(options));
+  if (options.checkOnly) {
+    std::cout << options.settingsFile << ": valid\n";
+    return 0;
+  }
+  BOOST_LEAF_AUTO(daemon, runtime::Daemon::create(settings, options.mode));
+  return daemon->run();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  telemetry::initialiseLogging("tackpickd");
+  try {
+    const Options options = parseOptions(argc, argv);
+    return base::recover([&] { return start(options); },
+                         [](const base::Error& error) {
+                           const bool folder = error.code == base::ErrorCode::kCorrupt ||
+                                               error.code == base::ErrorCode::kWrongIdentity;
+                           telemetry::logEvent(folder ? telemetry::EventId::kDataFolderRefused
+                                                      : telemetry::EventId::kSettingsRefused,
+                                               error.message);
+                           std::cerr << error.message << "\n";
+                           return kRefused;
+                         });
+  } catch (const std::exception& error) {
+    std::cerr << "tackpickd: " << error.what() << "\n";
+    return kRefused;
+  }
+}
--- /dev/null
+++ b/src/base/error.h
@@ -0,0 +1,48 @@
+/// \file
+/// Errors of operations that do I/O or parse input, carried by Boost.LEAF.
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <string>
+#include <utility>
+
+namespace tackpick::base {
+
+namespace leaf = boost::leaf;
+
+/// What kind of failure an Error reports.
+enum class ErrorCode {
+  kInvalidInput,   ///< the input breaks a documented rule
+  kNotFound,       ///< the named thing does not exist
+  kCorrupt,        ///< stored bytes fail their checksum or cannot be decoded
+  kWrongIdentity,  ///< a data folder belongs to another node, cluster or format version
+  kStorage,        ///< the operating system refused to read, write or sync
+  kNetwork,        ///< a connection failed
+};
+
+/// The error object loaded into a leaf::result.
+struct Error {
+  ErrorCode code = ErrorCode::kInvalidInput;
+  std::string message;  ///< one sentence for a person, naming file, line or path where known
+};
+
+template <typename T>
+using Result = leaf::result<T>;
+
+/// Makes a failed Result.
+[[nodiscard]] inline leaf::error_id fail(ErrorCode code, std::string message) {
+  return leaf::new_error(Error{code, std::move(message)});
+}
+
+/// Runs `operation` (returning Result<T>) and hands any failure to `onError` (taking Error and
+/// returning T).
+template <typename Operation, typename OnError>
+auto recover(Operation&& operation, OnError&& onError) {
+  return leaf::try_handle_all(
+      std::forward<Operation>(operation), [&](const Error& error) { return onError(error); },
+      [&] {
+        return onError(Error{ErrorCode::kInvalidInput, "unknown error"});
+      });
+}
+
+}  // namespace tackpick::base
--- /dev/null
+++ b/src/consensus/log_store.h
@@ -0,0 +1,38 @@
+/// \file
+/// What RaftConsensus needs from durable storage.
+#pragma once
+
+#include <vector>
+
+#include "base/error.h"
+#include "consensus/raft_types.h"
+
+namespace tackpick::consensus {
+
+/// Durable log, hard state and snapshot of one server in one group. Writes become durable at
+/// sync(); RaftConsensus sends no message that depends on a write before sync() has returned.
+/// Every failed write is final: the server must stop.
+class LogStore {
+ public:
+  virtual ~LogStore() = default;
+
+  [[nodiscard]] virtual const HardState& hardState() const = 0;
+  [[nodiscard]] virtual const Snapshot& snapshot() const = 0;
+  /// Index of the last entry, or of the snapshot when the log is empty.
+  [[nodiscard]] virtual LogIndex lastIndex() const = 0;
+  /// Index of the first entry kept; lastIndex() + 1 when there is none.
+  [[nodiscard]] virtual LogIndex firstIndex() const = 0;
+  /// The entry at `index`, which must lie in [firstIndex(), lastIndex()].
+  [[nodiscard]] virtual const LogEntry& entry(LogIndex index) const = 0;
+
+  [[nodiscard]] virtual base::Result<void> append(const LogEntry& entry) = 0;
+  /// Removes the entries from `firstRemoved` on.
+  [[nodiscard]] virtual base::Result<void> truncateSuffix(LogIndex firstRemoved) = 0;
+  [[nodiscard]] virtual base::Result<void> saveHardState(const HardState& state) = 0;
+  /// Stores the snapshot durably and drops the entries it covers; also drops the whole log when
+  /// it does not continue from the snapshot.
+  [[nodiscard]] virtual base::Result<void> saveSnapshot(const Snapshot& snapshot) = 0;
+  [[nodiscard]] virtual base::Result<void> sync() = 0;
+};
+
+}  // namespace tackpick::consensus
--- /dev/null
+++ b/src/consensus/raft_replication.cpp
@@ -0,0 +1,246 @@
+/// \file
+/// Replication, commitment and the leader's lease of RaftConsensus: sections 3.5, 5, 6.2, 6.4.1.
+#include <algorithm>
+
+#include "consensus/raft_consensus.h"
+
+namespace tackpick::consensus {
+
+void RaftConsensus::onMessage(base::NodeId from, const AppendRequest& request,
+                              base::TimePoint now) {
+  if (request.term < currentTerm()) {
+    send(from, AppendResponse{currentTerm(), false, log_.lastIndex(), request.round});
+    return;
+  }
+  acceptLeader(from, request.term, now);
+  AppendResponse response;
+  response.term = currentTerm();
+  response.round = request.round;
+  if (request.previousIndex > log_.lastIndex()) {
+    response.lastIndex = log_.lastIndex();
+    send(from, response);
+    return;
+  }
+  const bool known = request.previousIndex >= log_.snapshot().lastIndex;
+  if (known && termAt(request.previousIndex) != request.previousTerm) {
+    response.lastIndex = std::max(log_.snapshot().lastIndex, request.previousIndex - 1);
+    send(from, response);
+    return;
+  }
+  if (!appendFollowing(request)) {
+    return;
+  }
+  const LogIndex matched = request.previousIndex + request.entries.size();
+  commit_index_ = std::max(commit_index_, std::min(request.commitIndex, matched));
+  response.success = true;
+  response.lastIndex = std::max(matched, log_.snapshot().lastIndex);
+  send(from, response);
+}
+
+bool RaftConsensus::appendFollowing(const AppendRequest& request) {
+  bool membershipTouched = false;
+  for (const LogEntry& entry : request.entries) {
+    if (entry.index <= log_.snapshot().lastIndex) {
+      continue;
+    }
+    if (entry.index <= log_.lastIndex()) {
+      if (log_.entry(entry.index).term == entry.term) {
+        continue;
+      }
+      if (entry.index <= commit_index_) {
+        failed_ = true;  // Leader Completeness is broken (section 3.6.3): never go on.
+        return false;
+      }
+      check(log_.truncateSuffix(entry.index));
+      membershipTouched = true;
+    }
+    check(log_.append(entry));
+    needs_sync_ = true;
+    membershipTouched = membershipTouched || entry.kind == EntryKind::kMembership;
+  }
+  if (membershipTouched) {
+    reloadMembership();
+  }
+  return !failed_;
+}
+
+void RaftConsensus::onMessage(base::NodeId from, const AppendResponse& response,
+                              base::TimePoint now) {
+  if (response.term > currentTerm()) {
+    stepDown(response.term, now);
+    return;
+  }
+  const auto found = progress_.find(from);
+  if (state_ != RaftState::kLeader || response.term != currentTerm() || found == progress_.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  progress.acknowledgedRound = std::max(progress.acknowledgedRound, response.round);
+  progress.outstanding = false;
+  progress.awaitingSnapshot = false;
+  if (response.success) {
+    progress.matchIndex = std::max(progress.matchIndex, response.lastIndex);
+    progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
+    confirmRounds();
+    advanceCommit();
+  } else if (response.lastIndex + 1 < progress.nextIndex) {
+    progress.nextIndex = std::max(response.lastIndex, progress.matchIndex) + 1;
+  }
+  if (progress.nextIndex <= log_.lastIndex()) {
+    sendAppend(from, progress, now);
+  }
+}
+
+void RaftConsensus::onMessage(base::NodeId from, const InstallSnapshotRequest& request,
+                              base::TimePoint now) {
+  if (request.term < currentTerm()) {
+    send(from, AppendResponse{currentTerm(), false, log_.lastIndex(), request.round});
+    return;
+  }
+  acceptLeader(from, request.term, now);
+  const Snapshot& snapshot = request.snapshot;
+  if (snapshot.lastIndex > commit_index_) {
+    check(log_.saveSnapshot(snapshot));
+    commit_index_ = snapshot.lastIndex;
+    delivered_index_ = snapshot.lastIndex;
+    received_snapshot_ = snapshot;
+    reloadMembership();
+  }
+  AppendResponse response{currentTerm(), true, snapshot.lastIndex, request.round};
+  send(from, response);
+}
+
+void RaftConsensus::acceptLeader(base::NodeId from, Term term, base::TimePoint now) {
+  if (term > currentTerm() || state_ != RaftState::kFollower) {
+    stepDown(term, now);
+  }
+  leader_ = from;
+  last_heard_from_leader_ = now;
+  resetElectionTimer(now);
+}
+
+void RaftConsensus::broadcast(base::TimePoint now) {
+  last_broadcast_at_ = now;
+  ++last_round_;
+  rounds_.push_back({last_round_, now});
+  constexpr std::size_t kMaximumUnconfirmedRounds = 256;
+  if (rounds_.size() > kMaximumUnconfirmedRounds) {
+    rounds_.pop_front();
+  }
+  const auto addPeer = [&](base::NodeId node) {
+    if (node == self_) {
+      return;
+    }
+    const auto [entry, added] = progress_.try_emplace(node);
+    if (added) {
+      entry->second.nextIndex = log_.lastIndex() + 1;
+    }
+    sendAppend(node, entry->second, now);
+  };
+  for (const base::NodeId node : membership_.voters) {
+    addPeer(node);
+  }
+  for (const base::NodeId node : membership_.learners) {
+    addPeer(node);
+  }
+}
+
+void RaftConsensus::sendAppend(base::NodeId to, Progress& progress, base::TimePoint now) {
+  const bool resend = now - progress.probedAt >= settings_.electionTimeoutMinimum;
+  if (progress.nextIndex < log_.firstIndex()) {
+    if (!progress.awaitingSnapshot || resend) {
+      progress.awaitingSnapshot = true;
+      progress.probedAt = now;
+      send(to, InstallSnapshotRequest{currentTerm(), last_round_, log_.snapshot()});
+      return;
+    }
+    // A heartbeat that cannot match only keeps the follower from starting an election.
+    send(to, AppendRequest{currentTerm(), log_.lastIndex(), currentTerm(), 0, last_round_, {}});
+    return;
+  }
+  AppendRequest request;
+  request.term = currentTerm();
+  request.previousIndex = progress.nextIndex - 1;
+  request.previousTerm = termAt(request.previousIndex);
+  request.commitIndex = commit_index_;
+  request.round = last_round_;
+  if (!progress.outstanding || resend) {
+    const LogIndex last =
+        std::min(log_.lastIndex(), progress.nextIndex + settings_.maximumEntriesPerMessage - 1);
+    for (LogIndex index = progress.nextIndex; index <= last; ++index) {
+      request.entries.push_back(log_.entry(index));
+    }
+    if (!request.entries.empty()) {
+      progress.outstanding = true;
+      progress.probedAt = now;
+    }
+  }
+  send(to, std::move(request));
+}
+
+void RaftConsensus::confirmRounds() {
+  while (!rounds_.empty()) {
+    std::set<base::NodeId> confirming{self_};
+    for (const auto& [node, progress] : progress_) {
+      if (progress.acknowledgedRound >= rounds_.front().number) {
+        confirming.insert(node);
+      }
+    }
+    if (!hasQuorum(confirming)) {
+      return;
+    }
+    quorum_confirmed_at_ = std::max(quorum_confirmed_at_, rounds_.front().sentAt);
+    rounds_.pop_front();
+  }
+}
+
+void RaftConsensus::advanceCommit() {
+  std::vector<LogIndex> matched;
+  for (const base::NodeId voter : membership_.voters) {
+    if (voter == self_) {
+      matched.push_back(synced_index_);
+      continue;
+    }
+    const auto found = progress_.find(voter);
+    matched.push_back(found == progress_.end() ? 0 : found->second.matchIndex);
+  }
+  if (matched.empty()) {
+    return;
+  }
+  std::sort(matched.begin(), matched.end());
+  const LogIndex agreed = matched[(matched.size() - 1) / 2];
+  // Only entries of the current term are committed by counting (section 3.6.2).
+  if (agreed <= commit_index_ || termAt(agreed) != currentTerm()) {
+    return;
+  }
+  commit_index_ = agreed;
+  broadcast_wanted_ = true;
+  if (membership_index_ <= commit_index_ && !membership_.contains(self_)) {
+    stepDown(currentTerm(), last_broadcast_at_);
+  }
+}
+
+void RaftConsensus::checkQuorum(base::TimePoint now) {
+  if (state_ != RaftState::kLeader) {
+    return;
+  }
+  if (hasQuorum({self_})) {
+    quorum_confirmed_at_ = now;
+    return;
+  }
+  if (now - quorum_confirmed_at_ > settings_.electionTimeoutMaximum) {
+    stepDown(currentTerm(), now);
+  }
+}
+
+Term RaftConsensus::termAt(LogIndex index) const {
+  if (index == log_.snapshot().lastIndex) {
+    return log_.snapshot().lastTerm;
+  }
+  if (index < log_.firstIndex() || index > log_.lastIndex()) {
+    return 0;
+  }
+  return log_.entry(index).term;
+}
+
+}  // namespace tackpick::consensus
--- /dev/null
+++ b/src/consensus/state_machine.h
@@ -0,0 +1,23 @@
+/// \file
+/// What a replication group replicates.
+#pragma once
+
+#include "base/serialization.h"
+#include "consensus/raft_types.h"
+
+namespace tackpick::consensus {
+
+/// A deterministic state machine. Every replica applies the same commands in the same order, so
+/// apply() may depend on nothing but the state, the command and its index.
+class StateMachine {
+ public:
+  virtual ~StateMachine() = default;
+  /// Applies a committed command and returns the encoded result for whoever proposed it.
+  virtual base::Bytes apply(LogIndex index, const base::Bytes& command) = 0;
+  /// Answers a read without changing the state.
+  [[nodiscard]] virtual base::Bytes query(const base::Bytes& query) const = 0;
+  [[nodiscard]] virtual base::Bytes takeSnapshot() const = 0;
+  virtual void loadSnapshot(const base::Bytes& snapshot) = 0;
+};
+
+}  // namespace tackpick::consensus
--- /dev/null
+++ b/src/control/controller.cpp
@@ -0,0 +1,183 @@
+#include "control/controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tackpick::control {
+
+using transport::CommandStatus;
+
+Controller::Controller(base::NodeId self, base::GroupId group, ControllerSettings settings,
+                       consensus::LogStore& log, base::Random& random, base::TimePoint now)
+    : settings_(settings),
+      replica_(self, group, settings.replica, log, state_, random, now),
+      leases_(settings.leases),
+      rollout_(settings.rollout) {}
+
+void Controller::handle(base::NodeId from, const transport::RaftEnvelope& message,
+                        base::TimePoint now) {
+  replica_.handle(from, message, now);
+}
+
+void Controller::handle(base::NodeId from, const transport::CommandRequest& message,
+                        base::TimePoint now) {
+  if (message.kind == transport::CommandKind::kQuery) {
+    replica_.handle(from, message, now);
+    return;
+  }
+  const auto respond = [this, from, group = message.group, call = message.call](
+                           CommandStatus status, base::Bytes payload) {
+    const base::NodeId leader = replica_.raft().leader();
+    actions_.messages.push_back(
+        {from, transport::CommandResponse{group, call, status, leader, std::move(payload)}});
+  };
+  const auto command = base::decode<ControlCommand>(message.payload);
+  if (!command) {
+    return;
+  }
+  const bool leads = submit(*command, now, [respond](const ChangeOutcome* outcome) {
+    if (outcome == nullptr) {
+      respond(CommandStatus::kUnavailable, {});
+    } else {
+      respond(CommandStatus::kOk, base::encode(*outcome));
+    }
+  });
+  if (!leads) {
+    respond(CommandStatus::kNotLeader, {});
+  }
+}
+
+void Controller::handle(base::NodeId from, const transport::MembershipRequest& message,
+                        base::TimePoint now) {
+  replica_.handle(from, message, now);
+}
+
+bool Controller::submit(const ControlCommand& command, base::TimePoint now,
+                        ChangeCompletion completion) {
+  return replica_.propose(base::encode(command), now,
+                          [this, completion = std::move(completion)](
+                              const base::Bytes* result, consensus::LogIndex /*index*/) {
+                            const auto outcome = result == nullptr
+                                                     ? std::nullopt
+                                                     : base::decode<ChangeOutcome>(*result);
+                            if (!outcome) {
+                              completion(nullptr);
+                            } else if (outcome->status != ChangeStatus::kAccepted ||
+                                       settings_.mutants.acceptBeforeInForce) {
+                              completion(&*outcome);
+                            } else {
+                              awaiting_.push_back({*outcome, completion});
+                            }
+                          });
+}
+
+void Controller::handle(base::NodeId from, const transport::WatchRequest& message,
+                        base::TimePoint now) {
+  if (!maySpeak(now)) {
+    actions_.messages.push_back({from, transport::WatchRedirect{replica_.raft().leader()}});
+    return;
+  }
+  if (message.leaving) {
+    leases_.release(from);
+    watchers_.erase(from);
+    return;
+  }
+  transport::WatchResponse response;
+  response.incarnation = message.incarnation;
+  response.sequence = message.sequence;
+  response.lease = leases_.grant(from, message.incarnation, message.revision, now);
+  response.delta = state_.deltaSince(message.revision);
+  watchers_[from] = {message.incarnation, state_.revision()};
+  actions_.messages.push_back({from, std::move(response)});
+}
+
+void Controller::onMachineList(const std::vector<MachineListing>& machines, base::TimePoint now) {
+  if (!maySpeak(now)) {
+    return;
+  }
+  for (const MachineListing& machine : machines) {
+    const auto known = state_.engines().find(machine.engine.engine);
+    const bool changed = known == state_.engines().end() ||
+                         known->second.incarnation < machine.engine.incarnation ||
+                         (known->second.incarnation == machine.engine.incarnation &&
+                          known->second.leaving != machine.engine.leaving);
+    if (changed) {
+      const ControlCommand command{{}, RegisterEngine{machine.engine}};
+      replica_.propose(base::encode(command), now, [](const base::Bytes*, auto) {});
+    }
+  }
+}
+
+void Controller::onOrderReply(const engine::OrderReply& reply, base::TimePoint now) {
+  rollout_.onReply(reply, now);
+}
+
+void Controller::tick(base::TimePoint now) {
+  replica_.tick(now);
+  leases_.dropExpired(now);
+  orderEngines(now);
+}
+
+ControllerActions Controller::finish(base::TimePoint now) {
+  replica_.finish(now, actions_.messages);
+  observeLeadership(now);
+  pushChanges(now);
+  answerInForce(now);
+  return std::exchange(actions_, {});
+}
+
+bool Controller::maySpeak(base::TimePoint now) const { return replica_.canRead(now); }
+
+void Controller::observeLeadership(base::TimePoint now) {
+  const consensus::RaftConsensus& raft = replica_.raft();
+  const bool newTerm = raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm());
+  if (newTerm) {
+    leases_.onBecameLeader(now);
+    rollout_.reset();
+    watchers_.clear();
+  }
+  was_leader_ = raft.isLeader();
+  observed_term_ = raft.currentTerm();
+}
+
+void Controller::answerInForce(base::TimePoint now) {
+  for (AwaitingForce& waiting : std::exchange(awaiting_, {})) {
+    if (!replica_.raft().isLeader()) {
+      waiting.completion(nullptr);
+    } else if (maySpeak(now) && leases_.inForceEverywhere(waiting.outcome.revision, now)) {
+      waiting.completion(&waiting.outcome);
+    } else {
+      awaiting_.push_back(std::move(waiting));
+    }
+  }
+}
+
+void Controller::pushChanges(base::TimePoint now) {
+  if (!maySpeak(now)) {
+    return;
+  }
+  for (auto& [gateway, watcher] : watchers_) {
+    if (watcher.sent >= state_.revision()) {
+      continue;
+    }
+    transport::WatchResponse push;
+    push.incarnation = watcher.incarnation;
+    push.delta = state_.deltaSince(watcher.sent);
+    watcher.sent = state_.revision();
+    actions_.messages.push_back({gateway, std::move(push)});
+  }
+  std::erase_if(watchers_,
+                [&](const auto& entry) { return !leases_.leases().contains(entry.first); });
+}
+
+void Controller::orderEngines(base::TimePoint now) {
+  const bool believesToLead = replica_.raft().isLeader() && settings_.mutants.orderWithoutLease;
+  if (!maySpeak(now) && !believesToLead) {
+    return;
+  }
+  const auto orders =
+      rollout_.step(state_.engines(), state_.weights(), replica_.raft().currentTerm(), now);
+  actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
+}
+
+}  // namespace tackpick::control
--- /dev/null
+++ b/src/control/controller.h
@@ -0,0 +1,96 @@
+/// \file
+/// The controller role: replicated control state, serving leases, engine orders.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "consensus/replica.h"
+#include "control/control_state.h"
+#include "control/serving_leases.h"
+#include "control/weights_rollout.h"
+
+namespace tackpick::control {
+
+/// Knobs of a Controller.
+struct ControllerSettings {
+  consensus::ReplicaSettings replica;
+  ServingLeaseSettings leases;
+  WeightsRolloutSettings rollout;
+
+  struct Mutants {
+    bool acceptBeforeInForce = false;  ///< answer a change as soon as it is committed
+    bool orderWithoutLease = false;    ///< order engines while only believing to lead
+  } mutants;
+};
+
+/// One line of the platform's lagging machine list.
+struct MachineListing {
+  EngineRecord engine;
+};
+
+/// What the driver must do after a turn, besides syncing.
+struct ControllerActions {
+  transport::Outbox messages;
+  std::vector<engine::AddressedOrder> orders;
+};
+
+/// Deterministic; owned by one thread. A change is answered as accepted only once it is in force
+/// everywhere: see ServingLeases.
+class Controller {
+ public:
+  Controller(base::NodeId self, base::GroupId group, ControllerSettings settings,
+             consensus::LogStore& log, base::Random& random, base::TimePoint now);
+
+  void handle(base::NodeId from, const transport::RaftEnvelope& message, base::TimePoint now);
+  void handle(base::NodeId from, const transport::CommandRequest& message, base::TimePoint now);
+  void handle(base::NodeId from, const transport::MembershipRequest& message, base::TimePoint now);
+  void handle(base::NodeId from, const transport::WatchRequest& message, base::TimePoint now);
+  void onMachineList(const std::vector<MachineListing>& machines, base::TimePoint now);
+  void onOrderReply(const engine::OrderReply& reply, base::TimePoint now);
+  void tick(base::TimePoint now);
+  /// Ends a turn: syncs, applies, and says what to send.
+  [[nodiscard]] ControllerActions finish(base::TimePoint now);
+
+  /// Called with the outcome once it is in force, or nothing when leadership was lost on the way.
+  using ChangeCompletion = std::function<void(const ChangeOutcome* outcome)>;
+  /// Submits an operator's change. False when this controller does not lead.
+  bool submit(const ControlCommand& command, base::TimePoint now, ChangeCompletion completion);
+
+  /// True when reads of state() see every accepted change.
+  [[nodiscard]] bool canRead(base::TimePoint now) const { return replica_.canRead(now); }
+  [[nodiscard]] const ControlState& state() const { return state_; }
+  [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+  [[nodiscard]] consensus::Replica& replica() { return replica_; }
+  [[nodiscard]] const ServingLeases& leases() const { return leases_; }
+  [[nodiscard]] const WeightsRollout& rollout() const { return rollout_; }
+
+ private:
+  struct AwaitingForce {
+    ChangeOutcome outcome;
+    ChangeCompletion completion;
+  };
+  struct Watcher {
+    base::Incarnation incarnation;
+    base::Revision sent;  ///< configuration last sent to it
+  };
+
+  [[nodiscard]] bool maySpeak(base::TimePoint now) const;
+  void observeLeadership(base::TimePoint now);
+  void answerInForce(base::TimePoint now);
+  void pushChanges(base::TimePoint now);
+  void orderEngines(base::TimePoint now);
+
+  const ControllerSettings settings_;
+  ControlState state_;
+  consensus::Replica replica_;
+  ServingLeases leases_;
+  WeightsRollout rollout_;
+  bool was_leader_ = false;
+  consensus::Term observed_term_ = 0;
+  std::vector<AwaitingForce> awaiting_;
+  std::map<base::NodeId, Watcher> watchers_;
+  ControllerActions actions_;
+};
+
+}  // namespace tackpick::control
--- /dev/null
+++ b/src/control/serving_leases.cpp
@@ -0,0 +1,51 @@
+#include "control/serving_leases.h"
+
+#include <algorithm>
+
+namespace tackpick::control {
+
+void ServingLeases::onBecameLeader(base::TimePoint now) {
+  leases_.clear();
+  earlier_leases_end_ = settings_.mutants.forgetEarlierLeases ? now : now + longestDuration();
+}
+
+base::Duration ServingLeases::grant(base::NodeId gateway, base::Incarnation incarnation,
+                                    base::Revision acknowledged, base::TimePoint now) {
+  Lease& lease = leases_[gateway];
+  if (incarnation < lease.incarnation) {
+    return base::Duration{0};
+  }
+  const bool sameRun = incarnation == lease.incarnation;
+  lease.incarnation = incarnation;
+  lease.acknowledged = sameRun ? std::max(lease.acknowledged, acknowledged) : acknowledged;
+  lease.expiresAt = now + longestDuration();
+  return settings_.duration;
+}
+
+void ServingLeases::release(base::NodeId gateway) { leases_.erase(gateway); }
+
+bool ServingLeases::inForceEverywhere(base::Revision revision, base::TimePoint now) const {
+  if (now < earlier_leases_end_) {
+    return false;
+  }
+  return std::all_of(leases_.begin(), leases_.end(), [&](const auto& entry) {
+    return entry.second.acknowledged >= revision || now >= entry.second.expiresAt;
+  });
+}
+
+std::size_t ServingLeases::size(base::TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::count_if(leases_.begin(), leases_.end(),
+                    [&](const auto& entry) { return now < entry.second.expiresAt; }));
+}
+
+void ServingLeases::dropExpired(base::TimePoint now) {
+  std::erase_if(leases_, [&](const auto& entry) { return now >= entry.second.expiresAt; });
+}
+
+base::Duration ServingLeases::longestDuration() const {
+  constexpr int kWholePercent = 100;
+  return settings_.duration * (kWholePercent + settings_.clockDriftPercent) / kWholePercent;
+}
+
+}  // namespace tackpick::control
--- /dev/null
+++ b/src/control/weights_rollout.cpp
@@ -0,0 +1,98 @@
+#include "control/weights_rollout.h"
+
+#include <algorithm>
+
+namespace tackpick::control {
+
+std::vector<engine::AddressedOrder> WeightsRollout::step(
+    const std::map<base::EngineId, EngineRecord>& engines,
+    const std::map<std::string, WeightsRecord>& weights, std::uint64_t term, base::TimePoint now) {
+  std::vector<engine::AddressedOrder> orders;
+  std::erase_if(observed_, [&](const auto& entry) { return !engines.contains(entry.first); });
+  for (const auto& [id, record] : engines) {
+    const auto wanted = weights.find(record.model);
+    if (wanted == weights.end() || record.leaving || record.removed) {
+      continue;
+    }
+    Observed& observed = observed_[id];
+    if (observed.incarnation != record.incarnation) {
+      observed = {};
+      observed.incarnation = record.incarnation;
+    }
+    observed.model = record.model;
+    const base::WeightsVersion target = wanted->second.version;
+    if (observed.active == target || !mayOrder(observed, now)) {
+      continue;
+    }
+    using engine::OrderKind;
+    const bool prepared = observed.prepared == target;
+    const OrderKind kind = prepared ? OrderKind::kActivateWeights : OrderKind::kPrepareWeights;
+    const bool room = prepared ? countOrdered(kind, record.model, now) < swapLimit(record.model)
+                               : countOrdered(kind, {}, now) < settings_.concurrentLoads;
+    const bool repeats = observed.ordered && observed.lastOrder == kind;
+    if (!room && !repeats) {
+      continue;
+    }
+    observed.ordered = true;
+    observed.orderedAt = now;
+    observed.lastOrder = kind;
+    engine::EngineOrder order;
+    order.fence = {term, ++sequence_};
+    order.kind = kind;
+    order.model = record.model;
+    order.version = target;
+    orders.push_back({id, order});
+  }
+  return orders;
+}
+
+void WeightsRollout::onReply(const engine::OrderReply& reply, base::TimePoint /*now*/) {
+  const auto found = observed_.find(reply.state.engine);
+  if (found == observed_.end() || reply.status == engine::OrderStatus::kStaleFence) {
+    return;
+  }
+  Observed& observed = found->second;
+  const bool advanced = observed.prepared != reply.state.preparedVersion ||
+                        observed.active != reply.state.activeVersion;
+  observed.active = reply.state.activeVersion;
+  observed.prepared = reply.state.preparedVersion;
+  if (advanced) {
+    observed.ordered = false;
+  }
+}
+
+bool WeightsRollout::mayOrder(const Observed& observed, base::TimePoint now) const {
+  return !observed.ordered || now - observed.orderedAt >= settings_.retryInterval;
+}
+
+std::size_t WeightsRollout::countOrdered(engine::OrderKind kind, const std::string& model,
+                                         base::TimePoint now) const {
+  // An engine that does not answer must not hold its place for ever.
+  constexpr int kIntervalsBeforeGivingUp = 25;
+  return static_cast<std::size_t>(
+      std::count_if(observed_.begin(), observed_.end(), [&](const auto& entry) {
+        const Observed& observed = entry.second;
+        return observed.ordered && observed.lastOrder == kind &&
+               (model.empty() || observed.model == model) &&
+               now - observed.orderedAt < settings_.retryInterval * kIntervalsBeforeGivingUp;
+      }));
+}
+
+std::size_t WeightsRollout::swapLimit(const std::string& model) const {
+  constexpr std::size_t kWholePercent = 100;
+  const auto engines = static_cast<std::size_t>(
+      std::count_if(observed_.begin(), observed_.end(),
+                    [&](const auto& entry) { return entry.second.model == model; }));
+  return std::max<std::size_t>(
+      1, engines * static_cast<std::size_t>(settings_.swappingPercent) / kWholePercent);
+}
+
+std::size_t WeightsRollout::activeCount(const std::string& model,
+                                        base::WeightsVersion version) const {
+  return static_cast<std::size_t>(
+      std::count_if(observed_.begin(), observed_.end(), [&](const auto& entry) {
+        return entry.second.model == model && entry.second.active == version;
+      }));
+}
+
+}  // namespace tackpick::control
--- /dev/null
+++ b/src/emulator/platform.cpp
@@ -0,0 +1,99 @@
+#include "emulator/platform.h"
+
+#include <utility>
+
+#include "base/random.h"
+#include "runtime/engine_json.h"
+
+namespace tackpick::emulator {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
+const http::Headers& jsonHeaders() {
+  static const http::Headers kHeaders = {{"Content-Type", "application/json"}};
+  return kHeaders;
+}
+
+http::ServerSettings serverSettings(const PlatformSettings& settings) {
+  http::ServerSettings server;
+  server.host = settings.host;
+  server.port = settings.port;
+  return server;
+}
+
+}  // namespace
+
+Platform::Platform(asio::io_context& context, PlatformSettings settings)
+    : context_(context),
+      settings_(std::move(settings)),
+      server_(context, serverSettings(settings_),
+              [this](const http::Request& request, std::shared_ptr<http::Responder> responder) {
+                handle(request, responder);
+              }) {}
+
+void Platform::handle(const http::Request& request,
+                      const std::shared_ptr<http::Responder>& responder) {
+  if (request.path == "/machines" && request.method == "GET") {
+    responder->respond(kOk, jsonHeaders(), runtime::toJson(laggingList()));
+  } else if (request.path == "/machines") {
+    announce(request.body);
+    responder->respond(kOk, jsonHeaders(), "{}");
+  } else if (request.path == "/score") {
+    score(request, responder);
+  } else {
+    responder->respond(kNotFound, jsonHeaders(), R"({"error":"not found"})");
+  }
+}
+
+void Platform::announce(const std::string& body) {
+  const base::TimePoint now = clock_.now();
+  for (const control::MachineListing& machine :
+       runtime::parseMachineList(body).value_or(std::vector<control::MachineListing>{})) {
+    Seen& seen = seen_[machine.engine.engine];
+    if (machine.engine.incarnation < seen.machine.engine.incarnation) {
+      continue;
+    }
+    if (machine.engine.incarnation != seen.machine.engine.incarnation) {
+      seen = {};
+      seen.firstSeenAt = now;
+    }
+    if (machine.engine.leaving && !seen.machine.engine.leaving) {
+      seen.leavingSeenAt = now;
+    }
+    seen.machine = machine;
+    seen.lastSeenAt = now;
+  }
+}
+
+std::vector<control::MachineListing> Platform::laggingList() const {
+  const base::TimePoint now = clock_.now();
+  std::vector<control::MachineListing> list;
+  for (const auto& [id, seen] : seen_) {
+    const bool visible = now - seen.firstSeenAt >= settings_.listLag &&
+                         now - seen.lastSeenAt < settings_.silence + settings_.listLag;
+    if (!visible) {
+      continue;
+    }
+    control::MachineListing machine = seen.machine;
+    const bool leavingVisible = now - seen.leavingSeenAt >= settings_.listLag;
+    machine.engine.leaving = machine.engine.leaving && leavingVisible;
+    list.push_back(machine);
+  }
+  return list;
+}
+
+void Platform::score(const http::Request& request,
+                     const std::shared_ptr<http::Responder>& responder) {
+  auto timer = std::make_shared<asio::steady_timer>(context_, settings_.scoreTime);
+  const std::uint64_t hash = base::hashBytes(request.body);
+  timer->async_wait([timer, responder, hash](const asio::error_code& /*error*/) {
+    constexpr std::uint64_t kSteps = 1000;
+    const double score = static_cast<double>(hash % kSteps) / static_cast<double>(kSteps);
+    responder->respond(kOk, jsonHeaders(), runtime::Json{{"score", score}}.dump());
+  });
+}
+
+}  // namespace tackpick::emulator
--- /dev/null
+++ b/src/gateway/group_client.cpp
@@ -0,0 +1,83 @@
+#include "gateway/group_client.h"
+
+#include <utility>
+
+namespace tackpick::gateway {
+
+using transport::CommandStatus;
+
+void GroupClient::call(transport::CommandKind kind, base::Bytes payload, base::TimePoint now,
+                       transport::Outbox& outbox, Callback callback) {
+  Call call;
+  call.request.group = settings_.group;
+  call.request.call = next_call_;
+  call.request.kind = kind;
+  call.request.payload = std::move(payload);
+  call.deadline = now + settings_.deadline;
+  call.callback = std::move(callback);
+  ++next_call_.value;
+  send(call, now, outbox);
+  calls_.emplace(call.request.call, std::move(call));
+}
+
+void GroupClient::onResponse(const transport::CommandResponse& response, base::TimePoint now,
+                             transport::Outbox& outbox) {
+  const auto found = calls_.find(response.call);
+  if (found == calls_.end()) {
+    return;
+  }
+  if (response.status == CommandStatus::kOk) {
+    const Callback callback = std::move(found->second.callback);
+    calls_.erase(found);
+    callback(&response.payload, now);
+    return;
+  }
+  const bool knewBetter = leader_.valid() && response.leader == leader_;
+  leader_ = response.leader;
+  if (leader_.valid() && !knewBetter) {
+    send(found->second, now, outbox);
+    return;
+  }
+  // No leader is known there: the resend timer tries the next replica.
+  tryNextReplica();
+}
+
+void GroupClient::tick(base::TimePoint now, transport::Outbox& outbox) {
+  std::vector<Callback> expired;
+  bool moved = false;
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    Call& call = it->second;
+    if (now >= call.deadline) {
+      expired.push_back(std::move(call.callback));
+      it = calls_.erase(it);
+      continue;
+    }
+    if (now - call.sentAt >= settings_.resendInterval) {
+      if (!moved) {
+        tryNextReplica();
+        moved = true;
+      }
+      send(call, now, outbox);
+    }
+    ++it;
+  }
+  for (const Callback& callback : expired) {
+    callback(nullptr, now);
+  }
+}
+
+base::NodeId GroupClient::target() const {
+  return leader_.valid() ? leader_ : settings_.replicas.at(turn_ % settings_.replicas.size());
+}
+
+void GroupClient::tryNextReplica() {
+  leader_ = {};
+  ++turn_;
+}
+
+void GroupClient::send(Call& call, base::TimePoint now, transport::Outbox& outbox) const {
+  call.sentAt = now;
+  outbox.push_back({target(), call.request});
+}
+
+}  // namespace tackpick::gateway
--- /dev/null
+++ b/src/gateway/group_client.h
@@ -0,0 +1,61 @@
+/// \file
+/// Calls from a gateway to a replication group: finds the leader, resends, gives up at a deadline.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "base/time.h"
+#include "transport/internal_messages.h"
+
+namespace tackpick::gateway {
+
+/// Knobs of GroupClient.
+struct GroupClientSettings {
+  base::GroupId group;
+  std::vector<base::NodeId> replicas;
+  base::Duration resendInterval = base::milliseconds(700);
+  /// Must exceed the longest wait for a change to be in force.
+  base::Duration deadline = base::seconds(12);
+};
+
+/// Every command must be safe to resend: the client repeats it until a replica answers. Owned by
+/// the gateway's thread.
+class GroupClient {
+ public:
+  /// Gets the result, or nothing when the outcome is unknown at the deadline.
+  using Callback = std::function<void(const base::Bytes* result, base::TimePoint now)>;
+
+  /// `firstCall` must differ between runs of the gateway, so that late answers are not confused.
+  GroupClient(GroupClientSettings settings, base::CallId firstCall)
+      : settings_(std::move(settings)), next_call_(firstCall) {}
+
+  void call(transport::CommandKind kind, base::Bytes payload, base::TimePoint now,
+            transport::Outbox& outbox, Callback callback);
+  void onResponse(const transport::CommandResponse& response, base::TimePoint now,
+                  transport::Outbox& outbox);
+  void tick(base::TimePoint now, transport::Outbox& outbox);
+  [[nodiscard]] base::GroupId group() const { return settings_.group; }
+  [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
+
+ private:
+  struct Call {
+    transport::CommandRequest request;
+    base::TimePoint sentAt{};
+    base::TimePoint deadline{};
+    Callback callback;
+  };
+
+  [[nodiscard]] base::NodeId target() const;
+  void tryNextReplica();
+  void send(Call& call, base::TimePoint now, transport::Outbox& outbox) const;
+
+  const GroupClientSettings settings_;
+  base::CallId next_call_;
+  base::NodeId leader_;
+  std::size_t turn_ = 0;
+  std::map<base::CallId, Call> calls_;
+};
+
+}  // namespace tackpick::gateway
--- /dev/null
+++ b/src/gateway/job.cpp
@@ -0,0 +1,18 @@
+#include "gateway/job.h"
+
+namespace tackpick::gateway {
+
+void LabelledTokens::append(base::WeightsVersion version, const std::vector<engine::Token>& more) {
+  if (more.empty()) {
+    return;
+  }
+  const auto count = static_cast<std::uint32_t>(more.size());
+  if (!spans.empty() && spans.back().version == version) {
+    spans.back().count += count;
+  } else {
+    spans.push_back({version, static_cast<std::uint32_t>(tokens.size()), count});
+  }
+  tokens.insert(tokens.end(), more.begin(), more.end());
+}
+
+}  // namespace tackpick::gateway
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,365 @@
+#include "http/client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace tackpick::http {
+namespace {
+
+constexpr long kOn = 1;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+void initialiseOnce() {
+  static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(kInitialised);
+}
+
+}  // namespace
+
+class Client::Implementation : public std::enable_shared_from_this<Client::Implementation> {
+ public:
+  explicit Implementation(asio::io_context& context) : context_(context), timer_(context) {
+    initialiseOnce();
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    constexpr long kKeptConnections = 2048;
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kKeptConnections);
+  }
+  Implementation(const Implementation&) = delete;
+  Implementation& operator=(const Implementation&) = delete;
+
+  ~Implementation() {
+    for (auto& [id, transfer] : transfers_) {
+      curl_multi_remove_handle(multi_, transfer->easy);
+    }
+    transfers_.clear();
+    curl_multi_cleanup(multi_);
+    for (auto& [socket, watch] : watches_) {
+      watch->descriptor.release();
+    }
+    for (CURL* easy : idle_) {
+      curl_easy_cleanup(easy);
+    }
+  }
+
+  TransferId start(const ClientRequest& request, DataCallback onData, DoneCallback onDone) {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = {++last_id_};
+    transfer->onData = std::move(onData);
+    transfer->onDone = std::move(onDone);
+    transfer->body = request.body;
+    transfer->easy = takeEasy();
+    configure(*transfer, request);
+    Transfer& stored = *transfer;
+    transfers_[transfer->id] = std::move(transfer);
+    add(stored.id);
+    return stored.id;
+  }
+
+  void cancel(TransferId id) {
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end()) {
+      return;
+    }
+    if (in_curl_) {
+      // libcurl forbids removing a handle inside its callbacks.
+      found->second->cancelled = true;
+      asio::post(context_, [weak = weak_from_this(), id] {
+        if (const auto self = weak.lock()) {
+          self->cancel(id);
+        }
+      });
+      return;
+    }
+    release(found);
+  }
+
+  [[nodiscard]] std::size_t active() const { return transfers_.size(); }
+
+ private:
+  struct Transfer {
+    TransferId id;
+    CURL* easy = nullptr;
+    curl_slist* headerList = nullptr;
+    DataCallback onData;
+    DoneCallback onDone;
+    std::string body;
+    ClientResult result;
+    bool cancelled = false;
+
+    Transfer() = default;
+    Transfer(const Transfer&) = delete;
+    Transfer& operator=(const Transfer&) = delete;
+    ~Transfer() {
+      curl_slist_free_all(headerList);
+      if (easy != nullptr) {
+        curl_easy_cleanup(easy);
+      }
+    }
+  };
+  using Transfers = std::unordered_map<TransferId, std::unique_ptr<Transfer>>;
+
+  /// One of libcurl's sockets, watched by Asio but owned by libcurl.
+  struct Watch {
+    explicit Watch(asio::io_context& context) : descriptor(context) {}
+    asio::posix::stream_descriptor descriptor;
+    int wanted = 0;
+    bool reading = false;
+    bool writing = false;
+    bool removed = false;
+  };
+
+  void add(TransferId id) {
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end()) {
+      return;
+    }
+    if (!in_curl_) {
+      curl_multi_add_handle(multi_, found->second->easy);
+      return;
+    }
+    // libcurl forbids adding a handle inside its callbacks.
+    asio::post(context_, [weak = weak_from_this(), id] {
+      if (const auto self = weak.lock()) {
+        self->add(id);
+      }
+    });
+  }
+
+  CURL* takeEasy() {
+    if (idle_.empty()) {
+      return curl_easy_init();
+    }
+    CURL* easy = idle_.back();
+    idle_.pop_back();
+    return easy;
+  }
+
+  void release(Transfers::iterator found) {
+    constexpr std::size_t kIdleHandles = 256;
+    Transfer& transfer = *found->second;
+    curl_multi_remove_handle(multi_, transfer.easy);
+    if (idle_.size() < kIdleHandles) {
+      curl_easy_reset(transfer.easy);
+      idle_.push_back(std::exchange(transfer.easy, nullptr));
+    }
+    transfers_.erase(found);
+  }
+
+  static void configure(Transfer& transfer, const ClientRequest& request) {
+    CURL* easy = transfer.easy;
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, kOn);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, kOn);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Implementation::onData);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Implementation::onHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(request.connectTimeout.count() / 1000));
+    if (request.timeout.count() > 0) {
+      curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count() / 1000));
+    }
+    if (request.freshConnection) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, kOn);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, kOn);
+    }
+    transfer.headerList = curl_slist_append(nullptr, "Expect:");
+    for (const auto& [name, value] : request.headers) {
+      transfer.headerList = curl_slist_append(transfer.headerList, (name + ": " + value).c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
+    if (request.method != "GET") {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer.body.data());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(transfer.body.size()));
+      curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    }
+  }
+
+  static std::size_t onData(char* data, std::size_t size, std::size_t count, void* user) {
+    auto& transfer = *static_cast<Transfer*>(user);
+    const std::string_view piece(data, size * count);
+    long status = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    const bool successful = status >= kFirstSuccess && status < kFirstRedirect;
+    if (transfer.cancelled) {
+      return 0;
+    }
+    if (successful && transfer.onData) {
+      transfer.onData(piece);
+    } else {
+      transfer.result.body.append(piece);
+    }
+    return piece.size();
+  }
+
+  static std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user) {
+    auto& transfer = *static_cast<Transfer*>(user);
+    const std::string_view line(data, size * count);
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+      std::string name(line.substr(0, colon));
+      std::transform(name.begin(), name.end(), name.begin(),
+                     [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+      std::size_t begin = line.find_first_not_of(' ', colon + 1);
+      const std::size_t end = line.find_last_not_of("\r\n ");
+      if (begin != std::string_view::npos && end != std::string_view::npos && end >= begin) {
+        transfer.result.headers[name] = std::string(line.substr(begin, end - begin + 1));
+      }
+    }
+    return size * count;
+  }
+
+  static int onSocket(CURL* /*easy*/, curl_socket_t socket, int what, void* user, void* /*data*/) {
+    auto& self = *static_cast<Implementation*>(user);
+    if (what == CURL_POLL_REMOVE) {
+      const auto found = self.watches_.find(socket);
+      if (found != self.watches_.end()) {
+        found->second->removed = true;
+        found->second->descriptor.release();
+        self.watches_.erase(found);
+      }
+      return 0;
+    }
+    std::shared_ptr<Watch>& watch = self.watches_[socket];
+    if (!watch) {
+      watch = std::make_shared<Watch>(self.context_);
+      watch->descriptor.assign(socket);
+    }
+    watch->wanted = what;
+    self.wait(socket, watch);
+    return 0;
+  }
+
+  void wait(curl_socket_t socket, const std::shared_ptr<Watch>& watch) {
+    if ((watch->wanted & CURL_POLL_IN) != 0 && !watch->reading) {
+      watch->reading = true;
+      watch->descriptor.async_wait(
+          asio::posix::stream_descriptor::wait_read,
+          [weak = weak_from_this(), socket, watch](const asio::error_code& error) {
+            watch->reading = false;
+            if (const auto self = weak.lock()) {
+              self->onReady(socket, watch, CURL_CSELECT_IN, error);
+            }
+          });
+    }
+    if ((watch->wanted & CURL_POLL_OUT) != 0 && !watch->writing) {
+      watch->writing = true;
+      watch->descriptor.async_wait(
+          asio::posix::stream_descriptor::wait_write,
+          [weak = weak_from_this(), socket, watch](const asio::error_code& error) {
+            watch->writing = false;
+            if (const auto self = weak.lock()) {
+              self->onReady(socket, watch, CURL_CSELECT_OUT, error);
+            }
+          });
+    }
+  }
+
+  void onReady(curl_socket_t socket, const std::shared_ptr<Watch>& watch, int events,
+               const asio::error_code& error) {
+    if (watch->removed || error == asio::error::operation_aborted) {
+      return;
+    }
+    runCurl(socket, error ? events | CURL_CSELECT_ERR : events);
+    if (!watch->removed) {
+      wait(socket, watch);
+    }
+  }
+
+  static int onTimer(CURLM* /*multi*/, long timeoutMillis, void* user) {
+    auto& self = *static_cast<Implementation*>(user);
+    self.timer_.cancel();
+    if (timeoutMillis < 0) {
+      return 0;
+    }
+    self.timer_.expires_after(std::chrono::milliseconds(timeoutMillis));
+    self.timer_.async_wait([weak = self.weak_from_this()](const asio::error_code& error) {
+      const auto locked = weak.lock();
+      if (!error && locked) {
+        locked->runCurl(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+    return 0;
+  }
+
+  void runCurl(curl_socket_t socket, int events) {
+    const auto keepAlive = shared_from_this();
+    int running = 0;
+    in_curl_ = true;
+    curl_multi_socket_action(multi_, socket, events, &running);
+    in_curl_ = false;
+    collectFinished();
+  }
+
+  void collectFinished() {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      CURL* easy = message->easy_handle;
+      const CURLcode code = message->data.result;
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+      finish(*transfer, code);
+    }
+  }
+
+  void finish(Transfer& transfer, CURLcode code) {
+    ClientResult result = std::move(transfer.result);
+    long status = 0;
+    long requestBytes = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    result.status = static_cast<int>(status);
+    result.complete = code == CURLE_OK;
+    if (code != CURLE_OK) {
+      result.error = curl_easy_strerror(code);
+    }
+    const bool nothingSent = requestBytes == 0 || code == CURLE_COULDNT_CONNECT;
+    result.verdict = nothingSent ? base::Verdict::kNotRun : base::Verdict::kMayHaveRun;
+    const DoneCallback onDone = transfer.cancelled ? nullptr : std::move(transfer.onDone);
+    release(transfers_.find(transfer.id));
+    if (onDone) {
+      onDone(result);
+    }
+  }
+
+  asio::io_context& context_;
+  asio::steady_timer timer_;
+  CURLM* multi_ = nullptr;
+  std::uint64_t last_id_ = 0;
+  bool in_curl_ = false;
+  Transfers transfers_;
+  std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> watches_;
+  std::vector<CURL*> idle_;
+};
+
+Client::Client(asio::io_context& context)
+    : implementation_(std::make_shared<Implementation>(context)) {}
+
+Client::~Client() = default;
+
+TransferId Client::start(const ClientRequest& request, DataCallback onData, DoneCallback onDone) {
+  return implementation_->start(request, std::move(onData), std::move(onDone));
+}
+
+void Client::cancel(TransferId transfer) { implementation_->cancel(transfer); }
+
+std::size_t Client::active() const { return implementation_->active(); }
+
+}  // namespace tackpick::http
--- /dev/null
+++ b/src/routing/engine_table.cpp
@@ -0,0 +1,140 @@
+#include "routing/engine_table.h"
+
+#include <algorithm>
+
+namespace tackpick::routing {
+
+void EngineTable::apply(const control::ControlDelta& delta) {
+  if (delta.full) {
+    std::set<base::EngineId> listed;
+    for (const control::EngineRecord& record : delta.engines) {
+      listed.insert(record.engine);
+    }
+    std::erase_if(entries_, [&](const auto& entry) { return !listed.contains(entry.first); });
+  }
+  for (const control::EngineRecord& record : delta.engines) {
+    if (record.removed) {
+      entries_.erase(record.engine);
+      continue;
+    }
+    EngineEntry& entry = entries_[record.engine];
+    if (record.incarnation < entry.record.incarnation) {
+      continue;
+    }
+    if (record.incarnation > entry.record.incarnation) {
+      const bool statusIsNewer = entry.hasStatus && entry.status.incarnation >= record.incarnation;
+      const std::uint32_t inFlight = entry.inFlight;
+      if (!statusIsNewer) {
+        entry = {};
+        entry.inFlight = inFlight;
+      }
+    }
+    entry.record = record;
+    entry.leaving = entry.leaving || record.leaving;
+  }
+}
+
+void EngineTable::onStatus(const engine::EngineStatus& status, base::TimePoint now) {
+  const auto found = entries_.find(status.engine);
+  if (found == entries_.end()) {
+    return;
+  }
+  EngineEntry& entry = found->second;
+  const base::TimePoint trueAt = now - status.age;
+  const bool newRun = entry.hasStatus && status.incarnation > entry.status.incarnation;
+  if (entry.hasStatus && status.incarnation < entry.status.incarnation) {
+    return;
+  }
+  if (newRun) {
+    entry.cachedBlocks.clear();
+    entry.leaving = entry.record.leaving && entry.record.incarnation >= status.incarnation;
+  }
+  if (!entry.hasStatus || newRun || trueAt >= entry.statusAt) {
+    entry.statusAt = trueAt;
+    entry.sinceStatus = std::min(entry.sinceStatus, entry.inFlight);
+    // What was dispatched during the report's lag is not in its figures; half of the recent
+    // dispatches is a fair guess, and the own in-flight count bounds the error.
+    entry.sinceStatus /= 2;
+  }
+  entry.status = status;
+  entry.hasStatus = true;
+  entry.confirmedAt = std::max(entry.confirmedAt, now);
+  entry.leaving = entry.leaving || status.leaving;
+}
+
+void EngineTable::onDispatch(base::EngineId engine) {
+  const auto found = entries_.find(engine);
+  if (found != entries_.end()) {
+    ++found->second.inFlight;
+    ++found->second.sinceStatus;
+  }
+}
+
+void EngineTable::onEnd(base::EngineId engine) {
+  const auto found = entries_.find(engine);
+  if (found != entries_.end() && found->second.inFlight > 0) {
+    --found->second.inFlight;
+  }
+}
+
+void EngineTable::onCacheEvent(base::EngineId engine, const engine::CacheEvent& event) {
+  const auto found = entries_.find(engine);
+  if (found == entries_.end()) {
+    return;
+  }
+  if (event.kind == engine::CacheEventKind::kStored) {
+    found->second.cachedBlocks.insert(event.block);
+  } else {
+    found->second.cachedBlocks.erase(event.block);
+  }
+}
+
+void EngineTable::onCacheGap(base::EngineId engine) {
+  const auto found = entries_.find(engine);
+  constexpr std::size_t kTrustedBlocks = 8192;
+  // A lost event leaves a wrong hint, never a wrong answer; only an overgrown table is dropped.
+  if (found != entries_.end() && found->second.cachedBlocks.size() > kTrustedBlocks) {
+    found->second.cachedBlocks.clear();
+  }
+}
+
+bool EngineTable::isLeaving(const EngineEntry& entry) const {
+  return entry.leaving || entry.record.leaving || entry.record.drained;
+}
+
+bool EngineTable::isEligible(const EngineEntry& entry, const std::string& model,
+                             base::WeightsVersion minimumVersion, base::TimePoint now) const {
+  if (!entry.hasStatus || entry.status.model != model) {
+    return false;
+  }
+  if (!entry.status.activeVersion.valid() || entry.status.activeVersion < minimumVersion) {
+    return false;
+  }
+  if (settings_.mutants.ignoreLeaving) {
+    return true;
+  }
+  return !isLeaving(entry) && now - entry.confirmedAt < settings_.statusTimeout;
+}
+
+std::uint32_t EngineTable::load(const EngineEntry& entry) {
+  const std::uint32_t reported = entry.status.running + entry.status.waiting + entry.sinceStatus;
+  return std::max(reported, entry.inFlight);
+}
+
+const EngineEntry* EngineTable::find(base::EngineId engine) const {
+  const auto found = entries_.find(engine);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+EngineTable::Capacity EngineTable::capacity(const std::string& model, base::TimePoint now) const {
+  Capacity total;
+  for (const auto& [id, entry] : entries_) {
+    if (isEligible(entry, model, {}, now)) {
+      total.slots += entry.status.slots;
+      total.load += load(entry);
+    }
+  }
+  return total;
+}
+
+}  // namespace tackpick::routing
--- /dev/null
+++ b/src/runtime/control_api.cpp
@@ -0,0 +1,274 @@
+#include "runtime/control_api.h"
+
+#include <limits>
+#include <utility>
+
+#include "runtime/control_json.h"
+#include "telemetry/log.h"
+#include "transport/shared_key.h"
+
+namespace tackpick::runtime {
+namespace {
+
+using telemetry::EventId;
+using telemetry::logEvent;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr std::int64_t kMaximumInteger = std::numeric_limits<std::int64_t>::max();
+
+const http::Headers& jsonHeaders() {
+  static const http::Headers kHeaders = {{"Content-Type", "application/json"}};
+  return kHeaders;
+}
+
+void respondError(http::Responder& responder, int status, const std::string& message) {
+  responder.respond(
+      status, jsonHeaders(),
+      Json{{"error", {{"message", message}}}}.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+Json replicaJson(const consensus::Replica& replica) {
+  static const std::vector<std::string> kStates = {"follower", "pre_candidate", "candidate",
+                                                   "leader"};
+  const consensus::RaftConsensus& raft = replica.raft();
+  Json voters = Json::array();
+  for (const base::NodeId node : raft.membership().voters) {
+    voters.push_back(std::to_string(node.value));
+  }
+  Json learners = Json::array();
+  for (const base::NodeId node : raft.membership().learners) {
+    learners.push_back(std::to_string(node.value));
+  }
+  return {{"group", replica.group().value},
+          {"state", kStates.at(static_cast<std::size_t>(raft.state()))},
+          {"term", raft.currentTerm()},
+          {"leader", std::to_string(raft.leader().value)},
+          {"leader_node", base::nodeNumber(raft.leader())},
+          {"commit_index", raft.commitIndex()},
+          {"applied_index", replica.appliedIndex()},
+          {"log_entries", raft.logLength()},
+          {"voters", std::move(voters)},
+          {"learners", std::move(learners)}};
+}
+
+}  // namespace
+
+void ControlApi::handle(const http::Request& request, const ResponderPointer& responder) {
+  if (!isOperator(request)) {
+    respondError(*responder, kUnauthorized, "an operator's bearer token is needed");
+    return;
+  }
+  const bool post = request.method == "POST";
+  const std::string& path = request.path;
+  if (path == "/v1/control/status") {
+    status(responder);
+  } else if (path == "/v1/control/state") {
+    state(responder);
+  } else if (path == "/v1/control/history") {
+    history(request, responder);
+  } else if (post && path == "/v1/control/apply") {
+    apply(request, responder);
+  } else if (post && path == "/v1/control/drain") {
+    drain(request, responder);
+  } else if (post && path == "/v1/control/credentials") {
+    putCredential(request, responder);
+  } else if (post && path == "/v1/control/members") {
+    members(request, responder);
+  } else {
+    respondError(*responder, kNotFound, "no such path");
+  }
+}
+
+bool ControlApi::isOperator(const http::Request& request) const {
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string header = request.header("authorization");
+  if (!header.starts_with(kScheme)) {
+    return false;
+  }
+  const std::string hash = transport::sha256Hex(header.substr(kScheme.size()));
+  if (!daemon_.settings().operatorTokenHash.empty() &&
+      transport::equalSecret(hash, daemon_.settings().operatorTokenHash)) {
+    return true;
+  }
+  const control::ControlDelta state = daemon_.controller()->state().deltaSince({});
+  for (const control::CredentialRecord& record : state.credentials) {
+    if (record.tokenHash == hash && record.role == control::CredentialRole::kOperator) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void ControlApi::status(const ResponderPointer& responder) {
+  control::Controller& controller = *daemon_.controller();
+  Json gateways = Json::array();
+  for (const auto& [node, lease] : controller.leases().leases()) {
+    gateways.push_back({{"node", base::nodeNumber(node)},
+                        {"revision", lease.acknowledged.value},
+                        {"lease_ms", (lease.expiresAt - daemon_.now()).count() / 1000}});
+  }
+  Json rollout = Json::array();
+  for (const auto& [model, record] : controller.state().weights()) {
+    rollout.push_back({{"model", model},
+                       {"version", record.version.value},
+                       {"engines_active", controller.rollout().activeCount(model, record.version)},
+                       {"engines", controller.state().engines().size()}});
+  }
+  Json ledgers = Json::array();
+  for (const auto& ledger : daemon_.ledgers()) {
+    ledgers.push_back(replicaJson(ledger->replica()));
+  }
+  responder->respond(kOk, jsonHeaders(),
+                     Json{{"node", std::to_string(daemon_.self().value)},
+                          {"control", replicaJson(controller.replica())},
+                          {"revision", controller.state().revision().value},
+                          {"can_read", controller.canRead(daemon_.now())},
+                          {"gateways", std::move(gateways)},
+                          {"weights", std::move(rollout)},
+                          {"ledgers", std::move(ledgers)}}
+                         .dump());
+}
+
+void ControlApi::state(const ResponderPointer& responder) {
+  control::Controller& controller = *daemon_.controller();
+  if (!controller.canRead(daemon_.now())) {
+    respondNotLeader(responder);
+    return;
+  }
+  responder->respond(kOk, jsonHeaders(), stateJson(controller.state().deltaSince({})).dump());
+}
+
+void ControlApi::history(const http::Request& request, const ResponderPointer& responder) {
+  control::Controller& controller = *daemon_.controller();
+  if (!controller.canRead(daemon_.now())) {
+    respondNotLeader(responder);
+    return;
+  }
+  const std::string after = request.queryValue("after");
+  constexpr std::size_t kMaximumDigits = 18;
+  const bool valid = !after.empty() && after.size() <= kMaximumDigits &&
+                     after.find_first_not_of("0123456789") == std::string::npos;
+  const control::ReadHistory query{base::Revision{valid ? std::stoull(after) : 0}};
+  const auto result = base::decode<control::HistoryResult>(
+      controller.state().query(base::encode(control::ControlQuery{query})));
+  responder->respond(kOk, jsonHeaders(),
+                     historyJson(result.value_or(control::HistoryResult{})).dump());
+}
+
+void ControlApi::apply(const http::Request& request, const ResponderPointer& responder) {
+  std::string problem;
+  const auto command = base::recover([&] { return parseApply(request.body); },
+                                     [&](const base::Error& error) {
+                                       problem = error.message;
+                                       return control::ControlCommand{};
+                                     });
+  if (!problem.empty()) {
+    respondError(*responder, kBadRequest, problem);
+    return;
+  }
+  submit(command, responder);
+}
+
+void ControlApi::drain(const http::Request& request, const ResponderPointer& responder) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  JsonReader reader(body);
+  control::DrainEngine drain;
+  drain.engine = {static_cast<std::uint64_t>(reader.integer("engine", 0, 1, kMaximumInteger))};
+  drain.drained = reader.flag("drained", true);
+  if (!reader.firstProblem().empty()) {
+    respondError(*responder, kBadRequest, reader.firstProblem());
+    return;
+  }
+  submit({reader.text("request_id"), drain}, responder);
+}
+
+void ControlApi::putCredential(const http::Request& request, const ResponderPointer& responder) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  JsonReader reader(body);
+  control::PutCredential put;
+  put.record.tokenHash = reader.requiredText("token_hash");
+  put.record.tenant = {reader.text("tenant")};
+  put.record.removed = reader.flag("removed", false);
+  const std::string role = reader.text("role", "caller");
+  if (role == "trainer") {
+    put.record.role = control::CredentialRole::kTrainer;
+  } else if (role == "operator") {
+    put.record.role = control::CredentialRole::kOperator;
+  } else if (role != "caller") {
+    reader.problem("role: expected caller, trainer or operator");
+  }
+  if (put.record.role != control::CredentialRole::kOperator && !put.record.tenant.valid()) {
+    reader.problem("tenant: required for callers and trainers");
+  }
+  if (!reader.firstProblem().empty()) {
+    respondError(*responder, kBadRequest, reader.firstProblem());
+    return;
+  }
+  submit({reader.text("request_id"), put}, responder);
+}
+
+void ControlApi::members(const http::Request& request, const ResponderPointer& responder) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  JsonReader reader(body);
+  const std::string node = reader.requiredText("node");
+  const bool remove = reader.flag("remove", false);
+  const bool numeric = node.find_first_not_of("0123456789") == std::string::npos;
+  if (!reader.firstProblem().empty() || !numeric || node.empty()) {
+    respondError(*responder, kBadRequest, "node: expected the node's identity as a decimal text");
+    return;
+  }
+  consensus::RaftConsensus& raft = daemon_.controller()->replica().raft();
+  const base::NodeId id{std::stoull(node)};
+  const bool accepted =
+      remove ? raft.removeMember(id, daemon_.now()) : raft.addMember(id, daemon_.now());
+  if (!raft.isLeader()) {
+    respondNotLeader(responder);
+  } else if (accepted) {
+    logEvent(EventId::kMembershipChanged, (remove ? "removed=" : "added=") + node);
+    responder->respond(kOk, jsonHeaders(), R"({"status":"accepted"})");
+  } else {
+    respondError(*responder, kConflict, "another membership change is under way");
+  }
+}
+
+void ControlApi::submit(const control::ControlCommand& command, const ResponderPointer& responder) {
+  const bool leads = daemon_.controller()->submit(
+      command, daemon_.now(), [responder](const control::ChangeOutcome* outcome) {
+        if (outcome == nullptr) {
+          respondError(*responder, kUnavailable,
+                       "leadership was lost: the change may or may not take effect; resend it "
+                       "with the same request_id");
+          return;
+        }
+        const bool accepted = outcome->status == control::ChangeStatus::kAccepted;
+        logEvent(accepted ? EventId::kChangeAccepted : EventId::kChangeRefused,
+                 "revision=" + std::to_string(outcome->revision.value));
+        int status = kOk;
+        if (outcome->status == control::ChangeStatus::kConflict ||
+            outcome->status == control::ChangeStatus::kRequestIdReused) {
+          status = kConflict;
+        } else if (outcome->status == control::ChangeStatus::kInvalid) {
+          status = kBadRequest;
+        }
+        responder->respond(status, jsonHeaders(), outcomeJson(*outcome).dump());
+      });
+  if (!leads) {
+    respondNotLeader(responder);
+  }
+}
+
+void ControlApi::respondNotLeader(const ResponderPointer& responder) {
+  const base::NodeId leader = daemon_.controller()->replica().raft().leader();
+  responder->respond(kMisdirected, jsonHeaders(),
+                     Json{{"error", {{"message", "this controller does not lead"}}},
+                          {"leader_node", base::nodeNumber(leader)}}
+                         .dump());
+}
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/daemon.cpp
@@ -0,0 +1,510 @@
+#include "runtime/daemon.h"
+
+#include <algorithm>
+#include <cstring>
+#include <filesystem>
+#include <utility>
+
+#include "base/random.h"
+#include "runtime/caller_api.h"
+#include "runtime/control_api.h"
+#include "runtime/metrics.h"
+#include "telemetry/log.h"
+#include "transport/shared_key.h"
+
+namespace tackpick::runtime {
+namespace {
+
+using telemetry::EventId;
+using telemetry::logEvent;
+
+constexpr auto kTickInterval = std::chrono::milliseconds(10);
+/// A planned stop that takes longer cuts what is left.
+constexpr base::Duration kLongestStop = base::seconds(60);
+const std::string kNodeFile = "node";
+
+/// What stands in the `node` file of a data folder.
+struct NodeIdentity {
+  std::string cluster;
+  std::uint64_t node = 0;
+  std::uint64_t incarnation = 0;  ///< of the latest run
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(cluster, node, incarnation);
+  }
+};
+
+std::uint64_t wallMicroseconds() {
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+std::uint64_t wallSeconds() {
+  constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
+  return wallMicroseconds() / kMicrosecondsPerSecond;
+}
+
+std::uint64_t randomNumber() {
+  const base::Bytes bytes = transport::randomBytes(sizeof(std::uint64_t));
+  std::uint64_t number = 0;
+  std::memcpy(&number, bytes.data(), sizeof(number));
+  return number;
+}
+
+std::vector<base::NodeId> toNodeIds(const std::vector<std::uint32_t>& numbers) {
+  std::vector<base::NodeId> nodes;
+  for (const std::uint32_t number : numbers) {
+    nodes.push_back(base::makeNodeId(number, 0));
+  }
+  return nodes;
+}
+
+bool contains(const std::vector<std::uint32_t>& numbers, std::uint32_t number) {
+  return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
+}
+
+}  // namespace
+
+Daemon::Daemon(config::ProcessSettings settings)
+    : settings_(std::move(settings)),
+      random_(std::make_unique<base::SeededRandom>(randomNumber())),
+      ticker_(context_),
+      signals_(context_, SIGINT, SIGTERM) {}
+
+Daemon::~Daemon() = default;
+
+base::Result<std::unique_ptr<Daemon>> Daemon::create(const config::ProcessSettings& settings,
+                                                     FolderMode mode) {
+  std::unique_ptr<Daemon> daemon(new Daemon(settings));
+  BOOST_LEAF_CHECK(daemon->open(mode));
+  return daemon;
+}
+
+base::Result<void> Daemon::open(FolderMode mode) {
+  BOOST_LEAF_ASSIGN(key_, transport::readKeyFile(settings_.keyFile));
+  BOOST_LEAF_CHECK(openIdentity(mode));
+  BOOST_LEAF_CHECK(openRoles(mode));
+  client_ = std::make_unique<http::Client>(context_);
+  engine_link_ = std::make_unique<EngineLink>(*client_, engineEvents());
+  if (settings_.roles.contains(config::Role::kGateway)) {
+    openGateway();
+  }
+  return openNetwork();
+}
+
+base::Result<void> Daemon::openIdentity(FolderMode mode) {
+  BOOST_LEAF_AUTO(folder, storage::PosixFileSystem::create(settings_.dataFolder));
+  BOOST_LEAF_AUTO(names, folder->list());
+  NodeIdentity identity;
+  const bool known = std::find(names.begin(), names.end(), kNodeFile) != names.end();
+  if (known) {
+    BOOST_LEAF_AUTO(bytes, folder->read(kNodeFile));
+    const auto stored = base::decode<NodeIdentity>(bytes);
+    if (!stored || stored->cluster != settings_.cluster ||
+        base::nodeNumber({stored->node}) != settings_.node) {
+      return base::fail(base::ErrorCode::kWrongIdentity,
+                        settings_.dataFolder + ": belongs to another node or cluster");
+    }
+    identity = *stored;
+  } else {
+    // The first voters of a cluster have instance 0 so that settings can name them.
+    const bool replica = settings_.roles.contains(config::Role::kController) ||
+                         settings_.roles.contains(config::Role::kLedger);
+    if (mode == FolderMode::kExisting && replica) {
+      return base::fail(base::ErrorCode::kNotFound,
+                        settings_.dataFolder +
+                            ": empty; start once with --init for a new cluster, or with --join "
+                            "to replace a lost node");
+    }
+    constexpr std::uint32_t kInstanceMask = 0xffffffffU;
+    const bool joins = mode == FolderMode::kJoin;
+    const auto instance =
+        joins ? (static_cast<std::uint32_t>(randomNumber() & kInstanceMask) | 1U) : 0U;
+    identity.cluster = settings_.cluster;
+    identity.node = base::makeNodeId(settings_.node, instance).value;
+  }
+  identity.incarnation = std::max(identity.incarnation + 1, wallMicroseconds());
+  BOOST_LEAF_CHECK(storage::writeDurably(*folder, kNodeFile, base::encode(identity)));
+  self_ = {identity.node};
+  incarnation_ = {identity.incarnation};
+  return {};
+}
+
+base::Result<consensus::LogStore*> Daemon::openLog(const std::string& name,
+                                                   const config::GroupSettings& group,
+                                                   FolderMode mode) {
+  BOOST_LEAF_AUTO(folder, storage::PosixFileSystem::create(settings_.dataFolder + "/" + name));
+  folders_.push_back(std::move(folder));
+  consensus::Membership initial;
+  if (mode == FolderMode::kInitialise) {
+    for (const base::NodeId node : toNodeIds(group.nodes)) {
+      initial.voters.insert(node);
+    }
+  }
+  const storage::FolderIdentity identity{settings_.cluster, self_, group.group};
+  BOOST_LEAF_AUTO(log, storage::SegmentedLog::open(*folders_.back(), identity, initial));
+  logs_.push_back(std::move(log));
+  return logs_.back().get();
+}
+
+base::Result<void> Daemon::openRoles(FolderMode mode) {
+  if (settings_.roles.contains(config::Role::kController)) {
+    BOOST_LEAF_AUTO(log, openLog("control", settings_.controllers, mode));
+    control::ControllerSettings controller;
+    controller.rollout.concurrentLoads = settings_.concurrentWeightLoads;
+    controller_ = std::make_unique<control::Controller>(self_, settings_.controllers.group,
+                                                        controller, *log, *random_, now());
+  }
+  if (settings_.roles.contains(config::Role::kLedger)) {
+    for (const config::GroupSettings& group : settings_.ledgers) {
+      if (!contains(group.nodes, settings_.node)) {
+        continue;
+      }
+      BOOST_LEAF_AUTO(log, openLog("ledger-" + std::to_string(group.group.value), group, mode));
+      ledgers_.push_back(std::make_unique<ledger::Ledger>(
+          self_, group.group, ledger::LedgerSettings{}, *log, *random_, now()));
+    }
+  }
+  return {};
+}
+
+void Daemon::openGateway() {
+  gateway::GatewaySettings gateway = settings_.gateway;
+  gateway.self = self_;
+  gateway.incarnation = incarnation_;
+  gateway.zone = settings_.zone;
+  gateway.selector.zone = settings_.zone;
+  gateway.controlGroup = settings_.controllers.group;
+  gateway.controllers = toNodeIds(settings_.controllers.nodes);
+  for (const config::GroupSettings& group : settings_.ledgers) {
+    gateway.ledgers.push_back({group.group, toNodeIds(group.nodes)});
+  }
+  gateway_ = std::make_unique<gateway::Gateway>(gateway, *random_, now());
+}
+
+base::Result<void> Daemon::openNetwork() {
+  transport::PeerNetworkSettings network;
+  network.self = self_;
+  network.key = key_;
+  network.listen = settings_.internal;
+  network.peers = settings_.peers;
+  try {
+    network_ = std::make_unique<transport::PeerNetwork>(
+        context_, network, [this](base::NodeId from, transport::InternalMessage message) {
+          onMessage(from, std::move(message));
+        });
+    openHttp();
+  } catch (const std::exception& error) {
+    return base::fail(base::ErrorCode::kNetwork, std::string("cannot listen: ") + error.what());
+  }
+  return {};
+}
+
+void Daemon::openHttp() {
+  if (gateway_) {
+    caller_api_ = std::make_unique<CallerApi>(*this);
+  }
+  if (controller_) {
+    control_api_ = std::make_unique<ControlApi>(*this);
+  }
+  http::ServerSettings server;
+  server.host = settings_.http.host;
+  server.port = settings_.http.port;
+  server_ = std::make_unique<http::Server>(
+      context_, server,
+      [this](const http::Request& request, std::shared_ptr<http::Responder> responder) {
+        onHttp(request, responder);
+      });
+}
+
+int Daemon::run() {
+  logEvent(EventId::kProcessStarted,
+           "node=" + std::to_string(self_.value) + " http_port=" + std::to_string(server_->port()));
+  signals_.async_wait([this](const asio::error_code& error, int) {
+    if (!error) {
+      beginStop();
+    }
+  });
+  tick();
+  context_.run();
+  logEvent(EventId::kProcessStopped, "");
+  return reported_failure_ ? 1 : 0;
+}
+
+void Daemon::tick() {
+  const base::TimePoint at = now();
+  if (controller_) {
+    controller_->tick(at);
+    readMachineList();
+  }
+  for (const auto& ledger : ledgers_) {
+    ledger->tick(at, wallSeconds());
+  }
+  if (gateway_) {
+    gateway_->tick(at);
+  }
+  turn();
+  observe();
+  if (stopping_) {
+    finishStop();
+  }
+  ticker_.expires_after(kTickInterval);
+  ticker_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void Daemon::wake() {
+  if (turn_scheduled_) {
+    return;
+  }
+  turn_scheduled_ = true;
+  asio::post(context_, [this] { turn(); });
+}
+
+void Daemon::turn() {
+  turn_scheduled_ = false;
+  if (controller_) {
+    const control::ControllerActions actions = controller_->finish(now());
+    for (const engine::AddressedOrder& order : actions.orders) {
+      const control::EngineRecord& record = controller_->state().engines().at(order.engine);
+      engine_link_->setAddress(order.engine, record.host, record.port);
+      engine_link_->sendOrder(order.engine, order.order);
+    }
+    sendAll(actions.messages);
+  }
+  for (const auto& ledger : ledgers_) {
+    sendAll(ledger->finish(now()));
+  }
+  if (!gateway_) {
+    return;
+  }
+  if (addresses_at_ != gateway_->view().revision()) {
+    addresses_at_ = gateway_->view().revision();
+    for (const auto& [id, entry] : gateway_->engines().entries()) {
+      engine_link_->setAddress(id, entry.record.host, entry.record.port);
+    }
+  }
+  const gateway::GatewayActions actions = gateway_->takeActions();
+  for (const gateway::Action& action : actions.actions) {
+    carryOut(action);
+  }
+  sendAll(actions.messages);
+}
+
+void Daemon::carryOut(const gateway::Action& action) {
+  if (const auto* start = std::get_if<gateway::StartAttempt>(&action)) {
+    engine_link_->startAttempt(start->engine, start->request);
+  } else if (const auto* cancel = std::get_if<gateway::CancelAttempt>(&action)) {
+    engine_link_->cancelAttempt(cancel->engine, cancel->attempt);
+  } else if (const auto* read = std::get_if<gateway::ReadEngine>(&action)) {
+    engine_link_->readReport(read->engine);
+  } else {
+    caller_api_->carryOut(action);
+  }
+}
+
+EngineEvents Daemon::engineEvents() {
+  EngineEvents events;
+  events.onChunk = [this](const engine::Chunk& chunk) {
+    gateway_->onChunk(chunk, now());
+    wake();
+  };
+  events.onEnd = [this](const engine::AttemptEnd& end) {
+    gateway_->onAttemptEnd(end, now());
+    wake();
+  };
+  events.onReport = [this](base::EngineId engine, const EngineReport& report) {
+    gateway_->onEngineStatus(report.status, now());
+    for (const engine::NumberedCacheEvent& numbered : report.cacheEvents) {
+      gateway_->onCacheEvent(engine, numbered.event);
+    }
+    wake();
+  };
+  events.onOrderReply = [this](base::EngineId engine, const engine::OrderReply& reply) {
+    if (reply.status == engine::OrderStatus::kStaleFence) {
+      logEvent(EventId::kEngineOrderFailed,
+               "engine=" + std::to_string(engine.value) + " reason=stale_fence");
+    }
+    controller_->onOrderReply(reply, now());
+    wake();
+  };
+  events.onOrderFailed = [](base::EngineId engine) {
+    logEvent(EventId::kEngineOrderFailed,
+             "engine=" + std::to_string(engine.value) + " reason=unreachable");
+  };
+  return events;
+}
+
+void Daemon::sendAll(const transport::Outbox& outbox) {
+  for (const transport::OutgoingMessage& outgoing : outbox) {
+    network_->send(outgoing.to, outgoing.message);
+  }
+}
+
+void Daemon::onMessage(base::NodeId from, transport::InternalMessage message) {
+  const base::TimePoint at = now();
+  const auto toGroup = [&](const auto& typed) {
+    if (controller_ && controller_->replica().group() == typed.group) {
+      controller_->handle(from, typed, at);
+    }
+    for (const auto& ledger : ledgers_) {
+      if (ledger->replica().group() == typed.group) {
+        ledger->handle(from, typed, at);
+      }
+    }
+  };
+  if (const auto* raft = std::get_if<transport::RaftEnvelope>(&message)) {
+    toGroup(*raft);
+  } else if (const auto* command = std::get_if<transport::CommandRequest>(&message)) {
+    toGroup(*command);
+  } else if (const auto* membership = std::get_if<transport::MembershipRequest>(&message)) {
+    toGroup(*membership);
+  } else if (const auto* watch = std::get_if<transport::WatchRequest>(&message)) {
+    if (controller_) {
+      controller_->handle(from, *watch, at);
+    }
+  } else if (gateway_) {
+    gateway_->onMessage(from, message, at);
+  }
+  wake();
+}
+
+void Daemon::onHttp(const http::Request& request,
+                    const std::shared_ptr<http::Responder>& responder) {
+  constexpr int kOk = 200;
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  const http::Headers json = {{"Content-Type", "application/json"}};
+  if (request.path == "/healthz") {
+    responder->respond(kOk, json, R"({"status":"ok"})");
+  } else if (request.path == "/readyz") {
+    const bool ready = isReady();
+    responder->respond(ready ? kOk : kUnavailable, json,
+                       ready ? R"({"ready":true})" : R"({"ready":false})");
+  } else if (request.path == "/metrics") {
+    responder->respond(kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText(*this));
+  } else if (control_api_ && request.path.starts_with("/v1/control")) {
+    control_api_->handle(request, responder);
+  } else if (caller_api_) {
+    caller_api_->handle(request, responder);
+  } else {
+    responder->respond(kNotFound, json, R"({"error":{"message":"no such path"}})");
+  }
+  wake();
+}
+
+bool Daemon::isReady() const {
+  if (stopping_) {
+    return false;
+  }
+  if (gateway_ && !gateway_->view().mayServe(now())) {
+    return false;
+  }
+  return !reported_failure_;
+}
+
+void Daemon::readMachineList() {
+  constexpr base::Duration kInterval = base::milliseconds(500);
+  if (settings_.machineListUrl.empty() || list_read_outstanding_ || !controller_->canRead(now()) ||
+      now() - list_read_at_ < kInterval) {
+    return;
+  }
+  list_read_at_ = now();
+  list_read_outstanding_ = true;
+  http::ClientRequest request;
+  request.url = settings_.machineListUrl;
+  request.timeout = base::seconds(1);
+  client_->start(request, nullptr, [this](const http::ClientResult& result) {
+    list_read_outstanding_ = false;
+    const auto machines = result.complete ? parseMachineList(result.body) : std::nullopt;
+    if (machines) {
+      controller_->onMachineList(*machines, now());
+      wake();
+    } else {
+      logEvent(EventId::kMachineListUnreadable, result.error);
+    }
+  });
+}
+
+void Daemon::observe() {
+  if (controller_) {
+    const bool leads = controller_->replica().raft().isLeader();
+    if (leads != reported_leader_) {
+      reported_leader_ = leads;
+      logEvent(leads ? EventId::kBecameLeader : EventId::kLostLeadership,
+               "group=" + std::to_string(controller_->replica().group().value) +
+                   " term=" + std::to_string(controller_->replica().raft().currentTerm()));
+    }
+  }
+  bool failed = controller_ && controller_->replica().raft().failed();
+  for (const auto& ledger : ledgers_) {
+    failed = failed || ledger->replica().raft().failed();
+  }
+  if (failed && !reported_failure_) {
+    reported_failure_ = true;
+    logEvent(EventId::kReplicaFailed, "the process stops");
+    context_.stop();
+  }
+  if (!gateway_) {
+    return;
+  }
+  const bool leased = gateway_->view().mayServe(now());
+  if (leased != reported_lease_) {
+    reported_lease_ = leased;
+    logEvent(leased ? EventId::kLeaseGained : EventId::kLeaseLost, "");
+  }
+  if (reported_revision_ != gateway_->view().revision()) {
+    reported_revision_ = gateway_->view().revision();
+    logEvent(EventId::kConfigurationInForce,
+             "revision=" + std::to_string(reported_revision_.value));
+  }
+}
+
+void Daemon::beginStop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_deadline_ = now() + kLongestStop;
+  logEvent(EventId::kProcessStopping, "");
+  if (gateway_) {
+    logEvent(EventId::kDrainBegun, "jobs=" + std::to_string(gateway_->jobCount()));
+    gateway_->beginDrain(now());
+  }
+  if (controller_) {
+    controller_->replica().raft().transferLeadership(now());
+  }
+  for (const auto& ledger : ledgers_) {
+    ledger->replica().raft().transferLeadership(now());
+  }
+  wake();
+}
+
+void Daemon::finishStop() {
+  const bool drained = !gateway_ || (gateway_->isDrained() && caller_api_->openRequests() == 0);
+  // A replica that led waits until another leads, or until there is nobody to take over.
+  const auto led = [](const consensus::Replica& replica) {
+    return replica.raft().isLeader() && replica.raft().membership().voters.size() > 1;
+  };
+  bool leading = controller_ && led(controller_->replica());
+  for (const auto& ledger : ledgers_) {
+    leading = leading || led(ledger->replica());
+  }
+  constexpr base::Duration kLongestHandOver = base::seconds(3);
+  const bool handOverFailed = now() >= stop_deadline_ - kLongestStop + kLongestHandOver;
+  if ((drained && (!leading || handOverFailed)) || now() >= stop_deadline_) {
+    if (gateway_) {
+      logEvent(EventId::kDrainComplete, drained ? "" : "cut=true");
+    }
+    // One more round of the loop lets the last messages leave.
+    ticker_.cancel();
+    asio::post(context_, [this] { context_.stop(); });
+  }
+}
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/daemon.h
@@ -0,0 +1,125 @@
+/// \file
+/// A tackpickd process: hosts the roles of its settings on one event loop.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/process_settings.h"
+#include "control/controller.h"
+#include "gateway/gateway.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "ledger/ledger.h"
+#include "runtime/engine_link.h"
+#include "storage/posix_file_system.h"
+#include "storage/segmented_log.h"
+#include "transport/peer_network.h"
+
+namespace tackpick::runtime {
+
+class CallerApi;
+class ControlApi;
+
+/// How an empty data folder of a replica is to be treated.
+enum class FolderMode {
+  kExisting,    ///< it must not be empty
+  kInitialise,  ///< a new cluster: the nodes of the settings are its first voters
+  kJoin,        ///< a new node of an existing group: it knows no member and never votes
+};
+
+/// Thin: decisions are made by Controller, Ledger and Gateway; this class moves their messages,
+/// orders and answers. Single-threaded.
+class Daemon {
+ public:
+  /// Opens data folders and ports. Fails when a folder is refused or a port is taken.
+  [[nodiscard]] static base::Result<std::unique_ptr<Daemon>> create(
+      const config::ProcessSettings& settings, FolderMode mode);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// Runs until a planned stop is complete. Returns the exit code.
+  int run();
+
+  // For the HTTP interfaces.
+  [[nodiscard]] const config::ProcessSettings& settings() const { return settings_; }
+  [[nodiscard]] base::TimePoint now() const { return clock_.now(); }
+  [[nodiscard]] gateway::Gateway* gateway() { return gateway_.get(); }
+  [[nodiscard]] control::Controller* controller() { return controller_.get(); }
+  [[nodiscard]] const std::vector<std::unique_ptr<ledger::Ledger>>& ledgers() const {
+    return ledgers_;
+  }
+  [[nodiscard]] base::NodeId self() const { return self_; }
+  [[nodiscard]] const transport::PeerNetwork& network() const { return *network_; }
+  /// Ends the current turn soon: roles sync and their actions are carried out. Call after every
+  /// event given to a role.
+  void wake();
+  /// True once this process can serve its roles.
+  [[nodiscard]] bool isReady() const;
+  void beginStop();
+
+ private:
+  explicit Daemon(config::ProcessSettings settings);
+
+  [[nodiscard]] base::Result<void> open(FolderMode mode);
+  [[nodiscard]] base::Result<void> openIdentity(FolderMode mode);
+  [[nodiscard]] base::Result<consensus::LogStore*> openLog(const std::string& name,
+                                                           const config::GroupSettings& group,
+                                                           FolderMode mode);
+  [[nodiscard]] base::Result<void> openRoles(FolderMode mode);
+  [[nodiscard]] base::Result<void> openNetwork();
+  void openGateway();
+  void openHttp();
+  void onMessage(base::NodeId from, transport::InternalMessage message);
+  void onHttp(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
+  void tick();
+  void turn();
+  void carryOut(const gateway::Action& action);
+  void sendAll(const transport::Outbox& outbox);
+  void readMachineList();
+  void observe();
+  void finishStop();
+  [[nodiscard]] EngineEvents engineEvents();
+
+  const config::ProcessSettings settings_;
+  asio::io_context context_;
+  base::SteadyTimeSource clock_;
+  std::unique_ptr<base::Random> random_;
+  base::NodeId self_;
+  base::Incarnation incarnation_;
+  base::Bytes key_;
+
+  std::vector<std::unique_ptr<storage::FileSystem>> folders_;
+  std::vector<std::unique_ptr<storage::SegmentedLog>> logs_;
+  std::unique_ptr<control::Controller> controller_;
+  std::vector<std::unique_ptr<ledger::Ledger>> ledgers_;
+  std::unique_ptr<gateway::Gateway> gateway_;
+
+  std::unique_ptr<transport::PeerNetwork> network_;
+  std::unique_ptr<http::Client> client_;
+  std::unique_ptr<EngineLink> engine_link_;
+  std::unique_ptr<CallerApi> caller_api_;
+  std::unique_ptr<ControlApi> control_api_;
+  std::unique_ptr<http::Server> server_;
+
+  asio::steady_timer ticker_;
+  asio::signal_set signals_;
+  bool turn_scheduled_ = false;
+  bool stopping_ = false;
+  base::TimePoint stop_deadline_{};
+  base::TimePoint list_read_at_{};
+  bool list_read_outstanding_ = false;
+  base::Revision addresses_at_;
+
+  // What was last reported as events.
+  bool reported_leader_ = false;
+  bool reported_lease_ = false;
+  bool reported_failure_ = false;
+  base::Revision reported_revision_;
+};
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/engine_json.h
@@ -0,0 +1,76 @@
+/// \file
+/// JSON of the engines' HTTP interface, shared by the gateway's client and the emulator's server.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control/controller.h"
+#include "engine/engine_model.h"
+#include "runtime/json.h"
+
+namespace tackpick::runtime {
+
+[[nodiscard]] std::string toJson(const engine::GenerateRequest& request);
+[[nodiscard]] base::Result<engine::GenerateRequest> parseGenerateRequest(const std::string& body);
+
+/// Data of one server-sent event.
+[[nodiscard]] std::string toJson(const engine::Chunk& chunk);
+[[nodiscard]] std::string toJson(const engine::AttemptEnd& end);
+/// One event of a stream, either a chunk or its end.
+struct StreamEvent {
+  std::optional<engine::Chunk> chunk;
+  std::optional<engine::AttemptEnd> end;
+};
+[[nodiscard]] std::optional<StreamEvent> parseStreamEvent(std::string_view data,
+                                                          base::AttemptId attempt);
+
+/// A load report, with the cache events that came with it.
+struct EngineReport {
+  engine::EngineStatus status;
+  std::vector<engine::NumberedCacheEvent> cacheEvents;
+  std::uint64_t cacheSequence = 0;  ///< of the newest event that is due
+};
+[[nodiscard]] std::string toJson(const EngineReport& report);
+[[nodiscard]] std::optional<EngineReport> parseEngineReport(const std::string& body);
+
+[[nodiscard]] std::string toJson(const engine::EngineOrder& order);
+[[nodiscard]] base::Result<engine::EngineOrder> parseEngineOrder(const std::string& body);
+[[nodiscard]] std::string toJson(const engine::OrderReply& reply);
+[[nodiscard]] std::optional<engine::OrderReply> parseOrderReply(const std::string& body);
+
+/// The platform's machine list.
+[[nodiscard]] std::string toJson(const std::vector<control::MachineListing>& machines);
+[[nodiscard]] std::optional<std::vector<control::MachineListing>> parseMachineList(
+    const std::string& body);
+
+/// Splits a stream of server-sent events into the data of each.
+class EventStreamParser {
+ public:
+  /// Feeds bytes; calls `onData` for each complete event. False when an event grows beyond bounds.
+  template <typename OnData>
+  bool feed(std::string_view bytes, OnData&& onData) {
+    constexpr std::size_t kMaximumEventBytes = 4U << 20U;
+    constexpr std::string_view kSeparator = "\n\n";
+    constexpr std::string_view kPrefix = "data: ";
+    buffer_.append(bytes);
+    std::size_t begin = 0;
+    for (std::size_t end = buffer_.find(kSeparator); end != std::string::npos;
+         end = buffer_.find(kSeparator, begin)) {
+      const std::string_view event = std::string_view(buffer_).substr(begin, end - begin);
+      if (event.starts_with(kPrefix)) {
+        onData(event.substr(kPrefix.size()));
+      }
+      begin = end + kSeparator.size();
+    }
+    buffer_.erase(0, begin);
+    return buffer_.size() <= kMaximumEventBytes;
+  }
+
+ private:
+  std::string buffer_;
+};
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/engine_link.h
@@ -0,0 +1,59 @@
+/// \file
+/// A gateway's or controller's connections to the engines, over HTTP.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "control/control_delta.h"
+#include "engine/engine_orders.h"
+#include "engine/generation.h"
+#include "http/client.h"
+#include "runtime/engine_json.h"
+
+namespace tackpick::runtime {
+
+/// Events from engines. Called on the event loop's thread, never from within a call to EngineLink.
+struct EngineEvents {
+  std::function<void(const engine::Chunk&)> onChunk;
+  std::function<void(const engine::AttemptEnd&)> onEnd;
+  std::function<void(base::EngineId, const EngineReport&)> onReport;
+  std::function<void(base::EngineId, const engine::OrderReply&)> onOrderReply;
+  std::function<void(base::EngineId)> onOrderFailed;
+};
+
+/// Turns attempts, reads and orders into HTTP requests.
+class EngineLink {
+ public:
+  EngineLink(http::Client& client, EngineEvents events)
+      : client_(client), events_(std::move(events)) {}
+
+  void setAddress(base::EngineId engine, const std::string& host, std::uint16_t port);
+  void startAttempt(base::EngineId engine, const engine::GenerateRequest& request);
+  void cancelAttempt(base::EngineId engine, base::AttemptId attempt);
+  void readReport(base::EngineId engine);
+  void sendOrder(base::EngineId engine, const engine::EngineOrder& order);
+
+ private:
+  struct RunningAttempt {
+    http::TransferId transfer;
+    EventStreamParser parser;
+    bool ended = false;
+  };
+
+  [[nodiscard]] std::string url(base::EngineId engine, const std::string& path) const;
+  void onStreamData(base::AttemptId attempt, std::string_view bytes);
+  void onStreamDone(base::AttemptId attempt, const http::ClientResult& result);
+
+  http::Client& client_;
+  EngineEvents events_;
+  std::map<base::EngineId, std::string> addresses_;
+  std::unordered_map<base::AttemptId, RunningAttempt> attempts_;
+  std::map<base::EngineId, http::TransferId> reads_;
+  std::map<base::EngineId, std::uint64_t> cache_sequences_;
+};
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/json.cpp
@@ -0,0 +1,94 @@
+#include "runtime/json.h"
+
+namespace tackpick::runtime {
+
+base::Result<Json> parseJson(const std::string& text) {
+  constexpr int kMaximumDepth = 16;
+  bool tooDeep = false;
+  const auto limitDepth = [&](int depth, Json::parse_event_t event, Json& /*parsed*/) {
+    const bool opens =
+        event == Json::parse_event_t::object_start || event == Json::parse_event_t::array_start;
+    tooDeep = tooDeep || (opens && depth > kMaximumDepth);
+    return !tooDeep;
+  };
+  Json parsed = Json::parse(text, limitDepth, false);
+  if (tooDeep) {
+    return base::fail(base::ErrorCode::kInvalidInput, "the JSON is nested too deeply");
+  }
+  if (parsed.is_discarded()) {
+    return base::fail(base::ErrorCode::kInvalidInput, "the body is not valid JSON");
+  }
+  return parsed;
+}
+
+JsonReader::JsonReader(const Json& object) : object_(object) {
+  if (!object_.is_object()) {
+    problem("expected a JSON object");
+  }
+}
+
+void JsonReader::problem(const std::string& message) {
+  if (problem_.empty()) {
+    problem_ = message;
+  }
+}
+
+std::string JsonReader::text(const char* key, const std::string& fallback) {
+  if (!object_.is_object() || !object_.contains(key)) {
+    return fallback;
+  }
+  const Json& value = object_[key];
+  if (!value.is_string()) {
+    problem(std::string(key) + ": expected a text");
+    return fallback;
+  }
+  return value.get<std::string>();
+}
+
+std::string JsonReader::requiredText(const char* key) {
+  std::string value = text(key);
+  if (value.empty()) {
+    problem(std::string(key) + ": expected a text; it is required");
+  }
+  return value;
+}
+
+std::int64_t JsonReader::integer(const char* key, std::int64_t fallback, std::int64_t minimum,
+                                 std::int64_t maximum) {
+  if (!object_.is_object() || !object_.contains(key)) {
+    return fallback;
+  }
+  const Json& value = object_[key];
+  const bool tooLarge = value.is_number_unsigned() &&
+                        value.get<std::uint64_t>() > static_cast<std::uint64_t>(maximum);
+  if (!value.is_number_integer() || tooLarge || value.get<std::int64_t>() < minimum ||
+      value.get<std::int64_t>() > maximum) {
+    problem(std::string(key) + ": expected an integer from " + std::to_string(minimum) + " to " +
+            std::to_string(maximum));
+    return fallback;
+  }
+  return value.get<std::int64_t>();
+}
+
+bool JsonReader::flag(const char* key, bool fallback) {
+  if (!object_.is_object() || !object_.contains(key)) {
+    return fallback;
+  }
+  const Json& value = object_[key];
+  if (!value.is_boolean()) {
+    problem(std::string(key) + ": expected true or false");
+    return fallback;
+  }
+  return value.get<bool>();
+}
+
+const Json& JsonReader::array(const char* key) {
+  static const Json kEmpty = Json::array();
+  if (!object_.is_object() || !object_.contains(key) || !object_[key].is_array()) {
+    problem(std::string(key) + ": expected an array");
+    return kEmpty;
+  }
+  return object_[key];
+}
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/metrics.cpp
@@ -0,0 +1,92 @@
+#include "runtime/metrics.h"
+
+#include "runtime/daemon.h"
+
+namespace tackpick::runtime {
+namespace {
+
+/// Builds the text: one metric after the other.
+class MetricsWriter {
+ public:
+  void counter(const std::string& name, const std::string& help, double value) {
+    write(name, help, "counter", value);
+  }
+  void gauge(const std::string& name, const std::string& help, double value) {
+    write(name, help, "gauge", value);
+  }
+  [[nodiscard]] const std::string& text() const { return text_; }
+
+ private:
+  void write(const std::string& name, const std::string& help, const std::string& type,
+             double value) {
+    text_ += "# HELP tackpick_" + name + " " + help + "\n# TYPE tackpick_" + name + " " + type +
+             "\ntackpick_" + name + " " + std::to_string(value) + "\n";
+  }
+
+  std::string text_;
+};
+
+void writeGateway(const gateway::Gateway& gateway, base::TimePoint now, MetricsWriter& writer) {
+  const gateway::GatewayCounters& counters = gateway.counters();
+  const auto count = [&](const std::string& name, const std::string& help, std::uint64_t value) {
+    writer.counter(name, help, static_cast<double>(value));
+  };
+  count("requests_received_total", "callers' requests", counters.requestsReceived);
+  count("requests_answered_total", "whole answers", counters.requestsAnswered);
+  count("requests_refused_not_run_total", "requests refused and not run",
+        counters.requestsRefusedNotRun);
+  count("requests_unclear_total", "requests that ended and may have run", counters.requestsUnclear);
+  count("attempts_started_total", "dispatches to engines", counters.attemptsStarted);
+  count("attempts_retried_total", "dispatches after a failure", counters.attemptsRetried);
+  count("attempts_hedged_total", "second dispatches of slow samples", counters.attemptsHedged);
+  count("attempts_stalled_total", "attempts given up for silence", counters.attemptsStalled);
+  count("tokens_received_total", "tokens from engines", counters.tokensReceived);
+  count("tokens_wasted_total", "tokens received and not used", counters.tokensWasted);
+  count("samples_leased_total", "samples leased from ledgers", counters.samplesLeased);
+  count("samples_committed_total", "samples committed first", counters.samplesCommitted);
+  count("samples_too_old_total", "samples refused by the staleness bound", counters.samplesTooOld);
+  writer.gauge("jobs", "requests and samples in this gateway",
+               static_cast<double>(gateway.jobCount()));
+  writer.gauge("jobs_queued", "jobs waiting for an engine",
+               static_cast<double>(gateway.queuedCount()));
+  writer.gauge("configuration_revision", "revision in force",
+               static_cast<double>(gateway.view().revision().value));
+  writer.gauge("serving_lease", "1 while this gateway may serve",
+               gateway.view().mayServe(now) ? 1.0 : 0.0);
+}
+
+}  // namespace
+
+std::string metricsText(Daemon& daemon) {
+  MetricsWriter writer;
+  if (const gateway::Gateway* gateway = daemon.gateway()) {
+    writeGateway(*gateway, daemon.now(), writer);
+  }
+  if (const control::Controller* controller = daemon.controller()) {
+    const consensus::RaftConsensus& raft = controller->replica().raft();
+    writer.gauge("control_leader", "1 while this controller leads", raft.isLeader() ? 1.0 : 0.0);
+    writer.gauge("control_term", "Raft term", static_cast<double>(raft.currentTerm()));
+    writer.gauge("control_commit_index", "committed log index",
+                 static_cast<double>(raft.commitIndex()));
+    writer.gauge("control_serving_leases", "gateways that may serve",
+                 static_cast<double>(controller->leases().size(daemon.now())));
+  }
+  for (const auto& ledger : daemon.ledgers()) {
+    const std::string group = "ledger_" + std::to_string(ledger->replica().group().value);
+    writer.gauge(group + "_leader", "1 while this ledger leads",
+                 ledger->replica().raft().isLeader() ? 1.0 : 0.0);
+    writer.gauge(group + "_batches", "batches not yet delivered",
+                 static_cast<double>(ledger->state().batchCount()));
+    writer.gauge(group + "_claims", "claims remembered",
+                 static_cast<double>(ledger->state().claimCount()));
+  }
+  writer.counter("internal_bytes_sent_total", "bytes to our other processes",
+                 static_cast<double>(daemon.network().bytesSent()));
+  writer.counter("internal_bytes_received_total", "bytes from our other processes",
+                 static_cast<double>(daemon.network().bytesReceived()));
+  writer.counter("internal_connections_refused_total", "wrong key, version or frame",
+                 static_cast<double>(daemon.network().refusedConnections()));
+  return writer.text();
+}
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/metrics.h
@@ -0,0 +1,13 @@
+/// \file
+/// Metrics of a process in the Prometheus text format.
+#pragma once
+
+#include <string>
+
+namespace tackpick::runtime {
+
+class Daemon;
+
+[[nodiscard]] std::string metricsText(Daemon& daemon);
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/storage/posix_file_system.cpp
@@ -0,0 +1,149 @@
+#include "storage/posix_file_system.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <system_error>
+#include <utility>
+
+namespace tackpick::storage {
+namespace {
+
+constexpr int kFileMode = 0644;
+
+std::string describe(const std::string& operation, const std::string& path) {
+  return operation + " " + path + ": " + std::generic_category().message(errno);
+}
+
+class PosixAppendFile final : public AppendFile {
+ public:
+  PosixAppendFile(int descriptor, std::string path)
+      : descriptor_(descriptor), path_(std::move(path)) {}
+  PosixAppendFile(const PosixAppendFile&) = delete;
+  PosixAppendFile& operator=(const PosixAppendFile&) = delete;
+  ~PosixAppendFile() override { ::close(descriptor_); }
+
+  base::Result<void> append(std::string_view bytes) override {
+    while (!bytes.empty()) {
+      const ssize_t written = ::write(descriptor_, bytes.data(), bytes.size());
+      if (written < 0 && errno == EINTR) {
+        continue;
+      }
+      if (written < 0) {
+        return base::fail(base::ErrorCode::kStorage, describe("write", path_));
+      }
+      bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return {};
+  }
+
+  base::Result<void> sync() override {
+    if (::fdatasync(descriptor_) != 0) {
+      return base::fail(base::ErrorCode::kStorage, describe("sync", path_));
+    }
+    return {};
+  }
+
+ private:
+  int descriptor_;
+  std::string path_;
+};
+
+}  // namespace
+
+base::Result<void> writeDurably(FileSystem& files, const std::string& name,
+                                std::string_view bytes) {
+  const std::string temporary = name + ".tmp";
+  BOOST_LEAF_CHECK(files.remove(temporary));
+  BOOST_LEAF_AUTO(file, files.open(temporary));
+  BOOST_LEAF_CHECK(file->append(bytes));
+  BOOST_LEAF_CHECK(file->sync());
+  file.reset();
+  BOOST_LEAF_CHECK(files.rename(temporary, name));
+  return files.syncDirectory();
+}
+
+base::Result<std::unique_ptr<PosixFileSystem>> PosixFileSystem::create(std::string folder) {
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  if (error) {
+    return base::fail(base::ErrorCode::kStorage, "create " + folder + ": " + error.message());
+  }
+  return std::unique_ptr<PosixFileSystem>(new PosixFileSystem(std::move(folder)));
+}
+
+base::Result<std::vector<std::string>> PosixFileSystem::list() {
+  std::vector<std::string> names;
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator(folder_, error)) {
+    if (entry.is_regular_file()) {
+      names.push_back(entry.path().filename().string());
+    }
+  }
+  if (error) {
+    return base::fail(base::ErrorCode::kStorage, "list " + folder_ + ": " + error.message());
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+base::Result<base::Bytes> PosixFileSystem::read(const std::string& name) {
+  std::ifstream stream(path(name), std::ios::binary);
+  if (!stream) {
+    return base::fail(base::ErrorCode::kNotFound, describe("open", path(name)));
+  }
+  std::ostringstream content;
+  content << stream.rdbuf();
+  return std::move(content).str();
+}
+
+base::Result<std::unique_ptr<AppendFile>> PosixFileSystem::open(const std::string& name) {
+  const int descriptor =
+      ::open(path(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+  if (descriptor < 0) {
+    return base::fail(base::ErrorCode::kStorage, describe("open", path(name)));
+  }
+  return std::unique_ptr<AppendFile>(std::make_unique<PosixAppendFile>(descriptor, path(name)));
+}
+
+base::Result<void> PosixFileSystem::truncate(const std::string& name, std::size_t size) {
+  if (::truncate(path(name).c_str(), static_cast<off_t>(size)) != 0) {
+    return base::fail(base::ErrorCode::kStorage, describe("truncate", path(name)));
+  }
+  return {};
+}
+
+base::Result<void> PosixFileSystem::rename(const std::string& from, const std::string& to) {
+  if (::rename(path(from).c_str(), path(to).c_str()) != 0) {
+    return base::fail(base::ErrorCode::kStorage, describe("rename", path(from)));
+  }
+  return {};
+}
+
+base::Result<void> PosixFileSystem::remove(const std::string& name) {
+  if (::unlink(path(name).c_str()) != 0 && errno != ENOENT) {
+    return base::fail(base::ErrorCode::kStorage, describe("remove", path(name)));
+  }
+  return {};
+}
+
+base::Result<void> PosixFileSystem::syncDirectory() {
+  const int descriptor = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (descriptor < 0) {
+    return base::fail(base::ErrorCode::kStorage, describe("open", folder_));
+  }
+  const bool synced = ::fsync(descriptor) == 0;
+  ::close(descriptor);
+  if (!synced) {
+    return base::fail(base::ErrorCode::kStorage, describe("sync", folder_));
+  }
+  return {};
+}
+
+}  // namespace tackpick::storage
--- /dev/null
+++ b/src/storage/segmented_log.cpp
@@ -0,0 +1,272 @@
+#include "storage/segmented_log.h"
+
+#include <array>
+#include <cstring>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+#include "base/random.h"
+
+namespace tackpick::storage {
+namespace {
+
+constexpr std::uint32_t kRecordMagic = 0x74705231;  // "tpR1"
+constexpr std::size_t kHeaderSize = 16;
+constexpr std::uint32_t kMaximumRecordSize = 256U << 20U;
+constexpr std::string_view kSegmentPrefix = "segment-";
+constexpr std::size_t kSegmentDigits = 10;
+const std::string kIdentityFile = "identity";
+const std::string kSnapshotFile = "snapshot";
+
+/// Removes the entries from `firstRemoved` on, when replayed.
+struct TruncateRecord {
+  consensus::LogIndex firstRemoved = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(firstRemoved);
+  }
+};
+
+using Record = std::variant<consensus::LogEntry, consensus::HardState, TruncateRecord>;
+
+template <typename Integer>
+void putInteger(base::Bytes& bytes, Integer value) {
+  constexpr unsigned kBitsPerByte = 8;
+  for (std::size_t i = 0; i < sizeof(Integer); ++i) {
+    bytes.push_back(static_cast<char>((value >> (kBitsPerByte * i)) & 0xffU));
+  }
+}
+
+template <typename Integer>
+Integer getInteger(std::string_view bytes, std::size_t offset) {
+  constexpr unsigned kBitsPerByte = 8;
+  Integer value = 0;
+  for (std::size_t i = 0; i < sizeof(Integer); ++i) {
+    const auto byte = static_cast<Integer>(static_cast<unsigned char>(bytes[offset + i]));
+    value |= byte << (kBitsPerByte * i);
+  }
+  return value;
+}
+
+base::Bytes frameRecord(const base::Bytes& payload) {
+  base::Bytes framed;
+  framed.reserve(kHeaderSize + payload.size());
+  putInteger(framed, kRecordMagic);
+  putInteger(framed, static_cast<std::uint32_t>(payload.size()));
+  putInteger(framed, base::hashBytes(payload));
+  return framed + payload;
+}
+
+/// The payload of the record at `offset`, when one stands there undamaged.
+std::optional<std::string_view> recordAt(std::string_view content, std::size_t offset) {
+  if (offset + kHeaderSize > content.size() ||
+      getInteger<std::uint32_t>(content, offset) != kRecordMagic) {
+    return std::nullopt;
+  }
+  const auto length = getInteger<std::uint32_t>(content, offset + 4);
+  if (length > kMaximumRecordSize || offset + kHeaderSize + length > content.size()) {
+    return std::nullopt;
+  }
+  const std::string_view payload = content.substr(offset + kHeaderSize, length);
+  if (getInteger<std::uint64_t>(content, offset + 8) != base::hashBytes(payload)) {
+    return std::nullopt;
+  }
+  return payload;
+}
+
+bool hasRecordAfter(std::string_view content, std::size_t offset) {
+  for (std::size_t probe = offset + 1; probe + kHeaderSize <= content.size(); ++probe) {
+    if (recordAt(content, probe)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+template <typename T>
+base::Result<T> readChecked(FileSystem& files, const std::string& name) {
+  BOOST_LEAF_AUTO(content, files.read(name));
+  const auto payload = recordAt(content, 0);
+  auto value = payload ? base::decode<T>(base::Bytes(*payload)) : std::nullopt;
+  if (!value) {
+    return base::fail(base::ErrorCode::kCorrupt, name + ": damaged");
+  }
+  return *value;
+}
+
+std::string segmentName(std::uint64_t number) {
+  std::string digits = std::to_string(number);
+  digits.insert(0, kSegmentDigits - std::min(kSegmentDigits, digits.size()), '0');
+  return std::string(kSegmentPrefix) + digits;
+}
+
+}  // namespace
+
+base::Result<FolderIdentity> readIdentity(FileSystem& files) {
+  return readChecked<FolderIdentity>(files, kIdentityFile);
+}
+
+base::Result<std::unique_ptr<SegmentedLog>> SegmentedLog::open(
+    FileSystem& files, const FolderIdentity& identity, const consensus::Membership& initial) {
+  std::unique_ptr<SegmentedLog> log(new SegmentedLog(files));
+  BOOST_LEAF_AUTO(names, files.list());
+  bool initialised = false;
+  for (const std::string& name : names) {
+    initialised = initialised || name == kIdentityFile;
+  }
+  if (!initialised) {
+    consensus::Snapshot first;
+    first.membership = initial;
+    BOOST_LEAF_CHECK(writeDurably(files, kSnapshotFile, frameRecord(base::encode(first))));
+    BOOST_LEAF_CHECK(writeDurably(files, kIdentityFile, frameRecord(base::encode(identity))));
+  } else {
+    BOOST_LEAF_AUTO(found, readIdentity(files));
+    if (!(found == identity)) {
+      return base::fail(base::ErrorCode::kWrongIdentity,
+                        "the data folder belongs to another node, cluster or format version");
+    }
+  }
+  BOOST_LEAF_CHECK(log->load());
+  return log;
+}
+
+base::Result<void> SegmentedLog::load() {
+  BOOST_LEAF_ASSIGN(snapshot_, readChecked<consensus::Snapshot>(files_, kSnapshotFile));
+  BOOST_LEAF_AUTO(names, files_.list());
+  std::vector<std::string> segments;
+  for (const std::string& name : names) {
+    if (name.starts_with(kSegmentPrefix) && !name.ends_with(".tmp")) {
+      segments.push_back(name);
+    }
+  }
+  for (std::size_t i = 0; i < segments.size(); ++i) {
+    BOOST_LEAF_CHECK(replaySegment(segments[i], i + 1 == segments.size()));
+    segment_number_ = std::stoull(segments[i].substr(kSegmentPrefix.size()));
+  }
+  dropEntriesCoveredBySnapshot();
+  return rewrite();
+}
+
+void SegmentedLog::dropEntriesCoveredBySnapshot() {
+  bool continues = !entries_.empty() && entries_.front().index == snapshot_.lastIndex + 1;
+  for (const consensus::LogEntry& entry : entries_) {
+    if (entry.index == snapshot_.lastIndex) {
+      continues = entry.term == snapshot_.lastTerm;
+    }
+  }
+  if (!continues) {
+    entries_.clear();
+  }
+  while (!entries_.empty() && entries_.front().index <= snapshot_.lastIndex) {
+    entries_.pop_front();
+  }
+}
+
+base::Result<void> SegmentedLog::replaySegment(const std::string& name, bool isLast) {
+  BOOST_LEAF_AUTO(content, files_.read(name));
+  std::size_t offset = 0;
+  while (offset < content.size()) {
+    const auto payload = recordAt(content, offset);
+    if (!payload) {
+      if (!isLast || hasRecordAfter(content, offset)) {
+        return base::fail(base::ErrorCode::kCorrupt,
+                          name + ": damaged at byte " + std::to_string(offset));
+      }
+      return {};
+    }
+    if (!applyRecord(base::Bytes(*payload))) {
+      return base::fail(base::ErrorCode::kCorrupt,
+                        name + ": unreadable record at byte " + std::to_string(offset));
+    }
+    offset += kHeaderSize + payload->size();
+  }
+  return {};
+}
+
+bool SegmentedLog::applyRecord(const base::Bytes& payload) {
+  auto record = base::decode<Record>(payload);
+  if (!record) {
+    return false;
+  }
+  if (const auto* state = std::get_if<consensus::HardState>(&*record)) {
+    hard_state_ = *state;
+    return true;
+  }
+  if (const auto* truncate = std::get_if<TruncateRecord>(&*record)) {
+    while (!entries_.empty() && entries_.back().index >= truncate->firstRemoved) {
+      entries_.pop_back();
+    }
+    return true;
+  }
+  auto& entry = std::get<consensus::LogEntry>(*record);
+  if (!entries_.empty() && entry.index != entries_.back().index + 1) {
+    return false;
+  }
+  entries_.push_back(std::move(entry));
+  return true;
+}
+
+base::Result<void> SegmentedLog::writeRecord(const base::Bytes& payload) {
+  return segment_->append(frameRecord(payload));
+}
+
+base::Result<void> SegmentedLog::append(const consensus::LogEntry& entry) {
+  BOOST_LEAF_CHECK(writeRecord(base::encode(Record{entry})));
+  entries_.push_back(entry);
+  return {};
+}
+
+base::Result<void> SegmentedLog::truncateSuffix(consensus::LogIndex firstRemoved) {
+  BOOST_LEAF_CHECK(writeRecord(base::encode(Record{TruncateRecord{firstRemoved}})));
+  while (!entries_.empty() && entries_.back().index >= firstRemoved) {
+    entries_.pop_back();
+  }
+  return {};
+}
+
+base::Result<void> SegmentedLog::saveHardState(const consensus::HardState& state) {
+  BOOST_LEAF_CHECK(writeRecord(base::encode(Record{state})));
+  hard_state_ = state;
+  return {};
+}
+
+base::Result<void> SegmentedLog::saveSnapshot(const consensus::Snapshot& snapshot) {
+  const bool continues = snapshot.lastIndex >= firstIndex() && snapshot.lastIndex <= lastIndex() &&
+                         entry(snapshot.lastIndex).term == snapshot.lastTerm;
+  BOOST_LEAF_CHECK(writeDurably(files_, kSnapshotFile, frameRecord(base::encode(snapshot))));
+  if (continues) {
+    entries_.erase(entries_.begin(), entries_.begin() + static_cast<std::ptrdiff_t>(
+                                                            snapshot.lastIndex + 1 - firstIndex()));
+  } else {
+    entries_.clear();
+  }
+  snapshot_ = snapshot;
+  return rewrite();
+}
+
+base::Result<void> SegmentedLog::rewrite() {
+  const std::uint64_t number = segment_number_ + 1;
+  // A crash can leave the older segment in place: this one begins by discarding its entries.
+  base::Bytes content = frameRecord(base::encode(Record{TruncateRecord{0}}));
+  content += frameRecord(base::encode(Record{hard_state_}));
+  for (const consensus::LogEntry& entry : entries_) {
+    content += frameRecord(base::encode(Record{entry}));
+  }
+  segment_.reset();
+  BOOST_LEAF_CHECK(writeDurably(files_, segmentName(number), content));
+  BOOST_LEAF_AUTO(names, files_.list());
+  for (const std::string& name : names) {
+    if (name.starts_with(kSegmentPrefix) && name != segmentName(number)) {
+      BOOST_LEAF_CHECK(files_.remove(name));
+    }
+  }
+  segment_number_ = number;
+  BOOST_LEAF_ASSIGN(segment_, files_.open(segmentName(number)));
+  return {};
+}
+
+base::Result<void> SegmentedLog::sync() { return segment_->sync(); }
+
+}  // namespace tackpick::storage
--- /dev/null
+++ b/src/storage/segmented_log.h
@@ -0,0 +1,83 @@
+/// \file
+/// LogStore in checksummed segment files.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "consensus/log_store.h"
+#include "storage/file_system.h"
+
+namespace tackpick::storage {
+
+/// Whose data folder this is. A folder of another cluster, node or format version is refused.
+struct FolderIdentity {
+  std::string cluster;
+  base::NodeId node;
+  base::GroupId group;
+  std::uint32_t formatVersion = 1;
+
+  bool operator==(const FolderIdentity&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(cluster, node, group, formatVersion);
+  }
+};
+
+/// Reads the identity of a folder; kNotFound when the folder is empty.
+[[nodiscard]] base::Result<FolderIdentity> readIdentity(FileSystem& files);
+
+/// Write-ahead log of entries and hard states, with the newest snapshot beside it.
+///
+/// Files: `identity`, `snapshot`, and segments `segment-NNNNNNNNNN` of records
+/// `[magic u32][length u32][checksum u64][payload]`, little endian. The whole log after the
+/// snapshot is also kept in memory; compaction keeps it short. A torn record at the very end of
+/// the last segment is cut off on opening, because it was never synced and so never acknowledged.
+/// Damage anywhere before a readable record is reported as kCorrupt and the folder is refused.
+/// Owned by one thread.
+class SegmentedLog final : public consensus::LogStore {
+ public:
+  /// Opens a folder; an empty one is initialised with `identity` and, for the first servers of a
+  /// new group, their `initial` membership.
+  [[nodiscard]] static base::Result<std::unique_ptr<SegmentedLog>> open(
+      FileSystem& files, const FolderIdentity& identity, const consensus::Membership& initial);
+
+  [[nodiscard]] const consensus::HardState& hardState() const override { return hard_state_; }
+  [[nodiscard]] const consensus::Snapshot& snapshot() const override { return snapshot_; }
+  [[nodiscard]] consensus::LogIndex lastIndex() const override {
+    return snapshot_.lastIndex + entries_.size();
+  }
+  [[nodiscard]] consensus::LogIndex firstIndex() const override { return snapshot_.lastIndex + 1; }
+  [[nodiscard]] const consensus::LogEntry& entry(consensus::LogIndex index) const override {
+    return entries_.at(index - firstIndex());
+  }
+  [[nodiscard]] base::Result<void> append(const consensus::LogEntry& entry) override;
+  [[nodiscard]] base::Result<void> truncateSuffix(consensus::LogIndex firstRemoved) override;
+  [[nodiscard]] base::Result<void> saveHardState(const consensus::HardState& state) override;
+  [[nodiscard]] base::Result<void> saveSnapshot(const consensus::Snapshot& snapshot) override;
+  [[nodiscard]] base::Result<void> sync() override;
+
+ private:
+  explicit SegmentedLog(FileSystem& files) : files_(files) {}
+
+  [[nodiscard]] base::Result<void> load();
+  [[nodiscard]] base::Result<void> replaySegment(const std::string& name, bool isLast);
+  [[nodiscard]] bool applyRecord(const base::Bytes& payload);
+  /// After replay: keeps only the entries that continue from the snapshot.
+  void dropEntriesCoveredBySnapshot();
+  [[nodiscard]] base::Result<void> writeRecord(const base::Bytes& payload);
+  /// Begins a new segment holding the hard state and all entries in memory, then drops the others.
+  [[nodiscard]] base::Result<void> rewrite();
+
+  FileSystem& files_;
+  consensus::HardState hard_state_;
+  consensus::Snapshot snapshot_;
+  std::deque<consensus::LogEntry> entries_;
+  std::uint64_t segment_number_ = 0;
+  std::unique_ptr<AppendFile> segment_;
+};
+
+}  // namespace tackpick::storage
--- /dev/null
+++ b/src/telemetry/event.cpp
@@ -0,0 +1,70 @@
+#include "telemetry/event.h"
+
+#include <algorithm>
+
+namespace tackpick::telemetry {
+
+const std::vector<EventDescription>& eventCatalogue() {
+  using Id = EventId;
+  using enum Severity;
+  static const std::vector<EventDescription> kCatalogue = {
+      {Id::kProcessStarted, "process_started", kInfo, "the process serves its roles", ""},
+      {Id::kProcessStopping, "process_stopping", kInfo, "a planned stop has begun", ""},
+      {Id::kProcessStopped, "process_stopped", kInfo, "the process ends", ""},
+      {Id::kSettingsRefused, "settings_refused", kError, "the settings file breaks a rule",
+       "correct the named line; `tackpickd --check` checks without starting"},
+      {Id::kBecameLeader, "became_leader", kInfo, "this replica leads its group", ""},
+      {Id::kLostLeadership, "lost_leadership", kInfo, "this replica no longer leads its group",
+       "look for a cut network or a slow disk when it happens often"},
+      {Id::kReplicaFailed, "replica_failed", kError,
+       "a write or sync failed, or the log contradicts the group's: the replica has stopped",
+       "check the disk, then replace the replica as a new node"},
+      {Id::kDataFolderRefused, "data_folder_refused", kError,
+       "the data folder is damaged or belongs to another node",
+       "do not repair it by hand: empty it and join as a new node"},
+      {Id::kMembershipChanged, "membership_changed", kInfo, "the replicas of a group changed", ""},
+      {Id::kChangeAccepted, "change_accepted", kInfo, "an operator's change is in force", ""},
+      {Id::kChangeRefused, "change_refused", kInfo, "an operator's change was refused", ""},
+      {Id::kWeightsPublished, "weights_published", kInfo, "a trainer published weights", ""},
+      {Id::kEngineOrderFailed, "engine_order_failed", kWarning,
+       "an order did not reach an engine or was refused", "it is repeated; look at the engine"},
+      {Id::kMachineListUnreadable, "machine_list_unreadable", kWarning,
+       "the platform's machine list could not be read", "engines' own flags still count"},
+      {Id::kLeaseLost, "lease_lost", kWarning,
+       "this gateway has lost its serving lease and refuses new work",
+       "check that a majority of controllers runs and is reachable"},
+      {Id::kLeaseGained, "lease_gained", kInfo, "this gateway may serve", ""},
+      {Id::kConfigurationInForce, "configuration_in_force", kInfo,
+       "this gateway runs a new revision", ""},
+      {Id::kEngineLeaving, "engine_leaving", kInfo, "an engine gets no new work", ""},
+      {Id::kDrainBegun, "drain_begun", kInfo, "new work is refused, running work finishes", ""},
+      {Id::kDrainComplete, "drain_complete", kInfo, "nothing runs any more", ""},
+      {Id::kConnectionRefused, "connection_refused", kWarning,
+       "an internal connection showed a wrong key, version or frame",
+       "look for a process of another cluster or release"},
+  };
+  return kCatalogue;
+}
+
+const EventDescription& describe(EventId id) {
+  const auto& catalogue = eventCatalogue();
+  const auto found =
+      std::find_if(catalogue.begin(), catalogue.end(),
+                   [&](const EventDescription& description) { return description.id == id; });
+  return found == catalogue.end() ? catalogue.front() : *found;
+}
+
+std::string catalogueAsMarkdown() {
+  static const std::vector<std::string> kSeverities = {"info", "warning", "error"};
+  std::string table = "| number | name | severity | meaning | what to do |\n";
+  table += "| --- | --- | --- | --- | --- |\n";
+  for (const EventDescription& description : eventCatalogue()) {
+    table += "| " + std::to_string(static_cast<unsigned>(description.id)) + " | " +
+             std::string(description.name) + " | " +
+             kSeverities.at(static_cast<std::size_t>(description.severity)) + " | " +
+             std::string(description.meaning) + " | " + std::string(description.advice) + " |\n";
+  }
+  return table;
+}
+
+}  // namespace tackpick::telemetry
--- /dev/null
+++ b/src/telemetry/event.h
@@ -0,0 +1,54 @@
+/// \file
+/// Numbered events: one for each thing an operator must see. The numbers never change their
+/// meaning; docs/EVENTS.md is their catalogue.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tackpick::telemetry {
+
+enum class EventId : std::uint16_t {
+  kProcessStarted = 1001,
+  kProcessStopping = 1002,
+  kProcessStopped = 1003,
+  kSettingsRefused = 1004,
+  kBecameLeader = 2001,
+  kLostLeadership = 2002,
+  kReplicaFailed = 2003,
+  kDataFolderRefused = 2004,
+  kMembershipChanged = 2005,
+  kChangeAccepted = 3001,
+  kChangeRefused = 3002,
+  kWeightsPublished = 3003,
+  kEngineOrderFailed = 3004,
+  kMachineListUnreadable = 3005,
+  kLeaseLost = 4001,
+  kLeaseGained = 4002,
+  kConfigurationInForce = 4003,
+  kEngineLeaving = 4004,
+  kDrainBegun = 4005,
+  kDrainComplete = 4006,
+  kConnectionRefused = 5001,
+};
+
+enum class Severity : std::uint8_t { kInfo, kWarning, kError };
+
+/// A row of the catalogue.
+struct EventDescription {
+  EventId id;
+  std::string_view name;
+  Severity severity;
+  std::string_view meaning;
+  std::string_view advice;  ///< what an operator does about it
+};
+
+/// The catalogue, in order of number.
+[[nodiscard]] const std::vector<EventDescription>& eventCatalogue();
+[[nodiscard]] const EventDescription& describe(EventId id);
+/// The catalogue as the Markdown table of docs/EVENTS.md.
+[[nodiscard]] std::string catalogueAsMarkdown();
+
+}  // namespace tackpick::telemetry
--- /dev/null
+++ b/src/transport/peer_network.cpp
@@ -0,0 +1,136 @@
+#include "transport/peer_network.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "transport/connection.h"
+
+namespace tackpick::transport {
+namespace {
+
+asio::ip::tcp::endpoint toAsio(const Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.host), endpoint.port};
+}
+
+}  // namespace
+
+PeerNetwork::PeerNetwork(asio::io_context& context, PeerNetworkSettings settings,
+                         MessageHandler handler)
+    : context_(context),
+      settings_(std::move(settings)),
+      handler_(std::move(handler)),
+      acceptor_(context, toAsio(settings_.listen)) {
+  accept();
+}
+
+PeerNetwork::~PeerNetwork() { stop(); }
+
+std::uint16_t PeerNetwork::port() const { return acceptor_.local_endpoint().port(); }
+
+void PeerNetwork::stop() {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  const auto connections = all_;
+  for (const auto& [pointer, weak] : connections) {
+    if (const auto connection = weak.lock()) {
+      connection->close();
+    }
+  }
+}
+
+void PeerNetwork::accept() {
+  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+    if (stopped_ || error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      const auto connection =
+          std::make_shared<Connection>(*this, std::move(socket), false, base::NodeId{});
+      all_[connection.get()] = connection;
+      connection->start();
+    }
+    accept();
+  });
+}
+
+void PeerNetwork::dial(std::uint32_t number) {
+  Dialled& dialled = dialled_[number];
+  const auto address = settings_.peers.find(number);
+  if (dialled.connection || dialled.waiting || stopped_ || address == settings_.peers.end()) {
+    return;
+  }
+  const auto connection = std::make_shared<Connection>(*this, asio::ip::tcp::socket(context_), true,
+                                                       base::makeNodeId(number, 0));
+  dialled.connection = connection;
+  all_[connection.get()] = connection;
+  connection->socket().async_connect(toAsio(address->second),
+                                     [connection](const asio::error_code& error) {
+                                       if (error) {
+                                         connection->close();
+                                       } else {
+                                         connection->start();
+                                       }
+                                     });
+}
+
+void PeerNetwork::onReady(const std::shared_ptr<Connection>& connection) {
+  if (connection->isDialled()) {
+    dialled_[base::nodeNumber(connection->expectedPeer())].backoff = base::Duration{0};
+  } else {
+    accepted_[connection->peer()] = connection;
+  }
+}
+
+void PeerNetwork::onClosed(const std::shared_ptr<Connection>& connection) {
+  all_.erase(connection.get());
+  const auto accepted = accepted_.find(connection->peer());
+  if (accepted != accepted_.end() && accepted->second == connection) {
+    accepted_.erase(accepted);
+  }
+  if (!connection->isDialled() || stopped_) {
+    return;
+  }
+  const std::uint32_t number = base::nodeNumber(connection->expectedPeer());
+  Dialled& dialled = dialled_[number];
+  dialled.connection.reset();
+  dialled.waiting = true;
+  dialled.backoff =
+      std::clamp(dialled.backoff * 2, settings_.shortestBackoff, settings_.longestBackoff);
+  dialled.timer = std::make_shared<asio::steady_timer>(context_, dialled.backoff);
+  dialled.timer->async_wait([this, number](const asio::error_code& error) {
+    if (!error && !stopped_) {
+      dialled_[number].waiting = false;
+    }
+  });
+}
+
+void PeerNetwork::send(base::NodeId to, const InternalMessage& message) {
+  if (to == settings_.self) {
+    asio::post(context_, [this, message] { handler_(settings_.self, message); });
+    return;
+  }
+  const std::uint32_t number = base::nodeNumber(to);
+  if (number == base::nodeNumber(settings_.self)) {
+    return;  // an earlier instance of this very node
+  }
+  if (settings_.peers.contains(number)) {
+    dial(number);
+    const auto& connection = dialled_[number].connection;
+    // Not yet connected: the message waits in the connection's queue only once it is ready, so
+    // that a peer that is down does not collect old messages.
+    if (connection && connection->isReady()) {
+      connection->send(base::encode(message));
+    }
+    return;
+  }
+  const auto accepted = accepted_.find(to);
+  if (accepted != accepted_.end()) {
+    accepted->second->send(base::encode(message));
+  }
+}
+
+}  // namespace tackpick::transport
--- /dev/null
+++ b/src/transport/peer_network.h
@@ -0,0 +1,87 @@
+/// \file
+/// Connections between the system's own processes: framed messages over TCP.
+#pragma once
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "transport/internal_messages.h"
+
+namespace tackpick::transport {
+
+/// Where a process listens.
+struct Endpoint {
+  std::string host;  ///< an IP number
+  std::uint16_t port = 0;
+};
+
+/// Knobs of PeerNetwork.
+struct PeerNetworkSettings {
+  base::NodeId self;
+  base::Bytes key;                          ///< shared by all processes of the cluster
+  Endpoint listen;                          ///< port 0: chosen by the operating system
+  std::map<std::uint32_t, Endpoint> peers;  ///< by node number
+  std::size_t maximumFrameBytes = 64U << 20U;
+  /// Messages to a peer that does not take them are dropped beyond this; all protocols above
+  /// resend.
+  std::size_t maximumQueuedBytes = 128U << 20U;
+  base::Duration shortestBackoff = base::milliseconds(50);
+  base::Duration longestBackoff = base::milliseconds(500);
+};
+
+class Connection;
+
+/// Sends to peers whose node number has a known address over a connection it dials, to others
+/// (gateways, towards a controller) over the one they dialled. Messages may be lost whenever a
+/// connection breaks. Before any message is read, both ends prove the shared key and agree on the
+/// protocol version. Runs on the thread of its io_context.
+class PeerNetwork {
+ public:
+  using MessageHandler = std::function<void(base::NodeId from, InternalMessage message)>;
+
+  PeerNetwork(asio::io_context& context, PeerNetworkSettings settings, MessageHandler handler);
+  ~PeerNetwork();
+  PeerNetwork(const PeerNetwork&) = delete;
+  PeerNetwork& operator=(const PeerNetwork&) = delete;
+
+  void send(base::NodeId to, const InternalMessage& message);
+  [[nodiscard]] std::uint16_t port() const;
+  void stop();
+
+  [[nodiscard]] std::uint64_t bytesSent() const { return bytes_sent_; }
+  [[nodiscard]] std::uint64_t bytesReceived() const { return bytes_received_; }
+  /// Connections refused for a wrong key, version or frame.
+  [[nodiscard]] std::uint64_t refusedConnections() const { return refused_connections_; }
+
+ private:
+  friend class Connection;
+  struct Dialled {
+    std::shared_ptr<Connection> connection;
+    base::Duration backoff{0};
+    bool waiting = false;
+    std::shared_ptr<asio::steady_timer> timer;
+  };
+
+  void accept();
+  void dial(std::uint32_t number);
+  void onReady(const std::shared_ptr<Connection>& connection);
+  void onClosed(const std::shared_ptr<Connection>& connection);
+
+  asio::io_context& context_;
+  const PeerNetworkSettings settings_;
+  MessageHandler handler_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::map<std::uint32_t, Dialled> dialled_;  ///< by node number
+  std::map<base::NodeId, std::shared_ptr<Connection>> accepted_;
+  std::map<Connection*, std::weak_ptr<Connection>> all_;
+  bool stopped_ = false;
+  std::uint64_t bytes_sent_ = 0;
+  std::uint64_t bytes_received_ = 0;
+  std::uint64_t refused_connections_ = 0;
+};
+
+}  // namespace tackpick::transport
--- /dev/null
+++ b/test/storage/segmented_log_test.cpp
@@ -0,0 +1,137 @@
+#include "storage/segmented_log.h"
+
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "storage/posix_file_system.h"
+
+namespace base = tackpick::base;
+namespace consensus = tackpick::consensus;
+namespace storage = tackpick::storage;
+
+namespace {
+
+/// A data folder that is removed at the end of the test.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern = "/tmp/tackpick-test-XXXXXX";
+    path_ = mkdtemp(pattern.data());
+  }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+  /// The newest segment file.
+  [[nodiscard]] std::string segment() const {
+    std::string newest;
+    for (const auto& entry : std::filesystem::directory_iterator(path_)) {
+      const std::string name = entry.path().string();
+      if (name.find("segment-") != std::string::npos) {
+        newest = std::max(newest, name);
+      }
+    }
+    return newest;
+  }
+
+ private:
+  std::string path_;
+};
+
+const storage::FolderIdentity kIdentity{"cluster", base::makeNodeId(1, 0), {1}};
+
+/// Opens the folder and runs `use` on the log; the error's code, when it fails.
+template <typename Use>
+std::optional<base::ErrorCode> withLog(const std::string& path,
+                                       const storage::FolderIdentity& identity, Use use) {
+  return base::recover(
+      [&]() -> base::Result<std::optional<base::ErrorCode>> {
+        BOOST_LEAF_AUTO(files, storage::PosixFileSystem::create(path));
+        BOOST_LEAF_AUTO(log, storage::SegmentedLog::open(*files, identity, {}));
+        use(*log);
+        return std::optional<base::ErrorCode>{};
+      },
+      [](const base::Error& error) { return std::optional(error.code); });
+}
+
+consensus::LogEntry entryAt(consensus::LogIndex index, consensus::Term term = 1) {
+  return {term, index, consensus::EntryKind::kCommand, "command " + std::to_string(index)};
+}
+
+void appendEntries(storage::SegmentedLog& log, consensus::LogIndex count) {
+  for (consensus::LogIndex index = 1; index <= count; ++index) {
+    cr_assert(static_cast<bool>(log.append(entryAt(index))));
+  }
+  cr_assert(static_cast<bool>(log.sync()));
+}
+
+}  // namespace
+
+Test(segmented_log, entries_and_hard_state_survive_reopening) {
+  const TemporaryFolder folder;
+  withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) {
+    appendEntries(log, 5);
+    cr_assert(static_cast<bool>(log.saveHardState({3, base::makeNodeId(2, 0)})));
+    cr_assert(static_cast<bool>(log.truncateSuffix(5)));
+    cr_assert(static_cast<bool>(log.sync()));
+  });
+  const auto error = withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) {
+    cr_assert(log.lastIndex() == 4);
+    cr_assert(log.entry(4) == entryAt(4));
+    cr_assert(log.hardState().term == 3);
+  });
+  cr_assert_not(error.has_value());
+}
+
+Test(segmented_log, a_torn_tail_is_cut) {
+  const TemporaryFolder folder;
+  withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) { appendEntries(log, 5); });
+  const std::string segment = folder.segment();
+  std::filesystem::resize_file(segment, std::filesystem::file_size(segment) - 3);
+  const auto error = withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) {
+    cr_assert(log.lastIndex() == 4);
+  });
+  cr_assert_not(error.has_value());
+}
+
+Test(segmented_log, damage_before_a_readable_record_is_refused) {
+  const TemporaryFolder folder;
+  withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) { appendEntries(log, 5); });
+  std::fstream file(folder.segment(), std::ios::in | std::ios::out | std::ios::binary);
+  constexpr int kMiddle = 150;
+  file.seekp(kMiddle);
+  file.put('\x7f');
+  file.close();
+  const auto error = withLog(folder.path(), kIdentity, [](storage::SegmentedLog&) {});
+  cr_assert(error == base::ErrorCode::kCorrupt);
+}
+
+Test(segmented_log, another_nodes_folder_is_refused) {
+  const TemporaryFolder folder;
+  withLog(folder.path(), kIdentity, [](storage::SegmentedLog&) {});
+  storage::FolderIdentity other = kIdentity;
+  other.node = base::makeNodeId(1, 7);  // the same number on a fresh disk is another node
+  const auto error = withLog(folder.path(), other, [](storage::SegmentedLog&) {});
+  cr_assert(error == base::ErrorCode::kWrongIdentity);
+}
+
+Test(segmented_log, a_snapshot_drops_what_it_covers_and_keeps_the_rest) {
+  const TemporaryFolder folder;
+  withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) {
+    appendEntries(log, 8);
+    cr_assert(static_cast<bool>(log.saveSnapshot({5, 1, {}, "state"})));
+    cr_assert(log.firstIndex() == 6 && log.lastIndex() == 8);
+  });
+  withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) {
+    cr_assert(log.firstIndex() == 6 && log.lastIndex() == 8);
+    cr_assert(log.snapshot().state == "state");
+    // A snapshot that the log does not lead up to replaces the log.
+    cr_assert(static_cast<bool>(log.saveSnapshot({20, 2, {}, "newer"})));
+    cr_assert(log.firstIndex() == 21 && log.lastIndex() == 20);
+  });
+}
