Integration tests with real processes behind the fault proxy

Cause: what only processes can show was unproved: SIGKILL and SIGSTOP, resets on a real connection, wiped data folders, exit codes, garbage on ports.

Ruled out: asserting on times. Every step waits for a condition. Ports taken from the system and let go again were lost to other processes in one of four runs of 13 tests ("never came about: an engine"); they now stay reserved by a bound socket until the test ends.

Change: test/integration (fleet of 3 controllers, 3 ledgers, 2 gateways and 4 engines, a proxy route for each pair and each engine), engine ports and announced ports of the emulator, and a length check of member identities, which an overlong number would have turned into an exception.

--- a/apps/emulator/main.cpp
+++ b/apps/emulator/main.cpp
@@ -30,6 +30,8 @@
   std::uint16_t platformPort = 0;
   std::uint16_t adminPort = 0;
   std::string portFile;
+  std::vector<std::uint16_t> enginePorts;    ///< empty: the operating system's choice
+  std::vector<std::uint16_t> announcePorts;  ///< ports to announce instead, such as a proxy's
   std::uint64_t seed = 1;
   std::uint64_t storeRate = 0;
   engine::EngineModelSettings model;
@@ -44,6 +46,14 @@
   return parts;
 }
 
+std::vector<std::uint16_t> parsePorts(const std::string& text) {
+  std::vector<std::uint16_t> ports;
+  for (const std::string& part : split(text)) {
+    ports.push_back(static_cast<std::uint16_t>(std::stoul(part)));
+  }
+  return ports;
+}
+
 Options parseOptions(int argc, char** argv) {
   cxxopts::Options parser("tackpick-emulator", "Stand-ins for engines and platform services");
   const engine::EngineModelSettings defaults;
@@ -61,6 +71,10 @@
       "admin-port", "port for faults; 0: any", cxxopts::value<std::uint16_t>()->default_value("0"))(
       "port-file", "write the chosen ports to this file as JSON",
       cxxopts::value<std::string>()->default_value(""))(
+      "engine-ports", "ports of the engines, one each; default: any",
+      cxxopts::value<std::string>()->default_value(""))(
+      "announce-ports", "ports to announce for the engines, such as those of a proxy",
+      cxxopts::value<std::string>()->default_value(""))(
       "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "slots", "sequences decoded together",
       cxxopts::value<std::uint32_t>()->default_value(std::to_string(defaults.slots)))(
@@ -95,6 +109,8 @@
   options.platformPort = parsed["platform-port"].as<std::uint16_t>();
   options.adminPort = parsed["admin-port"].as<std::uint16_t>();
   options.portFile = parsed["port-file"].as<std::string>();
+  options.enginePorts = parsePorts(parsed["engine-ports"].as<std::string>());
+  options.announcePorts = parsePorts(parsed["announce-ports"].as<std::string>());
   options.seed = parsed["seed"].as<std::uint64_t>();
   options.storeRate = parsed["store-rate"].as<std::uint64_t>();
   options.model.slots = parsed["slots"].as<std::uint32_t>();
@@ -160,6 +176,7 @@
       settings.incarnation = {incarnation};
       settings.zone = options_.zones.at(i % options_.zones.size());
       settings.model = options_.model;
+      settings.port = i < options_.enginePorts.size() ? options_.enginePorts[i] : 0;
       engines_.push_back(
           std::make_unique<emulator::EmulatedEngine>(context_, settings, store_, random_));
     }
@@ -190,7 +207,9 @@
       machine.engine.engine = engine->settings().id;
       machine.engine.incarnation = engine->settings().incarnation;
       machine.engine.host = engine->settings().host;
-      machine.engine.port = engine->port();
+      const std::size_t position = machines.size();
+      const bool elsewhere = position < options_.announcePorts.size();
+      machine.engine.port = elsewhere ? options_.announcePorts[position] : engine->port();
       machine.engine.zone = engine->settings().zone;
       machine.engine.model = engine->settings().model.model;
       machine.engine.leaving = engine->model().status().leaving;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -34,11 +34,20 @@
 }
 
 
+RESERVATIONS = []
+
+
 def free_port():
-    """A port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port of the system's choice, kept for this program.
+
+    The socket stays bound, so no other program gets the port; a listener that allows reuse can
+    bind it all the same, because this socket does not listen.
+    """
+    reservation = socket.socket()
+    reservation.bind(("127.0.0.1", 0))
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    RESERVATIONS.append(reservation)
+    return reservation.getsockname()[1]
 
 
 def wait_until(condition, what, seconds=30):
--- a/src/runtime/control_api.cpp
+++ b/src/runtime/control_api.cpp
@@ -218,7 +218,9 @@
   JsonReader reader(body);
   const std::string node = reader.requiredText("node");
   const bool remove = reader.flag("remove", false);
-  const bool numeric = node.find_first_not_of("0123456789") == std::string::npos;
+  constexpr std::size_t kMaximumDigits = 19;
+  const bool numeric =
+      node.size() <= kMaximumDigits && node.find_first_not_of("0123456789") == std::string::npos;
   if (!reader.firstProblem().empty() || !numeric || node.empty()) {
     respondError(*responder, kBadRequest, "node: expected the node's identity as a decimal text");
     return;
--- /dev/null
+++ b/test/integration/process.cpp
@@ -0,0 +1,154 @@
+#include "integration/process.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <thread>
+
+namespace tackpick::test {
+namespace {
+
+std::string buildFolder() {
+  const char* folder = std::getenv("TACKPICK_BUILD");
+  return folder == nullptr ? "build" : folder;
+}
+
+std::size_t collectBody(char* data, std::size_t size, std::size_t count, void* target) {
+  static_cast<std::string*>(target)->append(data, size * count);
+  return size * count;
+}
+
+std::size_t collectHeader(char* data, std::size_t size, std::size_t count, void* target) {
+  std::string line(data, size * count);
+  const std::size_t colon = line.find(':');
+  if (colon != std::string::npos) {
+    std::string name = line.substr(0, colon);
+    std::transform(name.begin(), name.end(), name.begin(), ::tolower);
+    const std::size_t first = line.find_first_not_of(' ', colon + 1);
+    const std::size_t last = line.find_last_not_of("\r\n ");
+    const bool empty = first == std::string::npos || last < first;
+    (*static_cast<std::map<std::string, std::string>*>(target))[name] =
+        empty ? "" : line.substr(first, last - first + 1);
+  }
+  return size * count;
+}
+
+}  // namespace
+
+Process::Process(const std::string& program, const std::vector<std::string>& arguments,
+                 const std::string& logFile) {
+  const std::string path = buildFolder() + "/" + program;
+  std::vector<char*> argv{const_cast<char*>(path.c_str())};
+  for (const std::string& argument : arguments) {
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  }
+  argv.push_back(nullptr);
+  pid_ = fork();
+  cr_assert_geq(pid_, 0, "cannot start %s", path.c_str());
+  if (pid_ == 0) {
+    // It ends with the test, also when the test fails.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    constexpr mode_t kMode = 0644;
+    const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, kMode);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execv(path.c_str(), argv.data());
+    _exit(127);
+  }
+}
+
+Process::~Process() { kill(); }
+
+void Process::signal(int number) const {
+  if (!ended_) {
+    ::kill(pid_, number);
+  }
+}
+
+void Process::kill() {
+  signal(SIGKILL);
+  signal(SIGCONT);
+  wait();
+}
+
+int Process::wait() {
+  if (!ended_) {
+    waitpid(pid_, &status_, 0);
+    ended_ = true;
+  }
+  return WIFEXITED(status_) ? WEXITSTATUS(status_) : -WTERMSIG(status_);
+}
+
+bool Process::hasEnded() {
+  ended_ = ended_ || waitpid(pid_, &status_, WNOHANG) == pid_;
+  return ended_;
+}
+
+std::uint16_t reservePort() {
+  // The socket stays bound, so that no other process nor outgoing connection gets the port. A
+  // listener that allows reuse can bind it all the same, because this socket does not listen.
+  const int reservation = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  cr_assert_eq(bind(reservation, reinterpret_cast<sockaddr*>(&address), length), 0);
+  const int reuse = 1;
+  setsockopt(reservation, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  getsockname(reservation, reinterpret_cast<sockaddr*>(&address), &length);
+  return ntohs(address.sin_port);
+}
+
+HttpAnswer call(const HttpCall& request) {
+  HttpAnswer answer;
+  CURL* easy = curl_easy_init();
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  headers = curl_slist_append(headers, "Content-Type: application/json");
+  if (!request.token.empty()) {
+    headers = curl_slist_append(headers, ("Authorization: Bearer " + request.token).c_str());
+  }
+  for (const auto& [name, value] : request.headers) {
+    headers = curl_slist_append(headers, (name + ": " + value).c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT, request.timeoutSeconds);
+  if (request.method == "POST") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+  }
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collectBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer.body);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, collectHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &answer.headers);
+  if (curl_easy_perform(easy) == CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    answer.status = static_cast<int>(status);
+  }
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(easy);
+  return answer;
+}
+
+void waitUntil(const std::function<bool()>& condition, const std::string& what) {
+  constexpr auto kLimit = std::chrono::seconds(120);
+  constexpr auto kPause = std::chrono::milliseconds(20);
+  const auto end = std::chrono::steady_clock::now() + kLimit;
+  while (!condition()) {
+    cr_assert(std::chrono::steady_clock::now() < end, "never came about: %s", what.c_str());
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+}  // namespace tackpick::test
