Samples expected to run longest are leased first; hedges only for silence

(1) The ledger leased by index, and the gateways' predictor keyed on a prompt that never came twice, so longest-first had nothing to order. (3) Urgent requests waited behind full engines whose samples they may preempt. (4) The count of wasted tokens wrapped around when a resumed attempt ended whole.

Change: length estimates are part of the ledger's state and order its leases; a hedge needs an attempt that has been silent; urgent work may go to an engine loaded up to twice its slots; wasted tokens are counted once.

--- a/apps/load/trainers.cpp
+++ b/apps/load/trainers.cpp
@@ -47,14 +47,12 @@
     base::SeededRandom lengths(base::mix(prompt, base::mix(number_, options_.seed)));
     const double usual = std::min(lengths.pareto(workload_.shortestTokens, workload_.tailIndex),
                                   workload_.longestTokens);
-    const double varied = usual * (0.75 + 0.5 * random_.uniform());
-    const auto tokens =
-        static_cast<std::uint32_t>(std::clamp(varied, 1.0, workload_.longestTokens));
+    const auto tokens = static_cast<std::uint32_t>(usual);
     Sample sample;
     sample.maximumTokens = static_cast<std::uint32_t>(workload_.longestTokens);
     sample.seed = (batch_number_ << 20U) + i;
     sample.prompt =
-        engine::lengthDirective(tokens) + workload_.name + " prompt " + std::to_string(prompt);
+        engine::aroundDirective(tokens) + workload_.name + " prompt " + std::to_string(prompt);
     batch.samples.push_back(std::move(sample));
   }
   batch.deliveries.assign(batch.samples.size(), 0);
--- /dev/null
+++ b/bench/policy/main.cpp
@@ -0,0 +1,210 @@
+/// \file
+/// tackpick-policy: compares scheduling policies in the simulator, both users' profiles, the same
+/// seeds for each. Prints one line a profile and policy, with the spread over the seeds.
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "simulation/world.h"
+
+namespace {
+
+namespace base = tackpick::base;
+namespace routing = tackpick::routing;
+using tackpick::simulation::RunResult;
+using tackpick::simulation::SimulationOptions;
+using tackpick::simulation::World;
+
+using Configure = void (*)(SimulationOptions&);
+
+struct NamedOptions {
+  std::string name;
+  Configure configure;
+};
+
+void zoekwerk(SimulationOptions& options) {
+  options.engines = 12;
+  options.load.requestsPerSecond = 25;
+  options.load.notRepeatableShare = 0;
+  options.load.longestAnswer = 200;
+  options.load.trainers = 2;
+  options.load.samplesPerBatch = 512;
+  options.load.longestSample = 900;
+  options.load.batchesAhead = 2;
+  options.load.stalenessBound = 6;
+  options.load.trainingTime = base::milliseconds(4000);
+}
+
+void straitFerry(SimulationOptions& options) {
+  options.engines = 14;
+  options.load.requestsPerSecond = 26;
+  options.load.notRepeatableShare = 0.45;
+  options.load.resendShare = 0;
+  options.load.longestAnswer = 120;
+  options.load.trainers = 1;
+  options.load.samplesPerBatch = 1024;
+  options.load.longestSample = 900;
+  options.load.batchesAhead = 1;
+  options.load.stalenessBound = 2;
+  options.load.trainingTime = base::milliseconds(3500);
+}
+
+void current(SimulationOptions& /*options*/) {}
+
+void baseline(SimulationOptions& options) {
+  options.gateway.queue.firstComeFirstServed = true;
+  options.gateway.selector.policy = routing::SelectionPolicy::kRoundRobin;
+  options.gateway.resumePartial = false;
+  options.gateway.hedgeTail = false;
+  options.gateway.longestFirst = false;
+  options.ledger.limits.longestFirst = false;
+}
+
+void noHedge(SimulationOptions& options) { options.gateway.hedgeTail = false; }
+void noLongestFirst(SimulationOptions& options) {
+  options.gateway.longestFirst = false;
+  options.ledger.limits.longestFirst = false;
+}
+
+void noResume(SimulationOptions& options) { options.gateway.resumePartial = false; }
+void noRollouts(SimulationOptions& options) { options.load.trainers = 0; }
+
+void engineFaults(SimulationOptions& options) {
+  options.faults.crashEngine = base::seconds(3);
+  options.faults.failSwap = base::seconds(5);
+}
+
+/// The value below which the given share lies.
+double percentile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return 0.0;
+  }
+  std::sort(values.begin(), values.end());
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(share * last)];
+}
+
+/// Mean and extremes of one figure over the seeds.
+struct Spread {
+  double mean = 0.0;
+  double least = 0.0;
+  double most = 0.0;
+};
+
+Spread spreadOf(const std::vector<RunResult>& results,
+                const std::function<double(const RunResult&)>& figure) {
+  Spread spread;
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    const double value = figure(results[i]);
+    spread.mean += value / static_cast<double>(results.size());
+    spread.least = i == 0 ? value : std::min(spread.least, value);
+    spread.most = i == 0 ? value : std::max(spread.most, value);
+  }
+  return spread;
+}
+
+std::string toText(const Spread& spread, int digits) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(digits) << spread.mean << " (" << spread.least << "-"
+       << spread.most << ")";
+  return text.str();
+}
+
+std::vector<RunResult> runSeeds(const SimulationOptions& options, std::uint64_t seeds) {
+  std::vector<RunResult> results(seeds);
+  std::vector<std::thread> threads;
+  threads.reserve(seeds);
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    threads.emplace_back([&options, &results, seed] {
+      World world(options, seed, nullptr);
+      results[seed - 1] = world.run();
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return results;
+}
+
+double firstTokenMillis(const RunResult& result, double share) {
+  constexpr double kMillisPerSecond = 1000.0;
+  return percentile(result.figures.firstTokenSeconds, share) * kMillisPerSecond;
+}
+
+void print(const std::string& profile, const std::string& policy,
+           const std::vector<RunResult>& results) {
+  constexpr double kMedian = 0.5;
+  constexpr double kTail = 0.99;
+  std::size_t broken = 0;
+  for (const RunResult& result : results) {
+    broken += result.violations.size();
+  }
+  const Spread idle = spreadOf(results, [](const RunResult& r) { return r.trainerIdle; });
+  const Spread stale = spreadOf(results, [](const RunResult& r) { return r.meanStaleness; });
+  const Spread batch = spreadOf(
+      results, [](const RunResult& r) { return percentile(r.figures.batchSeconds, kMedian); });
+  const Spread samples = spreadOf(
+      results, [](const RunResult& r) { return static_cast<double>(r.figures.samplesDelivered); });
+  const Spread first =
+      spreadOf(results, [](const RunResult& r) { return firstTokenMillis(r, kMedian); });
+  const Spread late =
+      spreadOf(results, [](const RunResult& r) { return firstTokenMillis(r, kTail); });
+  const Spread wasted = spreadOf(results, [](const RunResult& r) {
+    return r.figures.tokensReceived == 0 ? 0.0
+                                         : static_cast<double>(r.figures.tokensWasted) /
+                                               static_cast<double>(r.figures.tokensReceived);
+  });
+  const Spread busy = spreadOf(results, [](const RunResult& r) { return r.busyShare; });
+  std::cout << "| " << profile << " | " << policy << " | " << toText(idle, 3) << " | "
+            << toText(stale, 2) << " | " << toText(batch, 2) << " | " << toText(samples, 0) << " | "
+            << toText(first, 0) << " | " << toText(late, 0) << " | " << toText(wasted, 3) << " | "
+            << toText(busy, 2) << " | " << broken << " |" << std::endl;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options parser("tackpick-policy", "Compares scheduling policies in the simulator");
+  parser.add_options()("seeds", "seeds 1 to N",
+                       cxxopts::value<std::uint64_t>()->default_value("5"))(
+      "seconds", "simulated seconds of load", cxxopts::value<int>()->default_value("60"))(
+      "help", "print this");
+  const auto parsed = parser.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << parser.help();
+    return 0;
+  }
+  const std::vector<NamedOptions> profiles = {{"zoekwerk", zoekwerk},
+                                              {"strait-ferry", straitFerry}};
+  const std::vector<NamedOptions> policies = {
+      {"baseline", baseline},        {"current", current},
+      {"no hedge", noHedge},         {"no longest-first", noLongestFirst},
+      {"no resume", noResume},       {"no rollouts", noRollouts},
+      {"baseline, faults", nullptr}, {"current, faults", engineFaults}};
+  std::cout << "| profile | policy | trainer idle | staleness mean | batch s p50 | samples | "
+               "first token ms p50 | p99 | wasted share | busy share | broken |\n"
+               "|---|---|---|---|---|---|---|---|---|---|---|\n";
+  for (const NamedOptions& profile : profiles) {
+    for (const NamedOptions& policy : policies) {
+      SimulationOptions options;
+      options.faultTime = base::seconds(parsed["seconds"].as<int>());
+      options.warmUp = base::seconds(25);
+      options.load.operators = 0;
+      profile.configure(options);
+      if (policy.configure == nullptr) {
+        baseline(options);
+        engineFaults(options);
+      } else {
+        policy.configure(options);
+      }
+      print(profile.name, policy.name, runSeeds(options, parsed["seeds"].as<std::uint64_t>()));
+    }
+  }
+  return 0;
+}
--- a/src/engine/content.cpp
+++ b/src/engine/content.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 #include "base/random.h"
 
@@ -9,8 +10,20 @@
 namespace {
 
 constexpr std::string_view kDirectiveStart = "[[tokens=";
+constexpr std::string_view kAroundStart = "[[around=";
 constexpr std::string_view kDirectiveEnd = "]]";
 
+/// The number in a directive at the start of the prompt.
+std::optional<std::uint32_t> directedTokens(std::string_view prompt, std::string_view start) {
+  std::uint32_t tokens = 0;
+  if (!prompt.starts_with(start)) {
+    return std::nullopt;
+  }
+  const auto parsed =
+      std::from_chars(prompt.data() + start.size(), prompt.data() + prompt.size(), tokens);
+  return parsed.ec == std::errc() && tokens > 0 ? std::optional(tokens) : std::nullopt;
+}
+
 }  // namespace
 
 std::uint64_t promptHash(std::string_view prompt) { return base::hashBytes(prompt); }
@@ -32,14 +45,20 @@
   return std::string(kDirectiveStart) + std::to_string(tokens) + std::string(kDirectiveEnd);
 }
 
+std::string aroundDirective(std::uint32_t tokens) {
+  return std::string(kAroundStart) + std::to_string(tokens) + std::string(kDirectiveEnd);
+}
+
 std::uint32_t naturalLength(std::string_view prompt, std::uint64_t seed) {
-  if (prompt.starts_with(kDirectiveStart)) {
-    std::uint32_t tokens = 0;
-    const char* begin = prompt.data() + kDirectiveStart.size();
-    const auto parsed = std::from_chars(begin, prompt.data() + prompt.size(), tokens);
-    if (parsed.ec == std::errc() && tokens > 0) {
-      return tokens;
-    }
+  if (const auto tokens = directedTokens(prompt, kDirectiveStart)) {
+    return *tokens;
+  }
+  if (const auto usual = directedTokens(prompt, kAroundStart)) {
+    constexpr double kLeast = 0.75;
+    constexpr double kSpread = 0.5;
+    base::SeededRandom random(base::mix(promptHash(prompt), seed));
+    const double share = kLeast + kSpread * random.uniform();
+    return std::max(1U, static_cast<std::uint32_t>(*usual * share));
   }
   constexpr double kShortest = 8.0;
   constexpr double kTailIndex = 1.3;
--- a/src/engine/content.h
+++ b/src/engine/content.h
@@ -22,8 +22,11 @@
 /// How many tokens the model produces before it stops by itself. A prompt that begins with the
 /// directive `[[tokens=N]]` asks for exactly N; otherwise the length depends on prompt and seed.
 [[nodiscard]] std::uint32_t naturalLength(std::string_view prompt, std::uint64_t seed);
-/// The directive for naturalLength().
+/// `[[around=N]]` asks for three quarters to five quarters of N, by the seed: answers to one prompt
+/// resemble each other in length.
+/// The directives for naturalLength().
 [[nodiscard]] std::string lengthDirective(std::uint32_t tokens);
+[[nodiscard]] std::string aroundDirective(std::uint32_t tokens);
 
 /// Tokens a prompt takes in the engine's context.
 [[nodiscard]] std::uint32_t promptTokens(std::string_view prompt);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,7 +14,7 @@
 #include "gateway/control_view.h"
 #include "gateway/group_client.h"
 #include "gateway/job.h"
-#include "gateway/length_predictor.h"
+#include "ledger/length_estimates.h"
 #include "routing/dispatch_queue.h"
 #include "routing/engine_selector.h"
 #include "routing/engine_table.h"
@@ -216,7 +216,7 @@
   routing::OutlierDetector outliers_;
   routing::DispatchQueue queue_;
   routing::RetryBudget retry_budget_;
-  LengthPredictor predictor_;
+  ledger::LengthEstimates length_estimates_;  ///< of callers' answers
   GroupClient control_;
   std::vector<LedgerLink> ledgers_;
 
--- a/src/gateway/gateway_attempts.cpp
+++ b/src/gateway/gateway_attempts.cpp
@@ -64,8 +64,10 @@
   if (whole || (settings_.mutants.finishEarly && end.kind == engine::EndKind::kLost)) {
     outliers_.onSuccess(engine);
     job->verdict = base::Verdict::kRan;
-    LabelledTokens output = std::move(attempt->output);
+    LabelledTokens output = attempt->output;
     const std::string reason = whole ? end.finishReason : "stop";
+    attempt->resumedFrom = static_cast<std::uint32_t>(output.tokens.size());  // none is wasted
+    job->finishing = true;
     dropAttempt(*job, end.attempt, false, now);
     finishWhole(*job, std::move(output), reason, now);
     dispatch(now);
@@ -94,8 +96,8 @@
   engines_.onEnd(attempt->engine);
   job_by_attempt_.erase(id);
   const std::size_t gained = attempt->output.tokens.size() - attempt->resumedFrom;
-  const bool keep =
-      settings_.resumePartial && attempt->output.tokens.size() > job.partial.tokens.size();
+  const bool keep = settings_.resumePartial && !job.finishing &&
+                    attempt->output.tokens.size() > job.partial.tokens.size();
   if (keep) {
     job.partial = std::move(attempt->output);
   } else {
@@ -145,12 +147,11 @@
                           base::TimePoint now) {
   job.finishing = true;
   while (!job.attempts.empty()) {
-    const Attempt& loser = job.attempts.front();
-    counters_.tokensWasted += loser.output.tokens.size() - loser.resumedFrom;
-    job.partial = loser.output;  // keeps dropAttempt from counting the same tokens again
     dropAttempt(job, job.attempts.front().id, true, now);
   }
-  predictor_.observe(job.workload, job.prompt, output.tokens.size());
+  if (job.caller) {
+    length_estimates_.observe(job.workload, job.prompt, output.tokens.size());
+  }
   if (job.sample) {
     ledger::SampleResult result;
     result.index = job.sample->sample.index;
--- a/src/gateway/gateway_dispatch.cpp
+++ b/src/gateway/gateway_dispatch.cpp
@@ -18,7 +18,9 @@
   entry.job = job.id;
   entry.priority = job.priority;
   entry.workload = job.workload;
-  const std::uint32_t predicted = predictor_.predict(job.workload, job.prompt, job.maximumTokens);
+  const std::uint32_t predicted =
+      job.sample ? job.sample->expectedTokens
+                 : length_estimates_.expected(job.workload, job.prompt, job.maximumTokens);
   const auto done = static_cast<std::uint32_t>(job.partial.tokens.size());
   entry.expectedTokens = std::max<std::uint32_t>(predicted > done ? predicted - done : 1, 1);
   entry.longestFirst = job.sample.has_value() && settings_.longestFirst;
@@ -115,11 +117,10 @@
     if (busy > settings_.hedgeIdleShare * static_cast<double>(capacity.slots)) {
       return;
     }
-    const routing::EngineEntry* current = engines_.find(job.attempts.front().engine);
-    const bool crowded = current == nullptr ||
-                         routing::EngineTable::load(*current) > current->status.slots / 2 ||
-                         now - job.attempts.front().progressAt > settings_.hedgeAfter;
-    if (crowded && tryDispatch(job, true, now)) {
+    // Engines differ little in speed, so a second run of a sample that makes progress only wastes
+    // tokens: see docs/BENCHMARKS.md.
+    const bool silent = now - job.attempts.front().progressAt > settings_.hedgeAfter;
+    if (silent && tryDispatch(job, true, now)) {
       ++counters_.attemptsHedged;
     }
   }
--- a/src/ledger/batch.cpp
+++ b/src/ledger/batch.cpp
@@ -25,7 +25,8 @@
   return next == tokenCount;
 }
 
-Batch::Batch(const SubmitBatch& submission, std::uint64_t contentHash)
+Batch::Batch(const SubmitBatch& submission, std::uint64_t contentHash,
+             const LengthEstimates* estimates)
     : id_(submission.batch),
       workload_(submission.workload),
       model_(submission.model),
@@ -33,15 +34,20 @@
       content_hash_(contentHash) {
   samples_.resize(submission.samples.size());
   for (const SampleSpecification& specification : submission.samples) {
-    samples_.at(specification.index).specification = specification;
-    pending_.insert(specification.index);
+    Sample& sample = samples_.at(specification.index);
+    sample.specification = specification;
+    if (estimates != nullptr) {
+      sample.expectedTokens =
+          estimates->expected(workload_, specification.prompt, specification.maximumTokens);
+    }
+    pending_.insert(pendingAt(specification.index));
   }
 }
 
 void Batch::lease(const SampleHolder& holder, std::uint32_t maximum,
                   std::vector<LeasedSample>& leased) {
   while (!pending_.empty() && leased.size() < maximum) {
-    const std::uint32_t index = *pending_.begin();
+    const std::uint32_t index = pending_.begin()->index;
     pending_.erase(pending_.begin());
     leases_[index] = holder;
     ++samples_[index].fence;
@@ -57,6 +63,7 @@
   lease.minimumVersion = minimum_version_;
   lease.fence = samples_[index].fence;
   lease.remaining = static_cast<std::uint32_t>(samples_.size() - order_.size());
+  lease.expectedTokens = samples_[index].expectedTokens;
   lease.sample = samples_[index].specification;
   return lease;
 }
@@ -69,7 +76,7 @@
 void Batch::release(const SampleHolder& holder) {
   for (auto it = leases_.begin(); it != leases_.end();) {
     if (it->second == holder) {
-      pending_.insert(it->first);
+      pending_.insert(pendingAt(it->first));
       it = leases_.erase(it);
     } else {
       ++it;
@@ -83,7 +90,7 @@
     return LedgerStatus::kAlreadyDone;
   }
   leases_.erase(held);
-  pending_.insert(index);
+  pending_.insert(pendingAt(index));
   return LedgerStatus::kOk;
 }
 
@@ -102,7 +109,7 @@
   }
   sample.committed = true;
   sample.result = commit.result;
-  pending_.erase(index);
+  pending_.erase(pendingAt(index));
   leases_.erase(index);
   order_.push_back(index);
   return LedgerStatus::kOk;
--- a/src/ledger/batch.h
+++ b/src/ledger/batch.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "ledger/ledger_commands.h"
+#include "ledger/length_estimates.h"
 
 namespace tackpick::ledger {
 
@@ -33,7 +34,8 @@
   };
 
   Batch() = default;
-  Batch(const SubmitBatch& submission, std::uint64_t contentHash);
+  /// Pending samples are leased longest expected first; without estimates by index.
+  Batch(const SubmitBatch& submission, std::uint64_t contentHash, const LengthEstimates* estimates);
 
   /// Leases up to `maximum` pending samples to `holder`.
   void lease(const SampleHolder& holder, std::uint32_t maximum, std::vector<LeasedSample>& leased);
@@ -60,15 +62,31 @@
   }
 
  private:
+  /// A sample waiting to be leased, in the order of leasing.
+  struct PendingSample {
+    std::uint32_t expectedTokens = 0;
+    std::uint32_t index = 0;
+
+    bool operator<(const PendingSample& other) const {
+      return expectedTokens != other.expectedTokens ? expectedTokens > other.expectedTokens
+                                                    : index < other.index;
+    }
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(expectedTokens, index);
+    }
+  };
   struct Sample {
     SampleSpecification specification;
+    std::uint32_t expectedTokens = 0;
     std::uint64_t fence = 0;
     bool committed = false;
     SampleResult result;
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(specification, fence, committed, result);
+      archive(specification, expectedTokens, fence, committed, result);
     }
   };
 
@@ -78,7 +96,11 @@
   base::WeightsVersion minimum_version_;
   std::uint64_t content_hash_ = 0;
   std::vector<Sample> samples_;
-  std::set<std::uint32_t> pending_;
+  [[nodiscard]] PendingSample pendingAt(std::uint32_t index) const {
+    return {samples_[index].expectedTokens, index};
+  }
+
+  std::set<PendingSample> pending_;
   std::map<std::uint32_t, SampleHolder> leases_;
   std::vector<std::uint32_t> order_;
   std::uint32_t acknowledged_ = 0;
--- a/src/ledger/ledger_commands.h
+++ b/src/ledger/ledger_commands.h
@@ -208,12 +208,13 @@
   std::string model;
   base::WeightsVersion minimumVersion;
   std::uint64_t fence = 0;
-  std::uint32_t remaining = 0;  ///< samples of the batch not yet committed
+  std::uint32_t remaining = 0;       ///< samples of the batch not yet committed
+  std::uint32_t expectedTokens = 0;  ///< estimated from earlier samples
   SampleSpecification sample;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(batch, workload, model, minimumVersion, fence, remaining, sample);
+    archive(batch, workload, model, minimumVersion, fence, remaining, expectedTokens, sample);
   }
 };
 
--- a/src/ledger/ledger_state.cpp
+++ b/src/ledger/ledger_state.cpp
@@ -55,7 +55,8 @@
   if (std::string problem = checkSubmission(command); !problem.empty()) {
     return withStatus(LedgerStatus::kInvalid, std::move(problem));
   }
-  content_.batches.emplace(command.batch, Batch(command, hash));
+  content_.batches.emplace(
+      command.batch, Batch(command, hash, limits_.longestFirst ? &content_.lengths : nullptr));
   content_.arrival.push_back(command.batch);
   return withStatus(LedgerStatus::kOk);
 }
@@ -132,8 +133,15 @@
 
 LedgerResult LedgerState::applyOperation(const CommitSample& command) {
   Batch* batch = find(command.batch);
-  return batch == nullptr ? missing(command.batch)
-                          : withStatus(batch->commit(command, limits_.batchMutants));
+  if (batch == nullptr) {
+    return missing(command.batch);
+  }
+  const LedgerStatus status = batch->commit(command, limits_.batchMutants);
+  if (status == LedgerStatus::kOk) {
+    const LeasedSample sample = batch->describe(command.result.index);
+    content_.lengths.observe(sample.workload, sample.sample.prompt, command.result.tokens.size());
+  }
+  return withStatus(status);
 }
 
 LedgerResult LedgerState::applyOperation(const AcknowledgeSamples& command) {
--- a/src/ledger/ledger_state.h
+++ b/src/ledger/ledger_state.h
@@ -16,6 +16,8 @@
   /// A claim or the name of a delivered batch is remembered this long after its last change.
   std::uint64_t retentionSeconds = 86'400;
   std::uint32_t samplesPerRead = 256;
+  /// Lease the samples expected to run longest first; else by index, for comparison.
+  bool longestFirst = true;
   Batch::Mutants batchMutants;
 
   struct Mutants {
@@ -80,10 +82,11 @@
     std::map<base::BatchId, DeliveredBatch> delivered;
     std::map<base::NodeId, LatestLease> latestLeases;
     Claims claims;
+    LengthEstimates lengths;
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(wallSeconds, prunedAt, batches, arrival, delivered, latestLeases, claims);
+      archive(wallSeconds, prunedAt, batches, arrival, delivered, latestLeases, claims, lengths);
     }
   };
 
--- a/src/routing/engine_selector.h
+++ b/src/routing/engine_selector.h
@@ -27,7 +27,7 @@
   /// A whole cached prompt is worth this share of an engine's slots.
   double affinityBonus = 0.25;
   /// Urgent work may go to an engine loaded up to this multiple of its slots.
-  double urgentOvercommit = 1.25;
+  double urgentOvercommit = 2.0;
 };
 
 /// What an engine must satisfy for a job.
--- a/src/simulation/engine_host.h
+++ b/src/simulation/engine_host.h
@@ -39,6 +39,9 @@
   /// Tells the observations what the running incarnation ran.
   void reportRuns();
 
+  [[nodiscard]] std::uint32_t runningSequences() const {
+    return model_ ? model_->status().running : 0;
+  }
   [[nodiscard]] base::EngineId id() const { return id_; }
   [[nodiscard]] MachineId machine() const { return machine_; }
   [[nodiscard]] base::Incarnation incarnation() const { return incarnation_; }
--- a/src/simulation/environment.h
+++ b/src/simulation/environment.h
@@ -9,6 +9,7 @@
 
 #include "base/random.h"
 #include "simulation/event_loop.h"
+#include "simulation/metering.h"
 #include "simulation/observations.h"
 #include "simulation/options.h"
 #include "simulation/simulated_network.h"
@@ -36,12 +37,15 @@
   base::SeededRandom random;
   SimulatedNetwork network;
   Observations observations;
-  std::ostream* trace = nullptr;  ///< set to see the run
+  std::ostream* trace = nullptr;    ///< set to see the run
+  bool metering = false;            ///< whether meters are filled; decisions never depend on it
+  std::array<RoleMeter, 3> meters;  ///< by NodeRole
 
   std::vector<std::unique_ptr<NodeHost>> nodes;
   std::vector<std::unique_ptr<EngineHost>> engines;
   std::unique_ptr<Platform> platform;
 
+  /// Nodes and engines are numbered from one, in the order of their lists.
   [[nodiscard]] NodeHost* node(std::uint32_t number);
   [[nodiscard]] EngineHost* engine(base::EngineId id);
   [[nodiscard]] base::Duration drawBetween(base::Duration shortest, base::Duration longest);
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -31,7 +31,7 @@
          ledgerRaft(options).acknowledgeBeforeSync = true;
        }},
       {"ignore-leader-lease", "nobody votes against a leader within its lease", "two-leaders",
-       [](Options& options) { ledgerRaft(options).ignoreLeaderLease = true; }},
+       [](Options& options) { controlRaft(options).ignoreLeaderLease = true; }},
       {"answer-before-commit", "a command is answered once it is committed", "exactly-once",
        [](Options& options) { options.ledger.replica.mutants.answerBeforeCommit = true; }},
       {"read-without-lease", "reads are answered under the leader's lease", "silent-leader",
--- a/src/simulation/node_clients.cpp
+++ b/src/simulation/node_clients.cpp
@@ -21,6 +21,7 @@
   const CallerHandler handler = std::move(found->second);
   callers_.erase(found);
   streamed_.erase(caller);
+  arrived_at_.erase(caller);
   toClient([handler, answer = std::move(answer)] { handler(answer); });
 }
 
@@ -36,6 +37,9 @@
         }
         request.id = {++next_caller_};
         callers_[request.id] = std::move(handler);
+        if (request.stream) {
+          arrived_at_[request.id] = environment_.loop.now();
+        }
         post(epoch_, [this, request] { gateway_->onCallerRequest(request, localNow()); });
       });
 }
@@ -104,6 +108,23 @@
   });
 }
 
+void NodeHost::noteFirstToken(base::CallerId caller) {
+  const auto arrived = arrived_at_.find(caller);
+  if (arrived != arrived_at_.end()) {
+    environment_.observations.figures().firstTokenSeconds.push_back(
+        base::toSeconds(environment_.loop.now() - arrived->second));
+    arrived_at_.erase(arrived);
+  }
+}
+
+void NodeHost::noteTokens() {
+  if (gateway_) {
+    RunFigures& figures = environment_.observations.figures();
+    figures.tokensReceived += gateway_->counters().tokensReceived;
+    figures.tokensWasted += gateway_->counters().tokensWasted;
+  }
+}
+
 std::int64_t NodeHost::counterInView() const {
   return gateway_->view().settings().integer("", SettingKey::kTokenLimit);
 }
--- a/src/simulation/node_host.h
+++ b/src/simulation/node_host.h
@@ -86,6 +86,8 @@
   [[nodiscard]] control::Controller* controller() { return controller_.get(); }
   /// The replica of a controller or ledger; null for gateways and when down.
   [[nodiscard]] consensus::Replica* replica();
+  /// Adds the gateway's tokens to the figures; call once, at the end of its run.
+  void noteTokens();
   /// The counter in this gateway's view.
   [[nodiscard]] std::int64_t counterInView() const;
 
@@ -100,11 +102,14 @@
   void turn();
   /// Notes when two replicas of a group hold the leader's lease at once: both would answer.
   void checkLease();
+  /// This role's meter while the run is metered.
+  [[nodiscard]] RoleMeter* meter();
   void sendAll(const transport::Outbox& outbox);
   void carryOut(const gateway::Action& action);
   void startAttempt(const gateway::StartAttempt& start);
   void loseAttempt(base::AttemptId attempt, base::Verdict verdict, base::Duration delay);
   void reply(base::CallerId caller, CallerReply reply);
+  void noteFirstToken(base::CallerId caller);
   void sendOrder(const engine::AddressedOrder& order);
   void readMachineList();
   void finishPlannedStop();
@@ -114,6 +119,7 @@
   const NodeRole role_;
   const std::uint32_t number_;
   const MachineId machine_;
+  const std::string zone_;
   base::NodeId id_;
   double clock_rate_ = 1.0;
 
@@ -135,6 +141,7 @@
   std::uint64_t next_caller_ = 0;
   std::map<base::CallerId, CallerHandler> callers_;
   std::map<base::CallerId, checking::ReceivedAnswer> streamed_;
+  std::map<base::CallerId, base::TimePoint> arrived_at_;  ///< callers without a token yet
 };
 
 }  // namespace tackpick::simulation
--- a/src/simulation/observations.cpp
+++ b/src/simulation/observations.cpp
@@ -114,7 +114,14 @@
                                         " went back from weights " + std::to_string(active.value) +
                                         " to " + std::to_string(version.value));
   }
-  active = std::max(active, version);
+  if (version > active) {
+    active = version;
+    const bool last = ++engines_at_version_[version] == engine_count_;
+    const auto published = published_at_.find(version);
+    if (last && published != published_at_.end()) {
+      figures_.rolloutSeconds.push_back(base::toSeconds(clock_.now() - published->second));
+    }
+  }
 }
 
 void Observations::onBatchAccepted(const SentBatch& batch) { batches_[batch.batch]; }
--- a/src/simulation/observations.h
+++ b/src/simulation/observations.h
@@ -71,6 +71,13 @@
   std::uint64_t versionsPublished = 0;
   std::uint64_t kills = 0;
   std::uint64_t engineRuns = 0;
+  std::uint64_t tokensReceived = 0;       ///< by gateways, from engines
+  std::uint64_t tokensWasted = 0;         ///< of these, thrown away
+  std::vector<double> changeSeconds;      ///< from an operator's submission to its acceptance
+  std::vector<double> firstTokenSeconds;  ///< callers, from sending
+  std::vector<double> answerSeconds;      ///< callers, from sending to the whole answer
+  std::vector<double> batchSeconds;       ///< trainers, from submission to whole
+  std::vector<double> rolloutSeconds;     ///< from publishing weights to the last engine
 };
 
 /// Collects what happened outside of the modules and notes every broken promise. It knows nothing
@@ -96,6 +103,9 @@
   }
   /// Everything one incarnation of an engine ran, told when it ends.
   void onEngineRuns(const engine::EngineModel& model);
+  void onVersionPublished(base::WeightsVersion version) { published_at_[version] = clock_.now(); }
+  /// How many engines there are, for the time a rollout takes.
+  void setEngineCount(std::size_t count) { engine_count_ = count; }
   void onVersionActive(base::EngineId engine, base::Incarnation incarnation,
                        base::WeightsVersion version);
 
@@ -146,6 +156,9 @@
   std::map<base::BatchId, BatchRecord> batches_;
   std::map<EngineRun, base::TimePoint> leaving_since_;
   std::map<EngineRun, base::WeightsVersion> active_;
+  std::map<base::WeightsVersion, base::TimePoint> published_at_;
+  std::map<base::WeightsVersion, std::size_t> engines_at_version_;
+  std::size_t engine_count_ = 0;
   std::map<std::string, base::Revision> accepted_requests_;
   std::int64_t accepted_counter_ = kFirstCounter;
   std::uint64_t accepted_changes_ = 0;
--- a/src/simulation/operator_actor.cpp
+++ b/src/simulation/operator_actor.cpp
@@ -44,6 +44,7 @@
     Pending pending;
     pending.command = {apply.author + "-" + std::to_string(++requests_), std::move(apply)};
     pending.counter = reading->counter + 1;
+    pending.submittedAt = environment_.loop.now();
     pending_ = std::move(pending);
     submit();
   });
@@ -78,6 +79,8 @@
   if (outcome.status == control::ChangeStatus::kAccepted) {
     environment_.observations.onChangeAccepted(pending_->command.requestId, outcome.revision,
                                                pending_->counter);
+    environment_.observations.figures().changeSeconds.push_back(
+        base::toSeconds(environment_.loop.now() - pending_->submittedAt));
   }
   pending_.reset();
   scheduleNext();
--- a/src/simulation/operator_actor.h
+++ b/src/simulation/operator_actor.h
@@ -27,6 +27,7 @@
   struct Pending {
     control::ControlCommand command;
     std::int64_t counter = 0;
+    base::TimePoint submittedAt{};
   };
 
   void scheduleNext();
--- a/src/simulation/options.h
+++ b/src/simulation/options.h
@@ -19,7 +19,7 @@
   base::Duration killController{0};
   base::Duration freezeNode{0};        ///< any of ours, for longer than every lease
   base::Duration cutLink{0};           ///< between two of our machines, one way or both
-  base::Duration deposeLedger{0};      ///< one follower and the leader part, then all do
+  base::Duration deposeLeader{0};      ///< a controller and the leading one part, then all do
   base::Duration isolateLeader{0};     ///< the leading controller hears no other controller
   base::Duration loseDisk{0};          ///< and the machine is replaced by a new one
   base::Duration failSync{0};          ///< a replica's disk refuses to sync; then it is restarted
@@ -42,8 +42,10 @@
   double longestAnswer = 120.0;  ///< tokens
   base::Duration deadline = base::seconds(6);
   std::uint32_t trainers = 1;
+  std::uint32_t batchesAhead = 0;  ///< submitted before they are needed
   std::uint32_t samplesPerBatch = 16;
   double longestSample = 400.0;  ///< tokens
+  std::uint64_t prompts = 500;   ///< of a trainer, drawn again and again
   std::uint64_t stalenessBound = 3;
   base::Duration trainingTime = base::milliseconds(300);
   bool trainersRestart = false;
@@ -60,6 +62,8 @@
   std::uint32_t engines = 5;
   base::Duration faultTime = base::seconds(15);   ///< load and faults
   base::Duration settleTime = base::seconds(90);  ///< at most, until everything has ended
+  base::Duration warmUp{0};                       ///< before idle time and the like count
+  bool metering = false;                          ///< measure what each role costs
   double clockDrift = 0.01;                       ///< rates lie within 1 +- this
 
   LoadOptions load;
--- a/src/simulation/trainer_actor.h
+++ b/src/simulation/trainer_actor.h
@@ -2,10 +2,9 @@
 /// A trainer: submits batches, reads them by cursor, trains and publishes weights.
 #pragma once
 
+#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "simulation/environment.h"
@@ -21,9 +20,11 @@
 
   void start();
   /// Submits no more; what is submitted is still read to its end.
-  void stop() { stopped_ = true; }
-  [[nodiscard]] bool isDone() const { return stopped_ && !batch_; }
-  /// Share of time since the start spent waiting for a batch.
+  void stop();
+  /// Idle time and staleness count from here on.
+  void beginMeasuring();
+  [[nodiscard]] bool isDone() const { return stopped_ && batches_.empty(); }
+  /// Share of the measured time spent waiting for a batch.
   [[nodiscard]] double idleShare() const;
   /// Versions between the published one and a delivered sample's oldest, on average.
   [[nodiscard]] double meanStaleness() const;
@@ -31,19 +32,26 @@
  private:
   struct Batch {
     SentBatch sent;
+    base::TimePoint submittedAt{};
+    bool accepted = false;
     std::uint32_t cursor = 0;
     bool tightening = false;
   };
   using OnResult = std::function<void(const base::Bytes& result)>;
 
+  /// Keeps as many batches submitted as the load asks for.
+  void submitAhead();
   void submit();
+  void countIdle();
+  void waitForBatch();
   void read();
   void onSamples(const ledger::ReadResult& result, std::uint32_t from);
   void tighten();
   void acknowledge();
   void publish();
   /// Calls the ledger through some gateway until there is an answer.
-  void call(transport::CommandKind kind, const base::Bytes& payload, const OnResult& onResult);
+  void call(const base::BatchId& batch, transport::CommandKind kind, const base::Bytes& payload,
+            const OnResult& onResult);
   void callControl(const base::Bytes& payload, const OnResult& onResult);
   void repeatUntilAnswered(const std::function<void(NodeHost&, NodeHost::ResultHandler)>& send,
                            const OnResult& onResult);
@@ -54,10 +62,12 @@
   const std::uint32_t number_;
   std::uint64_t& published_version_;
   std::uint64_t batch_number_ = 0;
-  std::optional<Batch> batch_;
+  std::deque<Batch> batches_;  ///< submitted and not delivered; the first is being read
   bool stopped_ = false;
   std::uint64_t run_ = 0;  ///< a restarted trainer ignores what its earlier run asked for
   base::TimePoint started_at_{};
+  base::TimePoint ended_at_{};
+  bool waiting_ = false;  ///< for a batch, since waiting_since_
   base::TimePoint waiting_since_{};
   base::Duration idle_{0};
   double staleness_sum_ = 0.0;
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -73,6 +73,7 @@
   for (const auto& engine : environment_.engines) {
     engine->start();
   }
+  environment_.observations.setEngineCount(options.engines);
   for (const auto& host : environment_.nodes) {
     host->initialise();
   }
@@ -118,7 +119,37 @@
   faults_->start();
 }
 
+void World::sampleBusyShare() {
+  constexpr base::Duration kInterval = base::milliseconds(50);
+  std::uint64_t running = 0;
+  for (const auto& engine : environment_.engines) {
+    running += engine->runningSequences();
+  }
+  const std::uint64_t slots = environment_.engines.size() * environment_.options.engine.slots;
+  busy_sum_ += static_cast<double>(running) / static_cast<double>(slots);
+  ++busy_samples_;
+  environment_.loop.after(kInterval, [this] {
+    if (!load_ended_) {
+      sampleBusyShare();
+    }
+  });
+}
+
+void World::beginMeasuring() {
+  environment_.metering = environment_.options.metering;
+  RunFigures& figures = environment_.observations.figures();
+  figures.firstTokenSeconds.clear();
+  figures.batchSeconds.clear();
+  figures.changeSeconds.clear();
+  for (const auto& trainer : trainers_) {
+    trainer->beginMeasuring();
+  }
+  sampleBusyShare();
+}
+
 void World::stopLoad() {
+  load_ended_ = true;
+  environment_.metering = false;
   callers_->stop();
   for (const auto& trainer : trainers_) {
     trainer->stop();
@@ -189,6 +220,9 @@
   for (const auto& engine : environment_.engines) {
     engine->reportRuns();
   }
+  for (const auto& host : environment_.nodes) {
+    host->noteTokens();
+  }
   std::vector<std::int64_t> counters;
   for (const auto& host : environment_.nodes) {
     if (host->role() == NodeRole::kGateway && host->isRunning()) {
@@ -202,6 +236,8 @@
   build();
   if (setUp()) {
     startLoad();
+    environment_.loop.runUntil(environment_.loop.now() + environment_.options.warmUp);
+    beginMeasuring();
     environment_.loop.runUntil(environment_.loop.now() + environment_.options.faultTime);
     stopLoad();
     faults_->stop();
@@ -217,6 +253,8 @@
   result.simulated = environment_.loop.now().time_since_epoch();
   result.violations = environment_.observations.violations();
   result.figures = environment_.observations.figures();
+  result.busyShare = busy_samples_ == 0 ? 0.0 : busy_sum_ / static_cast<double>(busy_samples_);
+  result.meters = environment_.meters;
   for (const auto& trainer : trainers_) {
     result.trainerIdle += trainer->idleShare() / static_cast<double>(trainers_.size());
     result.meanStaleness += trainer->meanStaleness() / static_cast<double>(trainers_.size());
--- a/src/simulation/world.h
+++ b/src/simulation/world.h
@@ -23,8 +23,10 @@
   base::Duration simulated{0};
   std::vector<Violation> violations;
   RunFigures figures;
+  std::array<RoleMeter, 3> meters;  ///< by NodeRole; filled when the run is metered
   double trainerIdle = 0.0;
   double meanStaleness = 0.0;
+  double busyShare = 0.0;  ///< of the engines' slots, while load was offered
 };
 
 /// Builds the fleet, sets it up, loads it under faults, lets it settle and judges it.
@@ -41,7 +43,10 @@
   void build();
   /// Applies the first configuration; false when that took too long.
   bool setUp();
+  /// Samples how many of the engines' slots are busy, until the load ends.
+  void sampleBusyShare();
   void startLoad();
+  void beginMeasuring();
   void stopLoad();
   /// Waits until everything asked for has ended; notes what has not.
   void settle();
@@ -58,6 +63,9 @@
   std::vector<std::unique_ptr<TrainerActor>> trainers_;
   std::vector<std::unique_ptr<OperatorActor>> operators_;
   std::unique_ptr<FaultInjector> faults_;
+  bool load_ended_ = false;
+  double busy_sum_ = 0.0;
+  std::uint64_t busy_samples_ = 0;
 };
 
 }  // namespace tackpick::simulation
