Capacity bench; three costs that grew with the square of the fleet removed

Cause: the slopes of bench/capacity bent upwards. Per turn the leading controller looked at every watching gateway; per tick each gateway hashed every gateway for every engine, and walked engines it never uses; per engine the weights rollout counted all engines.

Ruled out: message encoding and the log (their share is flat over gateways); the hosts of the bench, which are outside of the metered scopes.

Change: watchers are looked at when the revision has moved; a gateway keeps only the engines it reads; the rollout counts once a step and runs every 40 ms.

--- /dev/null
+++ b/bench/capacity/main.cpp
@@ -0,0 +1,343 @@
+/// \file
+/// tackpick-capacity: what each role costs as the fleet grows. The daemon's own modules run for
+/// hundreds of hollow gateways and thousands of hollow engines in one process, without token
+/// traffic. Prints one table a slope; --data FOLDER also writes columns for the plots.
+#include <malloc.h>
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "control/control_state.h"
+#include "ledger/ledger_state.h"
+#include "simulation/world.h"
+
+namespace {
+
+namespace base = tackpick::base;
+namespace control = tackpick::control;
+namespace ledger = tackpick::ledger;
+namespace simulation = tackpick::simulation;
+using simulation::RoleMeter;
+using simulation::RunResult;
+using simulation::SimulationOptions;
+
+constexpr double kPercent = 100.0;
+constexpr double kNanosecondsPerSecond = 1e9;
+constexpr double kMillisPerSecond = 1e3;
+constexpr double kSecondsPerDay = 86'400.0;
+constexpr double kChangesPerDay = 17'000.0;
+constexpr std::size_t kController = 0;
+constexpr std::size_t kLedger = 1;
+constexpr std::size_t kGateway = 2;
+
+/// A table on standard output and, when a folder is given, a file of columns.
+class Table {
+ public:
+  Table(const std::string& title, const std::string& name, const std::string& folder,
+        const std::vector<std::string>& columns) {
+    std::cout << "\n" << title << "\n\n|";
+    for (const std::string& column : columns) {
+      std::cout << ' ' << column << " |";
+    }
+    std::cout << "\n|";
+    for (std::size_t i = 0; i < columns.size(); ++i) {
+      std::cout << "---|";
+    }
+    std::cout << std::endl;
+    if (!folder.empty()) {
+      file_.open(folder + "/" + name + ".txt");
+    }
+  }
+
+  void row(const std::vector<double>& values) {
+    std::ostringstream line;
+    std::ostringstream plain;
+    constexpr int kDigits = 4;
+    for (const double value : values) {
+      line << ' ' << std::setprecision(kDigits) << value << " |";
+      plain << value << ' ';
+    }
+    std::cout << "|" << line.str() << std::endl;
+    if (file_.is_open()) {
+      file_ << plain.str() << std::endl;
+    }
+  }
+
+ private:
+  std::ofstream file_;
+};
+
+double percentile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return 0.0;
+  }
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+/// A fleet without callers and trainers; one operator changes the root now and then.
+SimulationOptions hollowFleet(std::uint32_t gateways, std::uint32_t engines, double changesPerDay) {
+  constexpr double kNever = 1e9;
+  SimulationOptions options;
+  options.gateways = gateways;
+  options.engines = engines;
+  options.metering = true;
+  options.load.requestsPerSecond = 1e-6;
+  options.load.trainers = 0;
+  options.load.operators = 1;
+  const double interval = changesPerDay > 0 ? kSecondsPerDay / changesPerDay : kNever;
+  options.load.changeInterval = base::milliseconds(static_cast<std::int64_t>(interval * 1000.0));
+  options.gateway.readersPerEngine = 2;
+  options.warmUp = base::seconds(3);
+  options.faultTime = base::seconds(20);
+  options.settleTime = base::seconds(1);
+  return options;
+}
+
+RunResult runOnce(const SimulationOptions& options) {
+  simulation::World world(options, 1, nullptr);
+  return world.run();
+}
+
+/// Share of one core, in percent, that one node of a role takes.
+double corePercent(const RoleMeter& meter, double nodes, double seconds) {
+  return static_cast<double>(meter.processorNanoseconds) / kNanosecondsPerSecond / seconds / nodes *
+         kPercent;
+}
+
+double bytesPerSecond(const RoleMeter& meter, double nodes, double seconds) {
+  const auto bytes =
+      static_cast<double>(RoleMeter::total(meter.sent) + RoleMeter::total(meter.received));
+  return bytes / seconds / nodes;
+}
+
+void measureGateways(const std::string& folder) {
+  Table table("Gateways (10 engines, 17,000 changes a day)", "gateways", folder,
+              {"gateways", "controller core % (mean of 3)", "controller B/s", "gateway core %",
+               "gateway B/s", "in force p50 ms", "in force p99 ms"});
+  for (const std::uint32_t gateways : {1U, 10U, 50U, 100U, 200U, 340U}) {
+    SimulationOptions options = hollowFleet(gateways, 10, kChangesPerDay);
+    options.faultTime = base::seconds(60);
+    const RunResult result = runOnce(options);
+    const double seconds = base::toSeconds(options.faultTime);
+    constexpr double kMedian = 0.5;
+    constexpr double kTail = 0.99;
+    table.row({static_cast<double>(gateways),
+               corePercent(result.meters[kController], options.controllers, seconds),
+               bytesPerSecond(result.meters[kController], options.controllers, seconds),
+               corePercent(result.meters[kGateway], gateways, seconds),
+               bytesPerSecond(result.meters[kGateway], gateways, seconds),
+               percentile(result.figures.changeSeconds, kMedian) * kMillisPerSecond,
+               percentile(result.figures.changeSeconds, kTail) * kMillisPerSecond});
+  }
+}
+
+void measureChanges(const std::string& folder) {
+  Table table("Settings changes (50 gateways, 10 engines)", "changes", folder,
+              {"changes a day", "controller core %", "controller B/s", "gateway core %",
+               "gateway B/s", "accepted"});
+  for (const double factor : {0.0, 1.0, 3.0, 10.0}) {
+    SimulationOptions options = hollowFleet(50, 10, kChangesPerDay * factor);
+    options.faultTime = base::seconds(60);
+    const RunResult result = runOnce(options);
+    const double seconds = base::toSeconds(options.faultTime);
+    table.row({kChangesPerDay * factor,
+               corePercent(result.meters[kController], options.controllers, seconds),
+               bytesPerSecond(result.meters[kController], options.controllers, seconds),
+               corePercent(result.meters[kGateway], options.gateways, seconds),
+               bytesPerSecond(result.meters[kGateway], options.gateways, seconds),
+               static_cast<double>(result.figures.changesAccepted)});
+  }
+}
+
+void measureEngines(const std::string& folder) {
+  Table table("Engines (each read by 2 gateways; 20 gateways, so 10% of the engines each)",
+              "engines", folder,
+              {"engines", "controller core %", "controller B/s", "gateway core %", "gateway B/s",
+               "engine reads/s a gateway"});
+  for (const std::uint32_t engines : {10U, 100U, 500U, 1500U, 4500U}) {
+    SimulationOptions options = hollowFleet(20, engines, 0);
+    options.faultTime = base::seconds(5);
+    const RunResult result = runOnce(options);
+    const double seconds = base::toSeconds(options.faultTime);
+    const double reads =
+        static_cast<double>(result.meters[kGateway].engineReads) / seconds / options.gateways;
+    table.row({static_cast<double>(engines),
+               corePercent(result.meters[kController], options.controllers, seconds),
+               bytesPerSecond(result.meters[kController], options.controllers, seconds),
+               corePercent(result.meters[kGateway], options.gateways, seconds),
+               bytesPerSecond(result.meters[kGateway], options.gateways, seconds), reads});
+  }
+}
+
+void measureRollouts(const std::string& folder) {
+  Table table("New weights on all engines (2 GB an engine, store of 200 GB/s)", "rollouts", folder,
+              {"engines", "publish to last engine s", "controller core %", "controller B/s"});
+  for (const std::uint32_t engines : {100U, 500U, 1500U, 4500U}) {
+    SimulationOptions options = hollowFleet(4, engines, 0);
+    options.storeBytesPerSecond = 200'000'000'000;
+    options.controller.rollout.concurrentLoads = 400;
+    options.load.trainers = 1;
+    options.load.samplesPerBatch = 1;
+    options.load.longestSample = 2;
+    options.load.trainingTime = base::seconds(1);
+    options.load.trainerPublishesOnce = true;
+    options.warmUp = base::seconds(1);
+    options.faultTime = base::seconds(60);
+    options.gateway.readInterval = base::seconds(2);
+    const RunResult result = runOnce(options);
+    const double seconds = base::toSeconds(options.faultTime);
+    table.row({static_cast<double>(engines),
+               result.figures.rolloutSeconds.empty() ? -1.0 : result.figures.rolloutSeconds.front(),
+               corePercent(result.meters[kController], options.controllers, seconds),
+               bytesPerSecond(result.meters[kController], options.controllers, seconds)});
+  }
+}
+
+std::size_t heapBytes() { return mallinfo2().uordblks; }
+
+void measureWorkloads(const std::string& folder) {
+  Table table("Workloads (tenants of ten; six settings each)", "workloads", folder,
+              {"workloads", "snapshot bytes", "heap bytes", "apply all ms", "full delta bytes"});
+  for (const int workloads : {10, 100, 1000, 5000}) {
+    const std::size_t before = heapBytes();
+    control::ControlState state;
+    control::ApplyChange apply;
+    apply.author = "capacity";
+    for (int i = 0; i < workloads; ++i) {
+      constexpr int kPerTenant = 10;
+      const std::string tenant = "tenant-" + std::to_string(i / kPerTenant);
+      if (i % kPerTenant == 0) {
+        control::NodeChange change;
+        change.path = tenant;
+        apply.changes.push_back(change);
+      }
+      using control::SettingKey;
+      control::NodeChange change;
+      change.path = tenant + "/workload-" + std::to_string(i);
+      change.set = {{SettingKey::kPriority, std::int64_t{3}},
+                    {SettingKey::kRequestsPerSecond, std::int64_t{100}},
+                    {SettingKey::kInFlightLimit, std::int64_t{50}},
+                    {SettingKey::kDeadlineMillis, std::int64_t{9000}},
+                    {SettingKey::kStalenessBound, std::int64_t{2}},
+                    {SettingKey::kModel, std::string("default")}};
+      apply.changes.push_back(change);
+    }
+    const base::Bytes command = base::encode(control::ControlCommand{"capacity", apply});
+    RoleMeter meter;
+    {
+      const simulation::ProcessorTimer timer(&meter);
+      (void)state.apply(1, command);
+    }
+    table.row(
+        {static_cast<double>(workloads), static_cast<double>(state.takeSnapshot().size()),
+         static_cast<double>(heapBytes() - before),
+         static_cast<double>(meter.processorNanoseconds) / kNanosecondsPerSecond * kMillisPerSecond,
+         static_cast<double>(base::encode(state.deltaSince({})).size())});
+  }
+}
+
+void measureLedgers(const std::string& folder) {
+  Table table("Ledger samples (one group; 300 tokens a sample)", "ledgers", folder,
+              {"samples", "snapshot bytes", "heap bytes", "us a sample (submit, lease, commit)",
+               "snapshot ms"});
+  for (const std::uint32_t samples : {256U, 2048U, 18'432U}) {
+    constexpr std::uint32_t kTokens = 300;
+    const std::size_t before = heapBytes();
+    ledger::LedgerState state;
+    RoleMeter meter;
+    RoleMeter snapshotMeter;
+    std::uint64_t index = 0;
+    const auto apply = [&](const ledger::LedgerOperation& operation) {
+      const base::Bytes command = base::encode(ledger::LedgerCommand{0, operation});
+      const simulation::ProcessorTimer timer(&meter);
+      return base::decode<ledger::LedgerResult>(state.apply(++index, command));
+    };
+    ledger::SubmitBatch submit{{"t/capacity"}, {"t/train"}, "default", {1}, {}};
+    for (std::uint32_t i = 0; i < samples; ++i) {
+      submit.samples.push_back(
+          {i, "a prompt of some length, number " + std::to_string(i), i, 4000});
+    }
+    apply(submit);
+    const auto leased = apply(ledger::LeaseSamples{{1}, {1}, 1, samples});
+    for (const ledger::LeasedSample& lease : leased->leased) {
+      ledger::CommitSample commit{{"t/capacity"}, lease.fence, {}};
+      commit.result.index = lease.sample.index;
+      commit.result.tokens.assign(kTokens, 7);
+      commit.result.spans = {{{1}, 0, kTokens}};
+      apply(commit);
+    }
+    const std::size_t heap = heapBytes() - before;
+    std::size_t snapshot = 0;
+    {
+      const simulation::ProcessorTimer timer(&snapshotMeter);
+      snapshot = state.takeSnapshot().size();
+    }
+    constexpr double kNanosecondsPerMicrosecond = 1e3;
+    table.row(
+        {static_cast<double>(samples), static_cast<double>(snapshot), static_cast<double>(heap),
+         static_cast<double>(meter.processorNanoseconds) / kNanosecondsPerMicrosecond / samples,
+         static_cast<double>(snapshotMeter.processorNanoseconds) / kNanosecondsPerSecond *
+             kMillisPerSecond});
+  }
+}
+
+void measureLedgerGroup(const std::string& folder) {
+  Table table("A ledger group under a trainer (3 replicas, per committed sample)", "ledger-group",
+              folder, {"samples a batch", "ledger core ms a sample", "ledger bytes a sample"});
+  for (const std::uint32_t samples : {64U, 256U, 1024U}) {
+    SimulationOptions options = hollowFleet(4, 40, 0);
+    options.load.trainers = 1;
+    options.load.samplesPerBatch = samples;
+    options.load.longestSample = 300;
+    options.load.trainingTime = base::seconds(1);
+    options.faultTime = base::seconds(30);
+    const RunResult result = runOnce(options);
+    const RoleMeter& meter = result.meters[kLedger];
+    const auto delivered = static_cast<double>(result.figures.samplesDelivered);
+    table.row({static_cast<double>(samples),
+               static_cast<double>(meter.processorNanoseconds) / kNanosecondsPerSecond *
+                   kMillisPerSecond / delivered,
+               static_cast<double>(RoleMeter::total(meter.sent)) / delivered});
+  }
+}
+
+struct Slope {
+  std::string name;
+  void (*measure)(const std::string& folder);
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<Slope> slopes = {
+      {"workloads", measureWorkloads},      {"ledgers", measureLedgers},
+      {"ledger-group", measureLedgerGroup}, {"gateways", measureGateways},
+      {"changes", measureChanges},          {"engines", measureEngines},
+      {"rollouts", measureRollouts}};
+  cxxopts::Options parser("tackpick-capacity", "Measures what each role costs as the fleet grows");
+  parser.add_options()("only",
+                       "one slope: workloads, ledgers, ledger-group, gateways, changes, "
+                       "engines, rollouts",
+                       cxxopts::value<std::string>()->default_value(""))(
+      "data", "folder for the plots' columns", cxxopts::value<std::string>()->default_value(""))(
+      "help", "print this");
+  const auto parsed = parser.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << parser.help();
+    return 0;
+  }
+  const std::string only = parsed["only"].as<std::string>();
+  for (const Slope& slope : slopes) {
+    if (only.empty() || only == slope.name) {
+      slope.measure(parsed["data"].as<std::string>());
+    }
+  }
+  return 0;
+}
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -115,7 +115,10 @@
 
 void Controller::tick(base::TimePoint now) {
   replica_.tick(now);
-  leases_.dropExpired(now);
+  if (leases_.dropExpired(now)) {
+    std::erase_if(watchers_,
+                  [&](const auto& entry) { return !leases_.leases().contains(entry.first); });
+  }
   orderEngines(now);
 }
 
@@ -136,6 +139,7 @@
     leases_.onBecameLeader(now);
     rollout_.reset();
     watchers_.clear();
+    pushed_revision_ = {};
   }
   was_leader_ = raft.isLeader();
   observed_term_ = raft.currentTerm();
@@ -154,9 +158,11 @@
 }
 
 void Controller::pushChanges(base::TimePoint now) {
-  if (!maySpeak(now)) {
+  // Most turns change nothing: with hundreds of watchers, looking at each would cost most of all.
+  if (pushed_revision_ == state_.revision() || !maySpeak(now)) {
     return;
   }
+  pushed_revision_ = state_.revision();
   for (auto& [gateway, watcher] : watchers_) {
     if (watcher.sent >= state_.revision()) {
       continue;
@@ -167,14 +173,14 @@
     watcher.sent = state_.revision();
     actions_.messages.push_back({gateway, std::move(push)});
   }
-  std::erase_if(watchers_,
-                [&](const auto& entry) { return !leases_.leases().contains(entry.first); });
 }
 
 void Controller::orderEngines(base::TimePoint now) {
-  if (!maySpeak(now)) {
+  constexpr base::Duration kOrderInterval = base::milliseconds(40);
+  if (now - ordered_at_ < kOrderInterval || !maySpeak(now)) {
     return;
   }
+  ordered_at_ = now;
   const auto orders =
       rollout_.step(state_.engines(), state_.weights(), replica_.raft().currentTerm(), now);
   actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -90,6 +90,8 @@
   consensus::Term observed_term_ = 0;
   std::vector<AwaitingForce> awaiting_;
   std::map<base::NodeId, Watcher> watchers_;
+  base::TimePoint ordered_at_{};    ///< when engines were last looked at for orders
+  base::Revision pushed_revision_;  ///< every watcher was sent this one or a newer
   ControllerActions actions_;
 };
 
--- a/src/control/serving_leases.cpp
+++ b/src/control/serving_leases.cpp
@@ -39,8 +39,9 @@
                     [&](const auto& entry) { return now < entry.second.expiresAt; }));
 }
 
-void ServingLeases::dropExpired(base::TimePoint now) {
-  std::erase_if(leases_, [&](const auto& entry) { return now >= entry.second.expiresAt; });
+bool ServingLeases::dropExpired(base::TimePoint now) {
+  return std::erase_if(leases_, [&](const auto& entry) { return now >= entry.second.expiresAt; }) >
+         0;
 }
 
 base::Duration ServingLeases::longestDuration() const {
--- a/src/control/serving_leases.h
+++ b/src/control/serving_leases.h
@@ -38,7 +38,8 @@
   [[nodiscard]] bool inForceEverywhere(base::Revision revision, base::TimePoint now) const;
   /// Gateways with a lease that runs.
   [[nodiscard]] std::size_t size(base::TimePoint now) const;
-  void dropExpired(base::TimePoint now);
+  /// True when some lease had run out.
+  bool dropExpired(base::TimePoint now);
 
   struct Lease {
     base::Incarnation incarnation;
--- a/src/control/weights_rollout.cpp
+++ b/src/control/weights_rollout.cpp
@@ -9,6 +9,7 @@
     const std::map<std::string, WeightsRecord>& weights, std::uint64_t term, base::TimePoint now) {
   std::vector<engine::AddressedOrder> orders;
   std::erase_if(observed_, [&](const auto& entry) { return !engines.contains(entry.first); });
+  Progress progress = countOrdered(now);
   for (const auto& [id, record] : engines) {
     const auto wanted = weights.find(record.model);
     if (wanted == weights.end() || record.leaving || record.removed) {
@@ -27,12 +28,16 @@
     using engine::OrderKind;
     const bool prepared = observed.prepared == target;
     const OrderKind kind = prepared ? OrderKind::kActivateWeights : OrderKind::kPrepareWeights;
-    const bool room = prepared ? countOrdered(kind, record.model, now) < swapLimit(record.model)
-                               : countOrdered(kind, {}, now) < settings_.concurrentLoads;
+    ModelProgress& model = progress.models[record.model];
+    const bool room = prepared ? model.swapping < swapLimit(model.engines)
+                               : progress.loading < settings_.concurrentLoads;
     const bool repeats = observed.ordered && observed.lastOrder == kind;
     if (!room && !repeats) {
       continue;
     }
+    if (!repeats) {
+      (prepared ? model.swapping : progress.loading) += 1;
+    }
     observed.ordered = true;
     observed.orderedAt = now;
     observed.lastOrder = kind;
@@ -65,24 +70,27 @@
   return !observed.ordered || now - observed.orderedAt >= settings_.retryInterval;
 }
 
-std::size_t WeightsRollout::countOrdered(engine::OrderKind kind, const std::string& model,
-                                         base::TimePoint now) const {
+WeightsRollout::Progress WeightsRollout::countOrdered(base::TimePoint now) const {
   // An engine that does not answer must not hold its place for ever.
   constexpr int kIntervalsBeforeGivingUp = 25;
-  return static_cast<std::size_t>(
-      std::count_if(observed_.begin(), observed_.end(), [&](const auto& entry) {
-        const Observed& observed = entry.second;
-        return observed.ordered && observed.lastOrder == kind &&
-               (model.empty() || observed.model == model) &&
-               now - observed.orderedAt < settings_.retryInterval * kIntervalsBeforeGivingUp;
-      }));
+  Progress progress;
+  for (const auto& [id, observed] : observed_) {
+    ModelProgress& model = progress.models[observed.model];
+    ++model.engines;
+    const bool underWay =
+        observed.ordered &&
+        now - observed.orderedAt < settings_.retryInterval * kIntervalsBeforeGivingUp;
+    if (underWay && observed.lastOrder == engine::OrderKind::kPrepareWeights) {
+      ++progress.loading;
+    } else if (underWay && observed.lastOrder == engine::OrderKind::kActivateWeights) {
+      ++model.swapping;
+    }
+  }
+  return progress;
 }
 
-std::size_t WeightsRollout::swapLimit(const std::string& model) const {
+std::size_t WeightsRollout::swapLimit(std::size_t engines) const {
   constexpr std::size_t kWholePercent = 100;
-  const auto engines = static_cast<std::size_t>(
-      std::count_if(observed_.begin(), observed_.end(),
-                    [&](const auto& entry) { return entry.second.model == model; }));
   return std::max<std::size_t>(
       1, engines * static_cast<std::size_t>(settings_.swappingPercent) / kWholePercent);
 }
--- a/src/control/weights_rollout.h
+++ b/src/control/weights_rollout.h
@@ -53,10 +53,21 @@
     engine::OrderKind lastOrder = engine::OrderKind::kPrepareWeights;
   };
 
+  /// Engines of one model.
+  struct ModelProgress {
+    std::size_t engines = 0;
+    std::size_t swapping = 0;
+  };
+  /// Orders under way.
+  struct Progress {
+    std::size_t loading = 0;
+    std::map<std::string, ModelProgress> models;
+  };
+
   [[nodiscard]] bool mayOrder(const Observed& observed, base::TimePoint now) const;
-  [[nodiscard]] std::size_t countOrdered(engine::OrderKind kind, const std::string& model,
-                                         base::TimePoint now) const;
-  [[nodiscard]] std::size_t swapLimit(const std::string& model) const;
+  /// Counted once a step: with thousands of engines, counting for each would cost their square.
+  [[nodiscard]] Progress countOrdered(base::TimePoint now) const;
+  [[nodiscard]] std::size_t swapLimit(std::size_t engines) const;
 
   const WeightsRolloutSettings settings_;
   std::map<base::EngineId, Observed> observed_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -55,7 +55,7 @@
     const base::Revision before = view_.revision();
     view_.onWatchResponse(from, *response, now, actions_.messages);
     if (response->delta.to >= before) {
-      engines_.apply(response->delta);
+      engines_.apply(withOwnEngines(response->delta));
     }
     dispatch(now);
   } else if (const auto* redirect = std::get_if<transport::WatchRedirect>(&message)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -178,6 +178,8 @@
   void hedgeSlowSamples(base::TimePoint now);
   void readEngines(base::TimePoint now);
   [[nodiscard]] bool isReaderOf(base::EngineId engine) const;
+  /// The delta with only the engines that this gateway reads and uses.
+  [[nodiscard]] control::ControlDelta withOwnEngines(const control::ControlDelta& delta) const;
 
   // Attempts: gateway_attempts.cpp.
   [[nodiscard]] Job* jobOf(base::AttemptId attempt);
--- a/src/gateway/gateway_dispatch.cpp
+++ b/src/gateway/gateway_dispatch.cpp
@@ -137,11 +137,24 @@
   return static_cast<std::uint32_t>(stronger) < settings_.readersPerEngine;
 }
 
+control::ControlDelta Gateway::withOwnEngines(const control::ControlDelta& delta) const {
+  control::ControlDelta own;
+  own.from = delta.from;
+  own.to = delta.to;
+  own.full = delta.full;
+  for (const control::EngineRecord& record : delta.engines) {
+    if (isReaderOf(record.engine)) {
+      own.engines.push_back(record);
+    }
+  }
+  return own;
+}
+
 void Gateway::readEngines(base::TimePoint now) {
   std::erase_if(read_at_, [&](const auto& entry) { return engines_.find(entry.first) == nullptr; });
   for (const auto& [id, entry] : engines_.entries()) {
     base::TimePoint& readAt = read_at_[id];
-    if (now - readAt < settings_.readInterval || !isReaderOf(id)) {
+    if (now - readAt < settings_.readInterval) {
       continue;
     }
     readAt = now;
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -20,7 +20,7 @@
 const std::vector<Mutant>& mutants() {
   using Options = SimulationOptions;
   static const std::vector<Mutant> kMutants = {
-      {"vote-twice", "one vote a term", "bad-network",
+      {"vote-twice", "one vote a term", "split-votes",
        [](Options& options) {
          controlRaft(options).voteTwicePerTerm = true;
          ledgerRaft(options).voteTwicePerTerm = true;
--- a/src/simulation/node_host.cpp
+++ b/src/simulation/node_host.cpp
@@ -280,17 +280,24 @@
 
 void NodeHost::checkLease() {
   const consensus::Replica* own = replica();
-  if (own == nullptr || !own->canRead(localNow())) {
+  if (own == nullptr || !own->raft().isLeader()) {
     return;
   }
+  const bool reads = own->canRead(localNow());
+  const Promise promise =
+      role_ == NodeRole::kController ? Promise::kConfiguration : Promise::kExactlyOnce;
   for (const auto& other : environment_.nodes) {
     const consensus::Replica* theirs = other->replica();
     const bool peer = other.get() != this && other->role_ == role_ && theirs != nullptr;
-    if (peer && !other->frozen_ && theirs->canRead(other->localNow())) {
-      const Promise promise =
-          role_ == NodeRole::kController ? Promise::kConfiguration : Promise::kExactlyOnce;
+    if (!peer || other->frozen_ || !theirs->raft().isLeader()) {
+      continue;
+    }
+    if (reads && theirs->canRead(other->localNow())) {
       environment_.observations.broken(promise, "two replicas hold the leader's lease");
     }
+    if (theirs->raft().currentTerm() == own->raft().currentTerm()) {
+      environment_.observations.broken(promise, "two replicas lead in one term");
+    }
   }
 }
 
--- a/src/simulation/node_host.h
+++ b/src/simulation/node_host.h
@@ -100,7 +100,7 @@
   void deliver(const EventLoop::Action& action);
   void tick();
   void turn();
-  /// Notes when two replicas of a group hold the leader's lease at once: both would answer.
+  /// Notes when two replicas of a group lead in one term, or hold the leader's lease at once.
   void checkLease();
   /// This role's meter while the run is metered.
   [[nodiscard]] RoleMeter* meter();
--- a/src/simulation/operator_actor.cpp
+++ b/src/simulation/operator_actor.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr base::Duration kPatience = base::seconds(2);
+constexpr base::Duration kRetryPause = base::milliseconds(50);
 constexpr base::Duration kReadTimeout = base::milliseconds(500);
 
 }  // namespace
@@ -60,8 +61,18 @@
   const auto isCurrent = [this, request] { return pending_ && request == requests_; };
   someController()->submitChange(pending_->command,
                                  [this, isCurrent](const control::ChangeOutcome* outcome) {
-                                   if (outcome != nullptr && isCurrent()) {
+                                   if (!isCurrent()) {
+                                     return;
+                                   }
+                                   if (outcome != nullptr) {
                                      onOutcome(*outcome);
+                                   } else {
+                                     // Not the leader, or no longer: another one may know.
+                                     environment_.loop.after(kRetryPause, [this, isCurrent] {
+                                       if (isCurrent()) {
+                                         submit();
+                                       }
+                                     });
                                    }
                                  });
   // Sometimes the operator resends at once, as if the first answer had been lost.
--- a/src/simulation/options.h
+++ b/src/simulation/options.h
@@ -48,6 +48,7 @@
   std::uint64_t prompts = 500;   ///< of a trainer, drawn again and again
   std::uint64_t stalenessBound = 3;
   base::Duration trainingTime = base::milliseconds(300);
+  bool trainerPublishesOnce = false;
   bool trainersRestart = false;
   bool tightenBatches = false;
   std::uint32_t operators = 2;
@@ -75,6 +76,8 @@
   base::Duration shortestListLag = base::milliseconds(300);
   base::Duration longestListLag = base::milliseconds(1200);  ///< each reading draws a lag
 
+  std::uint64_t storeBytesPerSecond = 20'000'000'000;  ///< of the weight store
+
   control::ControllerSettings controller;
   ledger::LedgerSettings ledger;
   gateway::GatewaySettings gateway;
--- a/src/simulation/scenario.cpp
+++ b/src/simulation/scenario.cpp
@@ -181,6 +181,13 @@
   options.faults.deposeLeader = seconds(3);
 }
 
+void splitVotes(SimulationOptions& options) {
+  options.network.longestExtraDelay = milliseconds(100);
+  options.faultTime = seconds(30);
+  options.faults.killController = kOften;
+  options.faults.killLedger = kOften;
+}
+
 void driftingClocks(SimulationOptions& options) {
   options.clockDrift = 0.009;  // two clocks then differ by just under the allowed 2%
   options.load.operators = 3;
@@ -265,6 +272,8 @@
        lateOrders},
       {"two-leaders", "configuration: another controller is elected while one still leads",
        twoLeaders},
+      {"split-votes", "one leader a term: slow links make several replicas stand at once",
+       splitVotes},
       {"drifting-clocks", "leases under clocks that differ as much as is allowed", driftingClocks},
       {"everything", "all promises: all faults together", everything},
   };
--- a/src/simulation/trainer_actor.cpp
+++ b/src/simulation/trainer_actor.cpp
@@ -197,6 +197,9 @@
     waitForBatch();  // what is submitted is still read
     return;
   }
+  if (environment_.options.load.trainerPublishesOnce && published_version_ > 1) {
+    return;
+  }
   ++published_version_;
   ++environment_.observations.figures().versionsPublished;
   environment_.observations.onVersionPublished({published_version_});
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -10,7 +10,6 @@
 namespace tackpick::simulation {
 namespace {
 
-constexpr std::uint64_t kStoreBytesPerSecond = 20'000'000'000;
 constexpr std::uint32_t kZones = 3;
 constexpr base::Duration kStep = base::milliseconds(100);
 
@@ -45,7 +44,7 @@
 }  // namespace
 
 World::World(const SimulationOptions& options, std::uint64_t seed, std::ostream* trace)
-    : seed_(seed), environment_(options, seed), store_(kStoreBytesPerSecond) {
+    : seed_(seed), environment_(options, seed), store_(options.storeBytesPerSecond) {
   environment_.trace = trace;
 }
 
