--- /dev/null
+++ b/src/runtime/api_responses.cpp
@@ -0,0 +1,43 @@
+#include "runtime/api_responses.h"
+
+namespace tackpick::runtime {
+
+using base::Verdict;
+
+const http::Headers& jsonHeaders() {
+  static const http::Headers kHeaders = {{"Content-Type", "application/json"}};
+  return kHeaders;
+}
+
+std::string errorBody(const std::string& reason, const std::string& message, Verdict verdict,
+                      base::Duration retryAfter) {
+  return Json{{"error",
+               {{"reason", reason},
+                {"message", message},
+                {"verdict", std::string(base::toString(verdict))},
+                {"retry_after_ms", retryAfter.count() / 1000}}}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void respondError(http::Responder& responder, int status, const std::string& reason,
+                  const std::string& message, Verdict verdict, base::Duration retryAfter) {
+  http::Headers headers = jsonHeaders();
+  headers["X-Verdict"] = std::string(base::toString(verdict));
+  if (retryAfter.count() > 0) {
+    constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+    const std::int64_t whole =
+        (retryAfter.count() + kMicrosecondsPerSecond - 1) / kMicrosecondsPerSecond;
+    headers["Retry-After"] = std::to_string(whole);
+  }
+  responder.respond(status, headers, errorBody(reason, message, verdict, retryAfter));
+}
+
+Json spansJson(const std::vector<ledger::VersionSpan>& spans) {
+  Json list = Json::array();
+  for (const ledger::VersionSpan& span : spans) {
+    list.push_back({{"version", span.version.value}, {"first", span.first}, {"count", span.count}});
+  }
+  return list;
+}
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/api_responses.h
@@ -0,0 +1,44 @@
+/// \file
+/// Answers that the HTTP interfaces of a gateway have in common. Documented in docs/API.md.
+#pragma once
+
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "base/verdict.h"
+#include "http/server.h"
+#include "ledger/ledger_commands.h"
+#include "runtime/json.h"
+
+namespace tackpick::runtime {
+
+inline constexpr int kOk = 200;
+inline constexpr int kAccepted = 202;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kForbidden = 403;
+inline constexpr int kNotFound = 404;
+inline constexpr int kConflict = 409;
+inline constexpr int kGone = 410;
+inline constexpr int kUnprocessable = 422;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+inline constexpr std::int64_t kMaximumInteger = std::numeric_limits<std::int64_t>::max();
+inline constexpr std::int64_t kMaximumUnsigned32 = std::numeric_limits<std::uint32_t>::max();
+
+[[nodiscard]] const http::Headers& jsonHeaders();
+/// The body of an error: reason, message, verdict and when to come back.
+[[nodiscard]] std::string errorBody(const std::string& reason, const std::string& message,
+                                    base::Verdict verdict, base::Duration retryAfter);
+/// Answers with an error; its verdict stands in the body and in a header.
+void respondError(http::Responder& responder, int status, const std::string& reason,
+                  const std::string& message, base::Verdict verdict = base::Verdict::kNotRun,
+                  base::Duration retryAfter = base::Duration{0});
+/// Which version produced which tokens.
+[[nodiscard]] Json spansJson(const std::vector<ledger::VersionSpan>& spans);
+
+}  // namespace tackpick::runtime
--- a/src/runtime/caller_api.h
+++ b/src/runtime/caller_api.h
@@ -1,5 +1,6 @@
 /// \file
-/// HTTP interface of a gateway for callers and trainers. Documented in docs/API.md.
+/// HTTP interface of a gateway: callers, and the way to the trainers' part. Documented in
+/// docs/API.md.
 #pragma once
 
 #include <memory>
@@ -8,17 +9,17 @@
 #include <unordered_map>
 
 #include "gateway/actions.h"
-#include "gateway/group_client.h"
 #include "http/server.h"
 #include "runtime/daemon.h"
 #include "runtime/json.h"
+#include "runtime/trainer_api.h"
 
 namespace tackpick::runtime {
 
 /// Translates between HTTP and the Gateway. Runs on the daemon's thread.
 class CallerApi {
  public:
-  explicit CallerApi(Daemon& daemon) : daemon_(daemon) {}
+  explicit CallerApi(Daemon& daemon) : daemon_(daemon), trainer_api_(daemon) {}
 
   void handle(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
   /// Carries out an action meant for a caller.
@@ -38,26 +39,13 @@
       const http::Request& request) const;
   void completions(const http::Request& request, const control::CredentialRecord& credential,
                    const ResponderPointer& responder);
-  void submitBatch(const http::Request& request, const control::CredentialRecord& credential,
-                   const ResponderPointer& responder);
-  void readSamples(const http::Request& request, const base::BatchId& batch,
-                   const ResponderPointer& responder);
-  void acknowledge(const http::Request& request, const base::BatchId& batch,
-                   const ResponderPointer& responder);
-  void tighten(const http::Request& request, const base::BatchId& batch,
-               const ResponderPointer& responder);
-  void publishWeights(const http::Request& request, const ResponderPointer& responder);
-  void batchPath(const http::Request& request, const control::CredentialRecord& credential,
-                 const ResponderPointer& responder);
-  /// Sends a ledger command whose result is only a status.
-  void sendToLedger(const base::BatchId& batch, const ledger::LedgerOperation& operation,
-                    const ResponderPointer& responder);
   void carryOut(const gateway::StreamTokens& tokens);
   void carryOut(const gateway::AnswerCaller& answer);
   void carryOut(const gateway::RepeatAnswer& answer);
   void carryOut(const gateway::RefuseCaller& refusal);
 
   Daemon& daemon_;
+  TrainerApi trainer_api_;
   std::uint64_t last_caller_ = 0;
   std::unordered_map<base::CallerId, Caller> callers_;
 };
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -1,14 +1,13 @@
 #include "runtime/daemon.h"
 
 #include <algorithm>
-#include <cstring>
-#include <filesystem>
 #include <utility>
 
 #include "base/random.h"
 #include "runtime/caller_api.h"
 #include "runtime/control_api.h"
 #include "runtime/metrics.h"
+#include "runtime/node_identity.h"
 #include "telemetry/log.h"
 #include "transport/shared_key.h"
 
@@ -21,38 +20,11 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(10);
 /// A planned stop that takes longer cuts what is left.
 constexpr base::Duration kLongestStop = base::seconds(60);
-const std::string kNodeFile = "node";
-
-/// What stands in the `node` file of a data folder.
-struct NodeIdentity {
-  std::string cluster;
-  std::uint64_t node = 0;
-  std::uint64_t incarnation = 0;  ///< of the latest run
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(cluster, node, incarnation);
-  }
-};
-
-std::uint64_t wallMicroseconds() {
-  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
-}
-
 std::uint64_t wallSeconds() {
   constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
   return wallMicroseconds() / kMicrosecondsPerSecond;
 }
 
-std::uint64_t randomNumber() {
-  const base::Bytes bytes = transport::randomBytes(sizeof(std::uint64_t));
-  std::uint64_t number = 0;
-  std::memcpy(&number, bytes.data(), sizeof(number));
-  return number;
-}
-
 std::vector<base::NodeId> toNodeIds(const std::vector<std::uint32_t>& numbers) {
   std::vector<base::NodeId> nodes;
   nodes.reserve(numbers.size());
@@ -97,37 +69,7 @@
 
 base::Result<void> Daemon::openIdentity(FolderMode mode) {
   BOOST_LEAF_AUTO(folder, storage::PosixFileSystem::create(settings_.dataFolder));
-  BOOST_LEAF_AUTO(names, folder->list());
-  NodeIdentity identity;
-  const bool known = std::find(names.begin(), names.end(), kNodeFile) != names.end();
-  if (known) {
-    BOOST_LEAF_AUTO(bytes, folder->read(kNodeFile));
-    const auto stored = base::decode<NodeIdentity>(bytes);
-    if (!stored || stored->cluster != settings_.cluster ||
-        base::nodeNumber({stored->node}) != settings_.node) {
-      return base::fail(base::ErrorCode::kWrongIdentity,
-                        settings_.dataFolder + ": belongs to another node or cluster");
-    }
-    identity = *stored;
-  } else {
-    // The first voters of a cluster have instance 0 so that settings can name them.
-    const bool replica = settings_.roles.contains(config::Role::kController) ||
-                         settings_.roles.contains(config::Role::kLedger);
-    if (mode == FolderMode::kExisting && replica) {
-      return base::fail(base::ErrorCode::kNotFound,
-                        settings_.dataFolder +
-                            ": empty; start once with --init for a new cluster, or with --join "
-                            "to replace a lost node");
-    }
-    constexpr std::uint32_t kInstanceMask = 0xffffffffU;
-    const bool joins = mode == FolderMode::kJoin;
-    const auto instance =
-        joins ? (static_cast<std::uint32_t>(randomNumber() & kInstanceMask) | 1U) : 0U;
-    identity.cluster = settings_.cluster;
-    identity.node = base::makeNodeId(settings_.node, instance).value;
-  }
-  identity.incarnation = std::max(identity.incarnation + 1, wallMicroseconds());
-  BOOST_LEAF_CHECK(storage::writeDurably(*folder, kNodeFile, base::encode(identity)));
+  BOOST_LEAF_AUTO(identity, openNodeIdentity(*folder, settings_, mode));
   self_ = {identity.node};
   incarnation_ = {identity.incarnation};
   return {};
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -15,6 +15,7 @@
 #include "http/server.h"
 #include "ledger/ledger.h"
 #include "runtime/engine_link.h"
+#include "runtime/node_identity.h"
 #include "storage/posix_file_system.h"
 #include "storage/segmented_log.h"
 #include "transport/peer_network.h"
@@ -24,13 +25,6 @@
 class CallerApi;
 class ControlApi;
 
-/// How an empty data folder of a replica is to be treated.
-enum class FolderMode {
-  kExisting,    ///< it must not be empty
-  kInitialise,  ///< a new cluster: the nodes of the settings are its first voters
-  kJoin,        ///< a new node of an existing group: it knows no member and never votes
-};
-
 /// Thin: decisions are made by Controller, Ledger and Gateway; this class moves their messages,
 /// orders and answers. Single-threaded.
 class Daemon {
--- /dev/null
+++ b/src/runtime/node_identity.cpp
@@ -0,0 +1,73 @@
+#include "runtime/node_identity.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+
+#include "transport/shared_key.h"
+
+namespace tackpick::runtime {
+namespace {
+
+const std::string kNodeFile = "node";
+
+/// An identity of its own for an empty folder.
+base::Result<NodeIdentity> newIdentity(const config::ProcessSettings& settings, FolderMode mode) {
+  const bool replica = settings.roles.contains(config::Role::kController) ||
+                       settings.roles.contains(config::Role::kLedger);
+  if (mode == FolderMode::kExisting && replica) {
+    return base::fail(base::ErrorCode::kNotFound,
+                      settings.dataFolder +
+                          ": empty; start once with --init for a new cluster, or with --join to "
+                          "replace a lost node");
+  }
+  // The first voters of a cluster have instance 0 so that settings can name them.
+  constexpr std::uint32_t kInstanceMask = 0xffffffffU;
+  const bool joins = mode == FolderMode::kJoin;
+  const auto instance =
+      joins ? (static_cast<std::uint32_t>(randomNumber() & kInstanceMask) | 1U) : 0U;
+  NodeIdentity identity;
+  identity.cluster = settings.cluster;
+  identity.node = base::makeNodeId(settings.node, instance).value;
+  return identity;
+}
+
+base::Result<NodeIdentity> readIdentity(storage::FileSystem& folder,
+                                        const config::ProcessSettings& settings) {
+  BOOST_LEAF_AUTO(bytes, folder.read(kNodeFile));
+  const auto stored = base::decode<NodeIdentity>(bytes);
+  if (!stored || stored->cluster != settings.cluster ||
+      base::nodeNumber({stored->node}) != settings.node) {
+    return base::fail(base::ErrorCode::kWrongIdentity,
+                      settings.dataFolder + ": belongs to another node or cluster");
+  }
+  return *stored;
+}
+
+}  // namespace
+
+base::Result<NodeIdentity> openNodeIdentity(storage::FileSystem& folder,
+                                            const config::ProcessSettings& settings,
+                                            FolderMode mode) {
+  BOOST_LEAF_AUTO(names, folder.list());
+  const bool known = std::find(names.begin(), names.end(), kNodeFile) != names.end();
+  BOOST_LEAF_AUTO(identity, known ? readIdentity(folder, settings) : newIdentity(settings, mode));
+  identity.incarnation = std::max(identity.incarnation + 1, wallMicroseconds());
+  BOOST_LEAF_CHECK(storage::writeDurably(folder, kNodeFile, base::encode(identity)));
+  return identity;
+}
+
+std::uint64_t wallMicroseconds() {
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+std::uint64_t randomNumber() {
+  const base::Bytes bytes = transport::randomBytes(sizeof(std::uint64_t));
+  std::uint64_t number = 0;
+  std::memcpy(&number, bytes.data(), sizeof(number));
+  return number;
+}
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/node_identity.h
@@ -0,0 +1,44 @@
+/// \file
+/// Which node a data folder belongs to.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/error.h"
+#include "config/process_settings.h"
+#include "storage/file_system.h"
+
+namespace tackpick::runtime {
+
+/// How an empty data folder of a replica is to be treated.
+enum class FolderMode {
+  kExisting,    ///< it must not be empty
+  kInitialise,  ///< a new cluster: the nodes of the settings are its first voters
+  kJoin,        ///< a new node of an existing group: it knows no member and never votes
+};
+
+/// What stands in the `node` file of a data folder.
+struct NodeIdentity {
+  std::string cluster;
+  std::uint64_t node = 0;
+  std::uint64_t incarnation = 0;  ///< of the latest run
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(cluster, node, incarnation);
+  }
+};
+
+/// Reads the folder's identity, or gives an empty folder one, and begins a new incarnation. Fails
+/// when the folder belongs to another node or cluster, or is empty and must not be.
+[[nodiscard]] base::Result<NodeIdentity> openNodeIdentity(storage::FileSystem& folder,
+                                                          const config::ProcessSettings& settings,
+                                                          FolderMode mode);
+
+/// Wall clock, microseconds since 1970.
+[[nodiscard]] std::uint64_t wallMicroseconds();
+/// A number that nobody can guess.
+[[nodiscard]] std::uint64_t randomNumber();
+
+}  // namespace tackpick::runtime
--- /dev/null
+++ b/src/runtime/trainer_api.h
@@ -0,0 +1,45 @@
+/// \file
+/// HTTP interface of a gateway for trainers. Documented in docs/API.md.
+#pragma once
+
+#include <memory>
+
+#include "control/control_delta.h"
+#include "http/server.h"
+#include "ledger/ledger_commands.h"
+
+namespace tackpick::runtime {
+
+class Daemon;
+
+/// Translates between HTTP and the ledgers and controllers. Runs on the daemon's thread.
+class TrainerApi {
+ public:
+  using ResponderPointer = std::shared_ptr<http::Responder>;
+
+  explicit TrainerApi(Daemon& daemon) : daemon_(daemon) {}
+
+  /// Handles a request below /v1/batches or to /v1/weights of a trainer or operator.
+  void handle(const http::Request& request, const control::CredentialRecord& credential,
+              const ResponderPointer& responder);
+
+ private:
+  void submitBatch(const http::Request& request, const control::CredentialRecord& credential,
+                   const ResponderPointer& responder);
+  void readSamples(const http::Request& request, const base::BatchId& batch,
+                   const ResponderPointer& responder);
+  void acknowledge(const http::Request& request, const base::BatchId& batch,
+                   const ResponderPointer& responder);
+  void tighten(const http::Request& request, const base::BatchId& batch,
+               const ResponderPointer& responder);
+  void publishWeights(const http::Request& request, const ResponderPointer& responder);
+  void batchPath(const http::Request& request, const control::CredentialRecord& credential,
+                 const ResponderPointer& responder);
+  /// Sends a ledger command whose result is only a status.
+  void sendToLedger(const base::BatchId& batch, const ledger::LedgerOperation& operation,
+                    const ResponderPointer& responder);
+
+  Daemon& daemon_;
+};
+
+}  // namespace tackpick::runtime
--- a/src/simulation/caller_actor.cpp
+++ b/src/simulation/caller_actor.cpp
@@ -7,6 +7,18 @@
 
 namespace tackpick::simulation {
 
+void CallerActor::start() {
+  const std::shared_ptr<const Trace>& trace = environment_.options.load.trace;
+  if (!trace) {
+    scheduleNext();
+    return;
+  }
+  for (const TracedRequest& traced : trace->requests) {
+    environment_.loop.after(traced.at,
+                            [this, traced] { send(planFor(traced.tokens, traced.notRepeatable)); });
+  }
+}
+
 void CallerActor::scheduleNext() {
   constexpr double kMicrosecondsPerSecond = 1e6;
   const double mean = kMicrosecondsPerSecond / environment_.options.load.requestsPerSecond;
@@ -25,15 +37,21 @@
   base::Random& random = environment_.random;
   constexpr double kShortestAnswer = 4.0;
   constexpr double kTailIndex = 1.1;
-  constexpr std::uint64_t kPrefixes = 5;
   const double tokens = std::min(random.pareto(kShortestAnswer, kTailIndex), load.longestAnswer);
+  return planFor(static_cast<std::uint32_t>(tokens), random.chance(load.notRepeatableShare));
+}
+
+CallerActor::Plan CallerActor::planFor(std::uint32_t tokens, bool notRepeatable) {
+  const LoadOptions& load = environment_.options.load;
+  base::Random& random = environment_.random;
+  constexpr std::uint64_t kPrefixes = 5;
   Plan plan;
   plan.sent.prompt =
-      engine::lengthDirective(static_cast<std::uint32_t>(tokens)) +
+      engine::lengthDirective(tokens) +
       std::string(engine::kBlockBytes, static_cast<char>('a' + random.below(kPrefixes))) +
       " request " + std::to_string(++number_);
   plan.sent.seed = number_;
-  plan.sent.notRepeatable = random.chance(load.notRepeatableShare);
+  plan.sent.notRepeatable = notRepeatable;
   plan.request.tenant = {"t"};
   plan.request.workload = {"t/ask"};
   plan.request.prompt = plan.sent.prompt;
--- a/src/simulation/caller_actor.h
+++ b/src/simulation/caller_actor.h
@@ -14,7 +14,7 @@
  public:
   explicit CallerActor(Environment& environment) : environment_(environment) {}
 
-  void start() { scheduleNext(); }
+  void start();
   void stop() { stopped_ = true; }
   [[nodiscard]] bool isDone() const { return stopped_ && outstanding_ == 0; }
   [[nodiscard]] std::uint64_t outstanding() const { return outstanding_; }
@@ -28,6 +28,7 @@
 
   void scheduleNext();
   [[nodiscard]] Plan makePlan();
+  [[nodiscard]] Plan planFor(std::uint32_t tokens, bool notRepeatable);
   void send(const Plan& plan);
   void onReply(const Plan& plan, const CallerReply& reply);
 
--- a/src/simulation/fault_injector.cpp
+++ b/src/simulation/fault_injector.cpp
@@ -41,6 +41,33 @@
   repeat(faults.failSwap, [this] { pickEngine()->failNextSwap(); });
   repeat(faults.leaveEngine, [this] { leaveEngine(); });
   repeat(faults.drainEngine, [this] { drainEngine(); });
+  const std::shared_ptr<const Trace>& trace = environment_.options.load.trace;
+  if (trace) {
+    for (const TracedFault& fault : trace->faults) {
+      environment_.loop.after(fault.at, [this, name = fault.name] { cause(name); });
+    }
+  }
+}
+
+void FaultInjector::cause(const std::string& name) {
+  environment_.say("traced fault " + name);
+  if (name == "kill-gateway") {
+    killForAWhile(pickOf(NodeRole::kGateway));
+  } else if (name == "kill-ledger") {
+    killForAWhile(leaderOf(NodeRole::kLedger));
+  } else if (name == "kill-controller") {
+    killForAWhile(leaderOf(NodeRole::kController));
+  } else if (name == "crash-engine") {
+    crashEngine();
+  } else if (name == "fail-swap") {
+    pickEngine()->failNextSwap();
+  } else if (name == "stop-gateway") {
+    stopForAWhile(pickOf(NodeRole::kGateway));
+  } else if (name == "freeze-gateway") {
+    freezeForAWhile(pickOf(NodeRole::kGateway));
+  } else {
+    environment_.observations.broken(Promise::kProgress, "the trace names no fault " + name);
+  }
 }
 
 void FaultInjector::stop() {
--- a/src/simulation/fault_injector.h
+++ b/src/simulation/fault_injector.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "simulation/environment.h"
@@ -28,6 +29,9 @@
   using Fault = std::function<void()>;
 
   void repeat(base::Duration meanInterval, const Fault& fault);
+  /// Brings about a fault of a trace: kill-gateway, kill-ledger, kill-controller, crash-engine,
+  /// fail-swap, stop-gateway, freeze-gateway. Unknown names break the run.
+  void cause(const std::string& name);
   [[nodiscard]] std::vector<NodeHost*> nodesOf(NodeRole role) const;
   [[nodiscard]] NodeHost* pick(const std::vector<NodeHost*>& nodes);
   [[nodiscard]] NodeHost* pickOf(NodeRole role) { return pick(nodesOf(role)); }
--- a/src/simulation/options.h
+++ b/src/simulation/options.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 
 #include "control/controller.h"
 #include "engine/engine_model.h"
 #include "gateway/gateway.h"
 #include "ledger/ledger.h"
 #include "simulation/simulated_network.h"
+#include "simulation/trace.h"
 
 namespace tackpick::simulation {
 
@@ -50,6 +52,7 @@
   base::Duration trainingTime = base::milliseconds(300);
   bool trainerPublishesOnce = false;
   bool trainersRestart = false;
+  std::shared_ptr<const Trace> trace;  ///< replaces random arrivals, batches and faults
   bool tightenBatches = false;
   std::uint32_t operators = 2;
   base::Duration changeInterval = base::milliseconds(700);
--- a/src/simulation/trainer_actor.cpp
+++ b/src/simulation/trainer_actor.cpp
@@ -49,7 +49,11 @@
 }
 
 void TrainerActor::submitAhead() {
-  while (!stopped_ && batches_.size() <= environment_.options.load.batchesAhead) {
+  const LoadOptions& load = environment_.options.load;
+  while (!stopped_ && batches_.size() <= load.batchesAhead) {
+    if (load.trace && batch_number_ >= load.trace->batches.size()) {
+      return;
+    }
     submit();
   }
 }
@@ -61,7 +65,11 @@
   batch.sent.batch = {"t/" + std::to_string(number_) + "-" + std::to_string(++batch_number_)};
   batch.sent.oldestAllowed = {
       published_version_ > load.stalenessBound ? published_version_ - load.stalenessBound : 0};
-  for (std::uint32_t index = 0; index < load.samplesPerBatch; ++index) {
+  const std::vector<std::uint32_t>* traced =
+      load.trace ? &load.trace->batches.at(batch_number_ - 1) : nullptr;
+  const auto count =
+      traced == nullptr ? load.samplesPerBatch : static_cast<std::uint32_t>(traced->size());
+  for (std::uint32_t index = 0; index < count; ++index) {
     constexpr double kShortestSample = 10.0;
     constexpr double kTailIndex = 0.9;
     // Steps repeat prompts, whose answers resemble each other in length.
@@ -74,6 +82,10 @@
                     std::to_string(prompt);
     sample.seed = batch_number_ * 1000 + index;
     sample.maximumTokens = static_cast<std::uint32_t>(load.longestSample);
+    if (traced != nullptr) {
+      sample.prompt = engine::lengthDirective(traced->at(index)) + "traced";
+      sample.maximumTokens = traced->at(index);
+    }
     batch.sent.samples.push_back(std::move(sample));
   }
   ledger::SubmitBatch submission;
