Unit tests and damaged bytes; two faults they found

Found, each by a test that failed first: - Seeded damage to ledger commands killed the process: cereal resizes to a forged length before it reads. The input archive now refuses a length above the bytes that are left. Ruled out: a limit on the frame's size, which is there and does not bound the lengths inside. - The lowest class starved once every job had waited 20 s: each dispatch then counted as the starved one's turn. Only the oldest job's own turn counts.

Conclusion: decoding is bounded by its input, whoever sent it.

--- a/src/base/serialization.h
+++ b/src/base/serialization.h
@@ -14,6 +14,8 @@
 #include <sstream>
 #include <string>
 
+#include "base/bounded_archive.h"
+
 namespace tackpick::base {
 
 /// Encoded bytes of a message or state.
@@ -30,16 +32,15 @@
   return std::move(stream).str();
 }
 
-/// Decodes bytes written by encode; nothing when they are not a whole T. Use it only on bytes whose
-/// checksum or sender has been verified: a forged length could make cereal allocate much memory.
+/// Decodes bytes written by encode; nothing when they are not a whole T. Memory is bounded by the
+/// length of the input: see BoundedInputArchive.
 template <typename T>
 [[nodiscard]] std::optional<T> decode(const Bytes& bytes) {
   try {
-    std::istringstream stream(bytes);
-    cereal::PortableBinaryInputArchive archive(stream);
+    BoundedInputArchive archive(bytes);
     T value;
     archive(value);
-    if (stream.peek() != std::istringstream::traits_type::eof()) {
+    if (archive.remaining() != 0) {
       return std::nullopt;
     }
     return value;
--- a/src/routing/dispatch_queue.cpp
+++ b/src/routing/dispatch_queue.cpp
@@ -72,7 +72,10 @@
     return;
   }
   const Stored stored = found->second;
-  const bool starved = now - stored.entry.enqueuedAt >= settings_.starvationLimit;
+  // Under overload everybody has waited long: only the turn of the oldest one counts as its turn.
+  const bool isOldest = by_arrival_.begin()->second == job;
+  const bool starved = isOldest && now - stored.entry.enqueuedAt >= settings_.starvationLimit &&
+                       since_starved_dispatch_ + 1 >= settings_.starvationShare;
   since_starved_dispatch_ = starved ? 0 : since_starved_dispatch_ + 1;
   classes_[stored.entry.priority].workloads[stored.entry.workload].served +=
       stored.entry.expectedTokens;
