One place says which role a message is for

Cause: read as a newcomer, the routing of messages to roles stood twice, in the daemon and in the simulator, so a change to one would not have been proved by the other; the reading of request bodies stood twice, and the control interface had its own copy of the status codes.

Ruled out: letting the simulator host the Daemon class, which owns sockets.

Change: src/roles/role_set, parseBody and the shared codes of api_responses.

Conclusion: the simulator drives the daemon's own routing too.

--- a/src/runtime/api_responses.cpp
+++ b/src/runtime/api_responses.cpp
@@ -32,6 +32,14 @@
   responder.respond(status, headers, errorBody(reason, message, verdict, retryAfter));
 }
 
+Json parseBody(const http::Request& request, std::string& problem) {
+  return base::recover([&] { return parseJson(request.body); },
+                       [&](const base::Error& error) {
+                         problem = error.message;
+                         return Json::object();
+                       });
+}
+
 Json spansJson(const std::vector<ledger::VersionSpan>& spans) {
   Json list = Json::array();
   for (const ledger::VersionSpan& span : spans) {
--- a/src/runtime/api_responses.h
+++ b/src/runtime/api_responses.h
@@ -38,6 +38,8 @@
 void respondError(http::Responder& responder, int status, const std::string& reason,
                   const std::string& message, base::Verdict verdict = base::Verdict::kNotRun,
                   base::Duration retryAfter = base::Duration{0});
+/// The request's body; an empty object, and the problem, when it is not valid JSON.
+[[nodiscard]] Json parseBody(const http::Request& request, std::string& problem);
 /// Which version produced which tokens.
 [[nodiscard]] Json spansJson(const std::vector<ledger::VersionSpan>& spans);
 
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -105,11 +105,7 @@
                             const control::CredentialRecord& credential,
                             const ResponderPointer& responder) {
   std::string problem;
-  const Json body = base::recover([&] { return parseJson(request.body); },
-                                  [&](const base::Error& error) {
-                                    problem = error.message;
-                                    return Json::object();
-                                  });
+  const Json body = parseBody(request, problem);
   JsonReader reader(body);
   gateway::CallerRequest call;
   call.id = {++last_caller_};
--- a/src/runtime/control_api.cpp
+++ b/src/runtime/control_api.cpp
@@ -1,8 +1,8 @@
 #include "runtime/control_api.h"
 
-#include <limits>
 #include <utility>
 
+#include "runtime/api_responses.h"
 #include "runtime/control_json.h"
 #include "telemetry/log.h"
 #include "transport/shared_key.h"
@@ -13,21 +13,9 @@
 using telemetry::EventId;
 using telemetry::logEvent;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
 constexpr int kMisdirected = 421;
-constexpr int kUnavailable = 503;
-constexpr std::int64_t kMaximumInteger = std::numeric_limits<std::int64_t>::max();
 
-const http::Headers& jsonHeaders() {
-  static const http::Headers kHeaders = {{"Content-Type", "application/json"}};
-  return kHeaders;
-}
-
-void respondError(http::Responder& responder, int status, const std::string& message) {
+void respondProblem(http::Responder& responder, int status, const std::string& message) {
   responder.respond(
       status, jsonHeaders(),
       Json{{"error", {{"message", message}}}}.dump(-1, ' ', false, Json::error_handler_t::replace));
@@ -61,7 +49,7 @@
 
 void ControlApi::handle(const http::Request& request, const ResponderPointer& responder) {
   if (!isOperator(request)) {
-    respondError(*responder, kUnauthorized, "an operator's bearer token is needed");
+    respondProblem(*responder, kUnauthorized, "an operator's bearer token is needed");
     return;
   }
   const bool post = request.method == "POST";
@@ -81,7 +69,7 @@
   } else if (post && path == "/v1/control/members") {
     members(request, responder);
   } else {
-    respondError(*responder, kNotFound, "no such path");
+    respondProblem(*responder, kNotFound, "no such path");
   }
 }
 
@@ -169,7 +157,7 @@
                                        return control::ControlCommand{};
                                      });
   if (!problem.empty()) {
-    respondError(*responder, kBadRequest, problem);
+    respondProblem(*responder, kBadRequest, problem);
     return;
   }
   submit(command, responder);
@@ -182,7 +170,7 @@
   drain.engine = {static_cast<std::uint64_t>(reader.integer("engine", 0, 1, kMaximumInteger))};
   drain.drained = reader.flag("drained", true);
   if (!reader.firstProblem().empty()) {
-    respondError(*responder, kBadRequest, reader.firstProblem());
+    respondProblem(*responder, kBadRequest, reader.firstProblem());
     return;
   }
   submit({reader.text("request_id"), drain}, responder);
@@ -207,7 +195,7 @@
     reader.problem("tenant: required for callers and trainers");
   }
   if (!reader.firstProblem().empty()) {
-    respondError(*responder, kBadRequest, reader.firstProblem());
+    respondProblem(*responder, kBadRequest, reader.firstProblem());
     return;
   }
   submit({reader.text("request_id"), put}, responder);
@@ -222,7 +210,7 @@
   const bool numeric =
       node.size() <= kMaximumDigits && node.find_first_not_of("0123456789") == std::string::npos;
   if (!reader.firstProblem().empty() || !numeric || node.empty()) {
-    respondError(*responder, kBadRequest, "node: expected the node's identity as a decimal text");
+    respondProblem(*responder, kBadRequest, "node: expected the node's identity as a decimal text");
     return;
   }
   consensus::RaftConsensus& raft = daemon_.controller()->replica().raft();
@@ -235,7 +223,7 @@
     logEvent(EventId::kMembershipChanged, (remove ? "removed=" : "added=") + node);
     responder->respond(kOk, jsonHeaders(), R"({"status":"accepted"})");
   } else {
-    respondError(*responder, kConflict, "another membership change is under way");
+    respondProblem(*responder, kConflict, "another membership change is under way");
   }
 }
 
@@ -243,9 +231,9 @@
   const bool leads = daemon_.controller()->submit(
       command, daemon_.now(), [responder](const control::ChangeOutcome* outcome) {
         if (outcome == nullptr) {
-          respondError(*responder, kUnavailable,
-                       "leadership was lost: the change may or may not take effect; resend it "
-                       "with the same request_id");
+          respondProblem(*responder, kUnavailable,
+                         "leadership was lost: the change may or may not take effect; resend it "
+                         "with the same request_id");
           return;
         }
         const bool accepted = outcome->status == control::ChangeStatus::kAccepted;
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "roles/role_set.h"
 #include "runtime/caller_api.h"
 #include "runtime/control_api.h"
 #include "runtime/metrics.h"
@@ -135,8 +136,8 @@
   network.peers = settings_.peers;
   try {
     network_ = std::make_unique<transport::PeerNetwork>(
-        context_, network, [this](base::NodeId from, transport::InternalMessage message) {
-          onMessage(from, std::move(message));
+        context_, network, [this](base::NodeId from, const transport::InternalMessage& message) {
+          onMessage(from, message);
         });
     openHttp();
   } catch (const std::exception& error) {
@@ -289,31 +290,14 @@
   }
 }
 
-void Daemon::onMessage(base::NodeId from, transport::InternalMessage message) {
-  const base::TimePoint at = now();
-  const auto toGroup = [&](const auto& typed) {
-    if (controller_ && controller_->replica().group() == typed.group) {
-      controller_->handle(from, typed, at);
-    }
-    for (const auto& ledger : ledgers_) {
-      if (ledger->replica().group() == typed.group) {
-        ledger->handle(from, typed, at);
-      }
-    }
-  };
-  if (const auto* raft = std::get_if<transport::RaftEnvelope>(&message)) {
-    toGroup(*raft);
-  } else if (const auto* command = std::get_if<transport::CommandRequest>(&message)) {
-    toGroup(*command);
-  } else if (const auto* membership = std::get_if<transport::MembershipRequest>(&message)) {
-    toGroup(*membership);
-  } else if (const auto* watch = std::get_if<transport::WatchRequest>(&message)) {
-    if (controller_) {
-      controller_->handle(from, *watch, at);
-    }
-  } else if (gateway_) {
-    gateway_->onMessage(from, message, at);
+void Daemon::onMessage(base::NodeId from, const transport::InternalMessage& message) {
+  roles::RoleSet roles;
+  roles.controller = controller_.get();
+  for (const auto& ledger : ledgers_) {
+    roles.ledgers.push_back(ledger.get());
   }
+  roles.gateway = gateway_.get();
+  roles::deliver(roles, from, message, now());
   wake();
 }
 
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -68,7 +68,7 @@
   [[nodiscard]] base::Result<void> openNetwork();
   void openGateway();
   void openHttp();
-  void onMessage(base::NodeId from, transport::InternalMessage message);
+  void onMessage(base::NodeId from, const transport::InternalMessage& message);
   void onHttp(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
   void tick();
   void turn();
--- a/src/runtime/trainer_api.cpp
+++ b/src/runtime/trainer_api.cpp
@@ -48,11 +48,7 @@
                              const control::CredentialRecord& credential,
                              const ResponderPointer& responder) {
   std::string problem;
-  const Json body = base::recover([&] { return parseJson(request.body); },
-                                  [&](const base::Error& error) {
-                                    problem = error.message;
-                                    return Json::object();
-                                  });
+  const Json body = parseBody(request, problem);
   JsonReader reader(body);
   ledger::SubmitBatch submission;
   submission.batch = {credential.tenant.value + "/" + reader.requiredText("batch")};
--- a/src/simulation/node_host.cpp
+++ b/src/simulation/node_host.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "roles/role_set.h"
 #include "simulation/engine_host.h"
 #include "simulation/platform.h"
 
@@ -324,30 +325,13 @@
 }
 
 void NodeHost::receive(base::NodeId from, const transport::InternalMessage& message) {
-  const base::TimePoint now = localNow();
-  const auto toGroup = [&](const auto& typed) {
-    if (typed.group != group() || role_ == NodeRole::kGateway) {
-      return;
-    }
-    if (controller_) {
-      controller_->handle(from, typed, now);
-    } else {
-      ledger_->handle(from, typed, now);
-    }
-  };
-  if (const auto* raft = std::get_if<transport::RaftEnvelope>(&message)) {
-    toGroup(*raft);
-  } else if (const auto* command = std::get_if<transport::CommandRequest>(&message)) {
-    toGroup(*command);
-  } else if (const auto* membership = std::get_if<transport::MembershipRequest>(&message)) {
-    toGroup(*membership);
-  } else if (const auto* watch = std::get_if<transport::WatchRequest>(&message)) {
-    if (controller_) {
-      controller_->handle(from, *watch, now);
-    }
-  } else if (gateway_) {
-    gateway_->onMessage(from, message, now);
+  roles::RoleSet roles;
+  roles.controller = controller_.get();
+  if (ledger_) {
+    roles.ledgers.push_back(ledger_.get());
   }
+  roles.gateway = gateway_.get();
+  roles::deliver(roles, from, message, localNow());
 }
 
 void NodeHost::carryOut(const gateway::Action& action) {
