--- a/apps/tackpickd/main.cpp
+++ b/apps/tackpickd/main.cpp
@@ -1,10 +1,14 @@
 /// \file
 /// tackpickd: the daemon. Exit codes: 0 stopped as planned, 1 failed while running, 2 refused its
 /// flags, settings or data folder.
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "config/cluster_settings.h"
 #include "config/process_settings.h"
+#include "node/node.h"
+#include "platform_dialect.h"
 #include "runtime/daemon.h"
 #include "telemetry/log.h"
 
@@ -27,9 +31,16 @@
   std::string dataFolder;
 };
 
+/// The settings file when no flag names it.
+std::string settingsFromEnvironment() {
+  const char* path = std::getenv("TACKPICK_CONFIG");
+  return path == nullptr ? "" : path;
+}
+
 Options parseOptions(int argc, char** argv) {
   cxxopts::Options parser("tackpickd", "Rollout service daemon");
-  parser.add_options()("settings", "settings file", cxxopts::value<std::string>())(
+  parser.add_options()("settings", "settings file",
+                       cxxopts::value<std::string>()->default_value(settingsFromEnvironment()))(
       "check", "check the settings and exit")("init",
                                               "initialise empty data folders for a new cluster")(
       "join", "initialise empty data folders as a new node of an existing cluster")(
@@ -76,7 +87,21 @@
   return settings;
 }
 
+base::Result<int> startNode(const Options& options) {
+  BOOST_LEAF_AUTO(settings, config::loadClusterSettings(options.settingsFile));
+  if (options.checkOnly) {
+    std::cout << options.settingsFile << ": valid\n";
+    return 0;
+  }
+  static const tackpick::platform::PlatformDialect kDialect;
+  BOOST_LEAF_AUTO(node, tackpick::node::Node::create(settings, kDialect));
+  return node->run();
+}
+
 base::Result<int> start(const Options& options) {
+  if (config::formsItself(options.settingsFile)) {
+    return startNode(options);
+  }
   BOOST_LEAF_AUTO(settings, loadSettings(options));
   if (options.checkOnly) {
     std::cout << options.settingsFile << ": valid\n";
--- a/src/base/serialization.h
+++ b/src/base/serialization.h
@@ -8,6 +8,7 @@
 #include <cereal/types/optional.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <optional>
--- /dev/null
+++ b/src/cluster/cluster_member.cpp
@@ -0,0 +1,119 @@
+#include "cluster/cluster_member.h"
+
+#include <utility>
+
+namespace tackpick::cluster {
+namespace {
+
+constexpr base::Duration kCallResend = base::milliseconds(300);
+
+consensus::GroupClientSettings clientSettings(base::GroupId group,
+                                              std::vector<base::NodeId> replicas) {
+  consensus::GroupClientSettings settings;
+  settings.group = group;
+  settings.replicas = std::move(replicas);
+  settings.resendInterval = kCallResend;
+  return settings;
+}
+
+}  // namespace
+
+ClusterMember::ClusterMember(directory::NodeRecord self, ClusterMemberSettings settings,
+                             base::CallId firstCall)
+    : self_(std::move(self)),
+      settings_(std::move(settings)),
+      directory_(clientSettings(settings_.directoryGroup, settings_.seeds), firstCall),
+      ledgers_(clientSettings(settings_.ledgerGroup, {}), firstCall) {}
+
+void ClusterMember::onResponse(const transport::CommandResponse& response, base::TimePoint now) {
+  if (response.group == settings_.directoryGroup) {
+    directory_.onResponse(response, now, outbox_);
+  } else if (response.group == settings_.ledgerGroup) {
+    ledgers_.onResponse(response, now, outbox_);
+  }
+}
+
+void ClusterMember::tick(base::TimePoint now) {
+  directory_.tick(now, outbox_);
+  ledgers_.tick(now, outbox_);
+  if (!watching_) {
+    watch(now);
+  }
+}
+
+void ClusterMember::watch(base::TimePoint now) {
+  watching_ = true;
+  directory::Watch request;
+  request.node = self_;
+  request.configurationVersion = configuration_.version;
+  request.revision = view_.revision;
+  request.hold = settings_.watchHold;
+  if (ledger_membership_) {
+    request.ledgerMembership = ledger_membership_();
+  }
+  directory_.call(
+      transport::CommandKind::kService, base::encode(directory::DirectoryRequest{request}), now,
+      outbox_,
+      [this](const base::Bytes* result, base::TimePoint at) {
+        watching_ = false;
+        const auto reply =
+            result == nullptr ? std::nullopt : base::decode<directory::DirectoryReply>(*result);
+        if (reply && reply->view) {
+          accept(*reply->view, at);
+          watch(at);
+        }
+      },
+      consensus::CallTimes{settings_.watchResend, settings_.watchDeadline});
+}
+
+void ClusterMember::accept(const directory::DirectoryView& view, base::TimePoint now) {
+  heard_at_ = now;
+  // Views may come from an earlier leader over a slow path; a configuration never goes back.
+  if (view.configuration && view.configuration->version > configuration_.version) {
+    configuration_ = *view.configuration;
+  }
+  view_ = view;
+  view_.configuration.reset();
+  std::vector<base::NodeId> controllers = view.controllers;
+  for (const base::NodeId seed : settings_.seeds) {
+    bool known = false;
+    for (const base::NodeId controller : view.controllers) {
+      known = known || base::nodeNumber(controller) == base::nodeNumber(seed);
+    }
+    if (!known) {
+      controllers.push_back(seed);
+    }
+  }
+  directory_.setReplicas(std::move(controllers));
+  ledgers_.setReplicas(view.ledgers);
+  if (on_view_) {
+    on_view_(view_);
+  }
+}
+
+void ClusterMember::call(const directory::DirectoryRequest& request, base::Duration deadline,
+                         base::TimePoint now, DirectoryCallback callback) {
+  directory_.call(
+      transport::CommandKind::kService, base::encode(request), now, outbox_,
+      [callback = std::move(callback)](const base::Bytes* result, base::TimePoint) {
+        const auto reply =
+            result == nullptr ? std::nullopt : base::decode<directory::DirectoryReply>(*result);
+        callback(reply ? &*reply : nullptr);
+      },
+      consensus::CallTimes{kCallResend, deadline});
+}
+
+void ClusterMember::call(const jobs::JobRequest& request, base::Duration deadline,
+                         base::TimePoint now, JobCallback callback) {
+  const auto* read = std::get_if<jobs::ReadJob>(&request);
+  const base::Duration resend = kCallResend + (read == nullptr ? base::Duration{0} : read->hold);
+  ledgers_.call(
+      transport::CommandKind::kService, base::encode(request), now, outbox_,
+      [callback = std::move(callback)](const base::Bytes* result, base::TimePoint) {
+        const auto reply = result == nullptr ? std::nullopt : base::decode<jobs::JobReply>(*result);
+        callback(reply ? &*reply : nullptr);
+      },
+      consensus::CallTimes{resend, deadline});
+}
+
+}  // namespace tackpick::cluster
--- /dev/null
+++ b/src/cluster/cluster_member.h
@@ -0,0 +1,77 @@
+/// \file
+/// The part of every process that keeps in touch with the controllers: reports itself, learns what
+/// changed, and carries calls to the controllers and ledgers.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/random.h"
+#include "consensus/group_client.h"
+#include "directory/directory_messages.h"
+#include "jobs/job_messages.h"
+
+namespace tackpick::cluster {
+
+/// Knobs of a ClusterMember.
+struct ClusterMemberSettings {
+  base::GroupId directoryGroup;
+  base::GroupId ledgerGroup;
+  std::vector<base::NodeId> seeds;
+  /// The controllers hold a watch back so long when nothing changed.
+  base::Duration watchHold = base::milliseconds(600);
+  base::Duration watchResend = base::milliseconds(1100);
+  base::Duration watchDeadline = base::milliseconds(5000);
+};
+
+/// Deterministic; owned by one thread.
+class ClusterMember {
+ public:
+  ClusterMember(directory::NodeRecord self, ClusterMemberSettings settings, base::CallId firstCall);
+
+  using ViewHandler = std::function<void(const directory::DirectoryView& view)>;
+  /// Called with each view that arrives.
+  void onView(ViewHandler handler) { on_view_ = std::move(handler); }
+  /// What the ledgers' leader reports of its group; nothing elsewhere.
+  using MembershipSource = std::function<std::optional<consensus::Membership>()>;
+  void reportLedgerMembership(MembershipSource source) { ledger_membership_ = std::move(source); }
+
+  void onResponse(const transport::CommandResponse& response, base::TimePoint now);
+  void tick(base::TimePoint now);
+
+  /// Gets the reply, or null when there was none by the deadline; it may then still take effect.
+  using DirectoryCallback = std::function<void(const directory::DirectoryReply* reply)>;
+  void call(const directory::DirectoryRequest& request, base::Duration deadline,
+            base::TimePoint now, DirectoryCallback callback);
+  using JobCallback = std::function<void(const jobs::JobReply* reply)>;
+  void call(const jobs::JobRequest& request, base::Duration deadline, base::TimePoint now,
+            JobCallback callback);
+
+  /// Messages to send.
+  [[nodiscard]] transport::Outbox takeMessages() { return std::exchange(outbox_, {}); }
+  [[nodiscard]] const directory::DirectoryView& view() const { return view_; }
+  /// The newest configuration known; version 0 before the first.
+  [[nodiscard]] const directory::Configuration& configuration() const { return configuration_; }
+  /// When the controllers were last heard.
+  [[nodiscard]] std::optional<base::TimePoint> heardAt() const { return heard_at_; }
+
+ private:
+  void watch(base::TimePoint now);
+  void accept(const directory::DirectoryView& view, base::TimePoint now);
+
+  const directory::NodeRecord self_;
+  const ClusterMemberSettings settings_;
+  consensus::GroupClient directory_;
+  consensus::GroupClient ledgers_;
+  bool watching_ = false;
+  directory::DirectoryView view_;
+  directory::Configuration configuration_;
+  std::optional<base::TimePoint> heard_at_;
+  ViewHandler on_view_;
+  MembershipSource ledger_membership_;
+  transport::Outbox outbox_;
+};
+
+}  // namespace tackpick::cluster
--- /dev/null
+++ b/src/cluster/group_repair.cpp
@@ -0,0 +1,86 @@
+#include "cluster/group_repair.h"
+
+#include <algorithm>
+
+namespace tackpick::cluster {
+namespace {
+
+using consensus::Membership;
+
+const GroupNode* findNode(const std::vector<GroupNode>& nodes, base::NodeId wanted) {
+  const auto found = std::find_if(nodes.begin(), nodes.end(),
+                                  [&](const GroupNode& node) { return node.node == wanted; });
+  return found == nodes.end() ? nullptr : &*found;
+}
+
+std::set<base::NodeId> allMembers(const Membership& membership) {
+  std::set<base::NodeId> members = membership.voters;
+  members.insert(membership.learners.begin(), membership.learners.end());
+  return members;
+}
+
+/// True when another instance is heard at that member's address, more lately than the member.
+bool isReplaced(base::NodeId member, const std::vector<GroupNode>& nodes,
+                const GroupRepairSettings& settings) {
+  const GroupNode* known = findNode(nodes, member);
+  return std::any_of(nodes.begin(), nodes.end(), [&](const GroupNode& other) {
+    const bool sameAddress = base::nodeNumber(other.node) == base::nodeNumber(member);
+    return sameAddress && other.node != member && other.silence < settings.silenceLimit &&
+           (known == nullptr || other.silence < known->silence);
+  });
+}
+
+bool isSound(base::NodeId member, const std::vector<GroupNode>& nodes,
+             const GroupRepairSettings& settings) {
+  const GroupNode* known = findNode(nodes, member);
+  return known != nullptr && !known->retiring && known->silence < settings.silenceLimit;
+}
+
+std::optional<base::NodeId> bestCandidate(const std::set<base::NodeId>& members,
+                                          const std::vector<GroupNode>& nodes,
+                                          const GroupRepairSettings& settings) {
+  const GroupNode* best = nullptr;
+  for (const GroupNode& node : nodes) {
+    const bool usable =
+        !members.contains(node.node) && !node.retiring && node.silence < settings.silenceLimit;
+    if (usable && (best == nullptr || node.silence < best->silence)) {
+      best = &node;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->node);
+}
+
+}  // namespace
+
+std::optional<MembershipChange> nextMembershipChange(const Membership& membership,
+                                                     const std::vector<GroupNode>& nodes,
+                                                     const GroupRepairSettings& settings) {
+  const std::set<base::NodeId> members = allMembers(membership);
+  for (const base::NodeId member : members) {
+    if (isReplaced(member, nodes, settings)) {
+      return MembershipChange{member, true};
+    }
+  }
+  const auto sound = [&](base::NodeId member) { return isSound(member, nodes, settings); };
+  const auto soundMembers =
+      static_cast<std::size_t>(std::count_if(members.begin(), members.end(), sound));
+  if (soundMembers < settings.targetSize) {
+    const auto candidate = bestCandidate(members, nodes, settings);
+    if (candidate) {
+      return MembershipChange{*candidate, false};
+    }
+  }
+  const auto soundVoters = static_cast<std::size_t>(
+      std::count_if(membership.voters.begin(), membership.voters.end(), sound));
+  if (soundVoters < settings.targetSize) {
+    return std::nullopt;
+  }
+  for (const base::NodeId member : members) {
+    if (!sound(member)) {
+      return MembershipChange{member, true};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace tackpick::cluster
--- /dev/null
+++ b/src/cluster/group_repair.h
@@ -0,0 +1,46 @@
+/// \file
+/// Decides the next change of a replication group's membership, so that a group repairs itself.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/time.h"
+#include "consensus/raft_types.h"
+
+namespace tackpick::cluster {
+
+/// A node that could belong to the group, as its leader hears it.
+struct GroupNode {
+  base::NodeId node;
+  base::Duration silence{0};
+  bool retiring = false;  ///< to be emptied
+};
+
+/// Knobs of nextMembershipChange().
+struct GroupRepairSettings {
+  std::size_t targetSize = 3;  ///< voters wanted
+  /// A member silent for longer is replaced when another node can take its place.
+  base::Duration silenceLimit = base::milliseconds(2500);
+};
+
+struct MembershipChange {
+  base::NodeId node;
+  bool remove = false;
+
+  bool operator==(const MembershipChange&) const = default;
+};
+
+/// The next change, one at a time; nothing when the group is as it should be. In this order:
+/// 1. A member whose address another instance uses has lost its disk and can never return: it is
+///    removed. Since it will never vote again this cannot make a quorum harder to reach.
+/// 2. When fewer than `targetSize` members are sound, a node that is heard is added as a learner.
+/// 3. Members that are retiring or silent are removed once enough sound voters remain.
+[[nodiscard]] std::optional<MembershipChange> nextMembershipChange(
+    const consensus::Membership& membership, const std::vector<GroupNode>& nodes,
+    const GroupRepairSettings& settings);
+
+}  // namespace tackpick::cluster
--- /dev/null
+++ b/src/config/cluster_settings.h
@@ -0,0 +1,44 @@
+/// \file
+/// Settings of a process of a cluster that forms itself (`formation: self`).
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+#include "config/process_settings.h"
+#include "directory/directory_messages.h"
+#include "transport/peer_network.h"
+
+namespace tackpick::config {
+
+struct ClusterSettings {
+  std::string cluster;
+  std::string name;
+  directory::NodeRole role = directory::NodeRole::kGateway;
+  std::string address;  ///< an IPv4 number: the node's number follows from it
+  std::string zone;
+  std::uint16_t internalPort = 0;                 ///< the same on every machine
+  transport::Endpoint traffic;                    ///< gateways: callers
+  transport::Endpoint readiness;                  ///< gateways
+  transport::Endpoint control;                    ///< controllers: operators and instances
+  std::vector<transport::Endpoint> seeds;         ///< control interfaces of some controllers
+  bool bootstrap = false;                         ///< the whole cluster starts for the first time
+  std::string dataFolder;                         ///< controllers and ledgers
+  std::uint32_t lossesBorne = 1;                  ///< machines that may be lost at once
+  base::Duration retention = base::seconds(120);  ///< of a batch, from its submission
+  base::Duration gracePeriod = base::seconds(8);  ///< for a planned stop
+  base::Duration orderLease = base::milliseconds(3000);  ///< between orders of two leaders
+  std::uint32_t concurrentLoads = 3;                     ///< engines that change weights at once
+};
+
+/// True when the file's `formation` is `self`.
+[[nodiscard]] bool formsItself(const std::string& file);
+/// Reads and checks a file. Keys it does not know are refused.
+[[nodiscard]] base::Result<ClusterSettings> loadClusterSettings(const std::string& file);
+/// The number of a node at that IPv4 address.
+[[nodiscard]] base::Result<std::uint32_t> nodeNumberOf(const std::string& address);
+
+}  // namespace tackpick::config
--- a/src/gateway/group_client.cpp
+++ b/src/consensus/group_client.cpp
@@ -1,19 +1,21 @@
-#include "gateway/group_client.h"
+#include "consensus/group_client.h"
 
 #include <utility>
 
-namespace tackpick::gateway {
+namespace tackpick::consensus {
 
 using transport::CommandStatus;
 
 void GroupClient::call(transport::CommandKind kind, base::Bytes payload, base::TimePoint now,
-                       transport::Outbox& outbox, Callback callback) {
+                       transport::Outbox& outbox, Callback callback,
+                       std::optional<CallTimes> times) {
   Call call;
   call.request.group = settings_.group;
   call.request.call = next_call_;
   call.request.kind = kind;
   call.request.payload = std::move(payload);
-  call.deadline = now + settings_.deadline;
+  call.deadline = now + (times ? times->deadline : settings_.deadline);
+  call.resendInterval = times ? times->resendInterval : settings_.resendInterval;
   call.callback = std::move(callback);
   ++next_call_.value;
   send(call, now, outbox);
@@ -52,7 +54,7 @@
       it = calls_.erase(it);
       continue;
     }
-    if (now - call.sentAt >= settings_.resendInterval) {
+    if (now - call.sentAt >= call.resendInterval) {
       if (!moved) {
         tryNextReplica();
         moved = true;
@@ -66,7 +68,16 @@
   }
 }
 
+void GroupClient::setReplicas(std::vector<base::NodeId> replicas) {
+  if (!replicas.empty()) {
+    settings_.replicas = std::move(replicas);
+  }
+}
+
 base::NodeId GroupClient::target() const {
+  if (settings_.replicas.empty()) {
+    return leader_;
+  }
   return leader_.valid() ? leader_ : settings_.replicas.at(turn_ % settings_.replicas.size());
 }
 
@@ -80,4 +91,4 @@
   outbox.push_back({target(), call.request});
 }
 
-}  // namespace tackpick::gateway
+}  // namespace tackpick::consensus
--- a/src/gateway/group_client.h
+++ b/src/consensus/group_client.h
@@ -1,15 +1,16 @@
 /// \file
-/// Calls from a gateway to a replication group: finds the leader, resends, gives up at a deadline.
+/// Calls to a replication group: finds the leader, resends, gives up at a deadline.
 #pragma once
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/time.h"
 #include "transport/internal_messages.h"
 
-namespace tackpick::gateway {
+namespace tackpick::consensus {
 
 /// Knobs of GroupClient.
 struct GroupClientSettings {
@@ -20,22 +21,31 @@
   base::Duration deadline = base::seconds(12);
 };
 
+/// Times of one call that differ from the client's settings.
+struct CallTimes {
+  base::Duration resendInterval{0};
+  base::Duration deadline{0};
+};
+
 /// Every command must be safe to resend: the client repeats it until a replica answers. Owned by
-/// the gateway's thread.
+/// one thread.
 class GroupClient {
  public:
   /// Gets the result, or nothing when the outcome is unknown at the deadline.
   using Callback = std::function<void(const base::Bytes* result, base::TimePoint now)>;
 
-  /// `firstCall` must differ between runs of the gateway, so that late answers are not confused.
+  /// `firstCall` must differ between runs of the process, so that late answers are not confused.
   GroupClient(GroupClientSettings settings, base::CallId firstCall)
       : settings_(std::move(settings)), next_call_(firstCall) {}
 
   void call(transport::CommandKind kind, base::Bytes payload, base::TimePoint now,
-            transport::Outbox& outbox, Callback callback);
+            transport::Outbox& outbox, Callback callback,
+            std::optional<CallTimes> times = std::nullopt);
   void onResponse(const transport::CommandResponse& response, base::TimePoint now,
                   transport::Outbox& outbox);
   void tick(base::TimePoint now, transport::Outbox& outbox);
+  /// Replaces the replicas to ask; an empty list is ignored.
+  void setReplicas(std::vector<base::NodeId> replicas);
   [[nodiscard]] base::GroupId group() const { return settings_.group; }
   [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
 
@@ -44,6 +54,7 @@
     transport::CommandRequest request;
     base::TimePoint sentAt{};
     base::TimePoint deadline{};
+    base::Duration resendInterval{0};
     Callback callback;
   };
 
@@ -51,11 +62,11 @@
   void tryNextReplica();
   void send(Call& call, base::TimePoint now, transport::Outbox& outbox) const;
 
-  const GroupClientSettings settings_;
+  GroupClientSettings settings_;
   base::CallId next_call_;
   base::NodeId leader_;
   std::size_t turn_ = 0;
   std::map<base::CallId, Call> calls_;
 };
 
-}  // namespace tackpick::gateway
+}  // namespace tackpick::consensus
--- /dev/null
+++ b/src/directory/directory_messages.h
@@ -0,0 +1,240 @@
+/// \file
+/// What gateways, ledgers, instances and operators ask of the controllers of a cluster that forms
+/// itself, and what goes through the controllers' log.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/serialization.h"
+#include "base/time.h"
+#include "consensus/raft_types.h"
+#include "directory/configuration.h"
+
+namespace tackpick::directory {
+
+enum class NodeRole : std::uint8_t { kController, kLedger, kGateway };
+
+/// One process of ours.
+struct NodeRecord {
+  base::NodeId node;
+  NodeRole role = NodeRole::kGateway;
+  std::string name;
+  std::string zone;
+  std::string controlAddress;  ///< host:port of its control interface; controllers only
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node, role, name, zone, controlAddress);
+  }
+};
+
+/// One run of an engine or server process. A restart is another instance.
+struct InstanceRecord {
+  std::string id;
+  std::string service;
+  std::string host;  ///< an IP number
+  std::uint16_t port = 0;
+  std::string zone;
+  std::uint32_t slots = 0;
+  bool leaving = false;  ///< gets no new work, ever
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, service, host, port, zone, slots, leaving);
+  }
+};
+
+/// An instance as gateways see it.
+struct InstanceView {
+  InstanceRecord record;
+  base::Duration silence{0};                      ///< since its last heartbeat
+  std::map<std::string, std::uint64_t> versions;  ///< weights by model
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(record, silence, versions);
+  }
+};
+
+// Requests.
+
+struct ReplaceConfiguration {
+  Configuration configuration;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(configuration);
+  }
+};
+
+struct ReadConfiguration {
+  std::uint8_t reserved = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(reserved);
+  }
+};
+
+/// An instance's heartbeat.
+struct InstanceBeat {
+  InstanceRecord record;
+  std::uint64_t sequence = 0;  ///< rises with each; a lower one came late
+  std::map<std::string, std::uint64_t> versions;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(record, sequence, versions);
+  }
+};
+
+struct InstanceLeaves {
+  std::string id;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id);
+  }
+};
+
+struct PublishVersion {
+  std::string model;
+  std::uint64_t version = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(model, version);
+  }
+};
+
+/// A node reports itself and asks for what changed; the answer is held back for a while when
+/// nothing did.
+struct Watch {
+  NodeRecord node;
+  std::uint64_t configurationVersion = 0;  ///< in force there
+  std::uint64_t revision = 0;              ///< of the view it has
+  base::Duration hold{0};
+  /// From the ledgers' leader: who belongs to its group, once no change of that is under way.
+  std::optional<consensus::Membership> ledgerMembership;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node, configurationVersion, revision, hold, ledgerMembership);
+  }
+};
+
+/// Asks that a ledger machine be emptied, so that it can be taken away.
+struct RetireNode {
+  std::string name;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name);
+  }
+};
+
+struct ReadRetirement {
+  std::string name;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name);
+  }
+};
+
+using DirectoryRequest =
+    std::variant<ReplaceConfiguration, ReadConfiguration, InstanceBeat, InstanceLeaves,
+                 PublishVersion, Watch, RetireNode, ReadRetirement>;
+
+// Answers.
+
+enum class DirectoryStatus : std::uint8_t {
+  kDone,
+  kInvalid,   ///< breaks a rule: `text` says which
+  kNotFound,  ///< nothing of that name
+  kConflict,  ///< too few would remain
+  kRunning,   ///< begun and not finished
+};
+
+/// What a node learns from a watch.
+struct DirectoryView {
+  std::uint64_t revision = 0;
+  std::optional<Configuration> configuration;  ///< when newer than the node's
+  std::uint64_t configurationVersion = 0;
+  std::vector<InstanceView> instances;
+  std::map<std::string, std::uint64_t> publishedVersions;
+  std::vector<base::NodeId> controllers;
+  std::vector<base::NodeId> ledgers;      ///< heard of lately
+  std::set<base::NodeId> ledgerFounders;  ///< first voters; empty until decided
+  std::set<std::string> retiringLedgers;  ///< names
+  std::map<std::string, base::NodeId> ledgerNames;
+  std::uint32_t gateways = 1;  ///< heard of lately
+  bool nodesSettled = false;   ///< the leader has led long enough to have heard of every node
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(revision, configuration, configurationVersion, instances, publishedVersions,
+            controllers, ledgers, ledgerFounders, retiringLedgers, ledgerNames, gateways,
+            nodesSettled);
+  }
+};
+
+struct DirectoryReply {
+  DirectoryStatus status = DirectoryStatus::kDone;
+  std::string text;  ///< a document, an address, or what is wrong
+  std::optional<DirectoryView> view;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(status, text, view);
+  }
+};
+
+// Through the log.
+
+struct RegisterInstance {
+  InstanceRecord record;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(record);
+  }
+};
+
+/// It left, or has been silent for so long that it is taken for dead.
+struct RemoveInstance {
+  std::string id;
+  bool final = false;  ///< a late heartbeat of it must not bring it back
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, final);
+  }
+};
+
+struct FoundLedgers {
+  std::set<base::NodeId> founders;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(founders);
+  }
+};
+
+struct BeginRetirement {
+  std::string name;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name);
+  }
+};
+
+struct CompleteRetirement {
+  std::string name;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name);
+  }
+};
+
+using DirectoryCommand =
+    std::variant<ReplaceConfiguration, RegisterInstance, RemoveInstance, PublishVersion,
+                 FoundLedgers, BeginRetirement, CompleteRetirement>;
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/directory_role.cpp
@@ -0,0 +1,429 @@
+#include "directory/directory_role.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tackpick::directory {
+
+using transport::CommandStatus;
+
+namespace {
+
+/// Orders, repair and the like are looked at this often.
+constexpr base::Duration kSlowWorkInterval = base::milliseconds(100);
+/// View revisions of different leaders must not be confused.
+constexpr unsigned kTermShift = 40;
+
+bool sameRegistration(const InstanceRecord& left, const InstanceRecord& right) {
+  return left.service == right.service && left.host == right.host && left.port == right.port &&
+         left.slots == right.slots && left.zone == right.zone && (left.leaving || !right.leaving);
+}
+
+}  // namespace
+
+DirectoryRole::DirectoryRole(NodeRecord self, DirectorySettings settings, consensus::LogStore& log,
+                             base::Random& random, base::TimePoint now)
+    : self_(std::move(self)),
+      settings_(settings),
+      replica_(self_.node, kDirectoryGroup, settings.replica, log, state_, random, now),
+      orders_(settings.orders) {}
+
+void DirectoryRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
+                           base::TimePoint now) {
+  replica_.handle(from, message, now);
+}
+
+void DirectoryRole::handle(base::NodeId from, const transport::CommandRequest& message,
+                           base::TimePoint now) {
+  const Caller caller{from, message.call};
+  const auto request = base::decode<DirectoryRequest>(message.payload);
+  if (!request) {
+    return;
+  }
+  if (!leads(now)) {
+    refuse(caller, CommandStatus::kNotLeader);
+    return;
+  }
+  std::visit([&](const auto& typed) { onRequest(caller, typed, now); }, *request);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const ReplaceConfiguration& request,
+                              base::TimePoint now) {
+  std::string problem;
+  const bool valid = base::recover(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_CHECK(validate(request.configuration));
+        return true;
+      },
+      [&](const base::Error& error) {
+        problem = error.message;
+        return false;
+      });
+  if (!valid) {
+    reply(caller, DirectoryStatus::kInvalid, problem);
+    return;
+  }
+  if (request.configuration.version <= state_.configuration().version) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  proposeFor(caller, request, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const ReadConfiguration& /*request*/,
+                              base::TimePoint /*now*/) {
+  if (state_.configuration().version == 0) {
+    reply(caller, DirectoryStatus::kNotFound);
+    return;
+  }
+  reply(caller, DirectoryStatus::kDone, state_.configuration().document);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const InstanceBeat& request,
+                              base::TimePoint now) {
+  const std::string& id = request.record.id;
+  if (state_.hasLeft(id)) {
+    reply(caller, DirectoryStatus::kDone, self_.controlAddress);
+    return;
+  }
+  const auto sequence = beat_sequences_.find(id);
+  const bool late = sequence != beat_sequences_.end() && request.sequence <= sequence->second;
+  const auto known = state_.instances().find(id);
+  const bool registered =
+      known != state_.instances().end() && sameRegistration(known->second, request.record);
+  if (!late) {
+    observeReport(request, now);
+  }
+  if (registered || (late && !request.record.leaving)) {
+    reply(caller, DirectoryStatus::kDone, self_.controlAddress);
+    return;
+  }
+  proposeFor(caller, RegisterInstance{request.record}, self_.controlAddress, now);
+}
+
+void DirectoryRole::observeReport(const InstanceBeat& beat, base::TimePoint now) {
+  beat_sequences_[beat.record.id] = beat.sequence;
+  ReportedEngine& report = reports_[beat.record.id];
+  report.heardAt = now;
+  if (report.versions != beat.versions) {
+    report.versions = beat.versions;
+    ++view_revision_;
+  }
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const InstanceLeaves& request,
+                              base::TimePoint now) {
+  if (state_.hasLeft(request.id)) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  proposeFor(caller, RemoveInstance{request.id, true}, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const PublishVersion& request,
+                              base::TimePoint now) {
+  const auto known = state_.versions().find(request.model);
+  if (known != state_.versions().end() && known->second >= request.version) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  proposeFor(caller, request, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const Watch& request, base::TimePoint now) {
+  const auto [heard, added] = nodes_.try_emplace(request.node.node);
+  heard->second = {request.node, now};
+  if (added) {
+    ++view_revision_;
+  }
+  if (request.ledgerMembership) {
+    completeRetirements(*request.ledgerMembership, now);
+  }
+  watches_.push_back({caller, request, now + request.hold});
+}
+
+void DirectoryRole::completeRetirements(const consensus::Membership& ledgers, base::TimePoint now) {
+  for (const auto& [name, retirement] : state_.retirements()) {
+    if (retirement != Retirement::kRunning) {
+      continue;
+    }
+    const bool member =
+        std::any_of(nodes_.begin(), nodes_.end(), [&, &wanted = name](const auto& entry) {
+          return entry.second.record.name == wanted && ledgers.contains(entry.first);
+        });
+    if (!member && ledgers.voters.size() >= settings_.repair.targetSize) {
+      proposeQuietly(CompleteRetirement{name}, now);
+    }
+  }
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const RetireNode& request,
+                              base::TimePoint now) {
+  const auto begun = state_.retirements().find(request.name);
+  if (begun != state_.retirements().end()) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  bool known = false;
+  std::size_t remaining = 0;
+  for (const auto& [node, heard] : nodes_) {
+    if (heard.record.role != NodeRole::kLedger) {
+      continue;
+    }
+    if (heard.record.name == request.name) {
+      known = true;
+    } else if (!state_.retirements().contains(heard.record.name) &&
+               now - heard.heardAt < settings_.repair.silenceLimit) {
+      ++remaining;
+    }
+  }
+  if (!known) {
+    // A new leader has not heard of all nodes yet.
+    constexpr base::Duration kAcquaintance = base::seconds(2);
+    if (now - leader_since_ < kAcquaintance) {
+      refuse(caller, CommandStatus::kUnavailable);
+    } else {
+      reply(caller, DirectoryStatus::kNotFound);
+    }
+    return;
+  }
+  if (remaining < settings_.repair.targetSize) {
+    reply(caller, DirectoryStatus::kConflict, "too few ledgers would remain");
+    return;
+  }
+  proposeFor(caller, BeginRetirement{request.name}, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const ReadRetirement& request,
+                              base::TimePoint /*now*/) {
+  const auto found = state_.retirements().find(request.name);
+  if (found == state_.retirements().end()) {
+    reply(caller, DirectoryStatus::kNotFound);
+  } else if (found->second == Retirement::kRunning) {
+    reply(caller, DirectoryStatus::kRunning);
+  } else {
+    reply(caller, DirectoryStatus::kDone);
+  }
+}
+
+void DirectoryRole::reply(const Caller& caller, DirectoryStatus status, std::string text) {
+  replyWith(caller, {status, std::move(text), std::nullopt});
+}
+
+void DirectoryRole::replyWith(const Caller& caller, const DirectoryReply& reply) {
+  transport::CommandResponse response;
+  response.group = kDirectoryGroup;
+  response.call = caller.call;
+  response.status = CommandStatus::kOk;
+  response.payload = base::encode(reply);
+  actions_.messages.push_back({caller.node, std::move(response)});
+}
+
+void DirectoryRole::refuse(const Caller& caller, CommandStatus status) {
+  transport::CommandResponse response;
+  response.group = kDirectoryGroup;
+  response.call = caller.call;
+  response.status = status;
+  const base::NodeId leader = replica_.raft().leader();
+  response.leader = leader == self_.node ? base::NodeId{} : leader;
+  actions_.messages.push_back({caller.node, std::move(response)});
+}
+
+void DirectoryRole::proposeFor(const Caller& caller, const DirectoryCommand& command,
+                               const std::string& text, base::TimePoint now) {
+  const bool proposed = replica_.propose(
+      base::encode(command), now,
+      [this, caller, text](const base::Bytes* result, consensus::LogIndex /*index*/) {
+        if (result == nullptr) {
+          refuse(caller, CommandStatus::kUnavailable);
+        } else {
+          reply(caller, DirectoryStatus::kDone, text);
+        }
+      });
+  if (!proposed) {
+    refuse(caller, CommandStatus::kNotLeader);
+  }
+}
+
+void DirectoryRole::proposeQuietly(const DirectoryCommand& command, base::TimePoint now) {
+  replica_.propose(base::encode(command), now, [](const base::Bytes*, consensus::LogIndex) {});
+}
+
+void DirectoryRole::onOrderOutcome(const VersionOrder& order, OrderOutcome outcome,
+                                   base::TimePoint now) {
+  if (outcome == OrderOutcome::kHolds) {
+    const auto report = reports_.find(order.instance);
+    if (report != reports_.end() && report->second.versions[order.model] < order.version) {
+      report->second.versions[order.model] = order.version;
+      ++view_revision_;
+    }
+  }
+  orders_.onOutcome(order, outcome, now);
+}
+
+std::vector<cluster::GroupNode> DirectoryRole::nodesOf(NodeRole role, base::TimePoint now) const {
+  std::vector<cluster::GroupNode> nodes;
+  for (const auto& [node, heard] : nodes_) {
+    if (heard.record.role == role) {
+      nodes.push_back(
+          {node, now - heard.heardAt, state_.retirements().contains(heard.record.name)});
+    }
+  }
+  return nodes;
+}
+
+DirectoryView DirectoryRole::viewFor(const Watch& watch, base::TimePoint now) const {
+  DirectoryView view;
+  view.revision = view_revision_;
+  view.configurationVersion = state_.configuration().version;
+  if (watch.configurationVersion < state_.configuration().version) {
+    view.configuration = state_.configuration();
+    view.configuration->document.clear();
+  }
+  for (const auto& [id, record] : state_.instances()) {
+    InstanceView instance;
+    instance.record = record;
+    const auto report = reports_.find(id);
+    if (report != reports_.end()) {
+      instance.silence = now - report->second.heardAt;
+      instance.versions = report->second.versions;
+    } else {
+      instance.silence = now - leader_since_;
+    }
+    view.instances.push_back(std::move(instance));
+  }
+  view.publishedVersions = state_.versions();
+  view.ledgerFounders = state_.ledgerFounders();
+  const auto& voters = replica_.raft().membership().voters;
+  view.controllers.assign(voters.begin(), voters.end());
+  view.gateways = 0;
+  for (const auto& [node, heard] : nodes_) {
+    if (heard.record.role == NodeRole::kGateway) {
+      view.gateways += now - heard.heardAt < settings_.repair.silenceLimit ? 1 : 0;
+    } else if (heard.record.role == NodeRole::kLedger) {
+      view.ledgerNames[heard.record.name] = node;
+      if (now - heard.heardAt < settings_.repair.silenceLimit) {
+        view.ledgers.push_back(node);
+      }
+    }
+  }
+  view.gateways = std::max(view.gateways, 1U);
+  view.nodesSettled = now - leader_since_ > settings_.repair.silenceLimit;
+  for (const auto& [name, retirement] : state_.retirements()) {
+    view.retiringLedgers.insert(name);
+  }
+  return view;
+}
+
+void DirectoryRole::answerWatches(base::TimePoint now) {
+  const bool leading = leads(now);
+  for (PendingWatch& pending : std::exchange(watches_, {})) {
+    const bool news = pending.watch.revision != view_revision_ ||
+                      pending.watch.configurationVersion < state_.configuration().version;
+    if (!leading) {
+      refuse(pending.caller, CommandStatus::kNotLeader);
+    } else if (news || now >= pending.until) {
+      replyWith(pending.caller, {DirectoryStatus::kDone, {}, viewFor(pending.watch, now)});
+    } else {
+      watches_.push_back(std::move(pending));
+    }
+  }
+}
+
+void DirectoryRole::tick(base::TimePoint now) {
+  replica_.tick(now);
+  if (now - slow_work_at_ < kSlowWorkInterval || !leads(now)) {
+    return;
+  }
+  slow_work_at_ = now;
+  foundLedgers(now);
+  repairOwnGroup(now);
+  forgetSilent(now);
+  const auto orders = orders_.step(state_, reports_, replica_.raft().currentTerm(), now);
+  actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
+}
+
+void DirectoryRole::foundLedgers(base::TimePoint now) {
+  if (!state_.ledgerFounders().empty()) {
+    return;
+  }
+  std::set<base::NodeId> founders;
+  for (const cluster::GroupNode& node : nodesOf(NodeRole::kLedger, now)) {
+    if (node.silence < settings_.repair.silenceLimit &&
+        founders.size() < settings_.ledgerFounders) {
+      founders.insert(node.node);
+    }
+  }
+  const bool waited = now - leader_since_ > settings_.foundingPatience;
+  if (founders.size() == settings_.ledgerFounders || (waited && !founders.empty())) {
+    proposeQuietly(FoundLedgers{founders}, now);
+  }
+}
+
+void DirectoryRole::repairOwnGroup(base::TimePoint now) {
+  consensus::RaftConsensus& raft = replica_.raft();
+  // Until every node had the time to report, silence means nothing.
+  if (raft.membershipChangePending() || now - leader_since_ < settings_.repair.silenceLimit) {
+    return;
+  }
+  const auto change = cluster::nextMembershipChange(
+      raft.membership(), nodesOf(NodeRole::kController, now), settings_.repair);
+  if (!change) {
+    return;
+  }
+  if (change->remove) {
+    raft.removeMember(change->node, now);
+  } else {
+    raft.addMember(change->node, now);
+  }
+}
+
+void DirectoryRole::forgetSilent(base::TimePoint now) {
+  for (const auto& [id, record] : state_.instances()) {
+    const auto report = reports_.find(id);
+    const base::TimePoint heardAt =
+        report == reports_.end() ? leader_since_ : report->second.heardAt;
+    if (now - heardAt > settings_.instanceSilenceLimit) {
+      proposeQuietly(RemoveInstance{id, false}, now);
+      break;  // one at a time: the state changes only when it is applied
+    }
+  }
+  std::erase_if(reports_, [&](const auto& entry) {
+    return now - entry.second.heardAt > settings_.instanceSilenceLimit;
+  });
+  std::erase_if(nodes_, [&](const auto& entry) {
+    return now - entry.second.heardAt > settings_.nodeSilenceLimit;
+  });
+}
+
+DirectoryActions DirectoryRole::finish(base::TimePoint now) {
+  replica_.finish(now, actions_.messages);
+  observeLeadership(now);
+  observeState();
+  answerWatches(now);
+  return std::exchange(actions_, {});
+}
+
+void DirectoryRole::observeLeadership(base::TimePoint now) {
+  const consensus::RaftConsensus& raft = replica_.raft();
+  const bool newTerm = raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm());
+  if (newTerm) {
+    leader_since_ = now;
+    reports_.clear();
+    beat_sequences_.clear();
+    nodes_.clear();
+    orders_.reset(now);
+    view_revision_ = raft.currentTerm() << kTermShift;
+  }
+  was_leader_ = raft.isLeader();
+  observed_term_ = raft.currentTerm();
+}
+
+void DirectoryRole::observeState() {
+  if (observed_state_ != state_.revision()) {
+    observed_state_ = state_.revision();
+    ++view_revision_;
+  }
+}
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/directory_role.h
@@ -0,0 +1,126 @@
+/// \file
+/// The controller role of a cluster that forms itself: replicated directory, registration of
+/// instances, watches, orders to engines, repair of both replication groups' memberships.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cluster/group_repair.h"
+#include "consensus/replica.h"
+#include "directory/directory_messages.h"
+#include "directory/directory_state.h"
+#include "directory/version_orders.h"
+
+namespace tackpick::directory {
+
+/// The controllers' replication group.
+inline constexpr base::GroupId kDirectoryGroup{1};
+/// The ledgers' replication group.
+inline constexpr base::GroupId kLedgerGroup{2};
+
+/// Knobs of a DirectoryRole.
+struct DirectorySettings {
+  consensus::ReplicaSettings replica;
+  VersionOrderSettings orders;
+  cluster::GroupRepairSettings repair;
+  std::size_t ledgerFounders = 3;
+  /// With fewer ledgers than wanted, those that reported are the founders after this time.
+  base::Duration foundingPatience = base::seconds(4);
+  /// An instance silent for longer is taken for dead.
+  base::Duration instanceSilenceLimit = base::seconds(40);
+  /// A node silent for longer is forgotten.
+  base::Duration nodeSilenceLimit = base::seconds(60);
+};
+
+/// What the driver must do after a turn.
+struct DirectoryActions {
+  transport::Outbox messages;
+  std::vector<VersionOrder> orders;
+};
+
+/// Deterministic; owned by one thread. Only the leader decides, and only under its lease.
+class DirectoryRole {
+ public:
+  DirectoryRole(NodeRecord self, DirectorySettings settings, consensus::LogStore& log,
+                base::Random& random, base::TimePoint now);
+
+  void handle(base::NodeId from, const transport::RaftEnvelope& message, base::TimePoint now);
+  void handle(base::NodeId from, const transport::CommandRequest& message, base::TimePoint now);
+  void onOrderOutcome(const VersionOrder& order, OrderOutcome outcome, base::TimePoint now);
+  void tick(base::TimePoint now);
+  /// Ends a turn: syncs, applies, and says what to do.
+  [[nodiscard]] DirectoryActions finish(base::TimePoint now);
+  /// Hands leadership over before a planned stop.
+  void prepareStop(base::TimePoint now) { replica_.raft().transferLeadership(now); }
+
+  [[nodiscard]] const DirectoryState& state() const { return state_; }
+  [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+
+ private:
+  struct Caller {
+    base::NodeId node;
+    base::CallId call;
+  };
+  struct PendingWatch {
+    Caller caller;
+    Watch watch;
+    base::TimePoint until{};
+  };
+  struct HeardNode {
+    NodeRecord record;
+    base::TimePoint heardAt{};
+  };
+
+  [[nodiscard]] bool leads(base::TimePoint now) const { return replica_.canRead(now); }
+  void onRequest(const Caller& caller, const ReplaceConfiguration& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const ReadConfiguration& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const InstanceBeat& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const InstanceLeaves& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const PublishVersion& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const Watch& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const RetireNode& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const ReadRetirement& request, base::TimePoint now);
+  void completeRetirements(const consensus::Membership& ledgers, base::TimePoint now);
+  void observeReport(const InstanceBeat& beat, base::TimePoint now);
+
+  void reply(const Caller& caller, DirectoryStatus status, std::string text = {});
+  void replyWith(const Caller& caller, const DirectoryReply& reply);
+  void refuse(const Caller& caller, transport::CommandStatus status);
+  /// Answers kDone with `text` once the command is committed.
+  void proposeFor(const Caller& caller, const DirectoryCommand& command, const std::string& text,
+                  base::TimePoint now);
+  void proposeQuietly(const DirectoryCommand& command, base::TimePoint now);
+  [[nodiscard]] DirectoryView viewFor(const Watch& watch, base::TimePoint now) const;
+  [[nodiscard]] std::vector<cluster::GroupNode> nodesOf(NodeRole role, base::TimePoint now) const;
+  [[nodiscard]] std::uint64_t viewRevision() const { return view_revision_; }
+
+  void observeLeadership(base::TimePoint now);
+  void observeState();
+  void answerWatches(base::TimePoint now);
+  void foundLedgers(base::TimePoint now);
+  void repairOwnGroup(base::TimePoint now);
+  void forgetSilent(base::TimePoint now);
+
+  const NodeRecord self_;
+  const DirectorySettings settings_;
+  DirectoryState state_;
+  consensus::Replica replica_;
+
+  // The leader's memory; empty after an election.
+  bool was_leader_ = false;
+  consensus::Term observed_term_ = 0;
+  base::TimePoint leader_since_{};
+  std::map<std::string, ReportedEngine> reports_;
+  std::map<std::string, std::uint64_t> beat_sequences_;
+  std::map<base::NodeId, HeardNode> nodes_;
+  VersionOrders orders_;
+  std::vector<PendingWatch> watches_;
+  std::uint64_t view_revision_ = 0;  ///< changes whenever a view would
+  std::uint64_t observed_state_ = 0;
+  base::TimePoint slow_work_at_{};
+  DirectoryActions actions_;
+};
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/directory_state.cpp
@@ -0,0 +1,92 @@
+#include "directory/directory_state.h"
+
+#include <cereal/types/deque.hpp>
+
+namespace tackpick::directory {
+namespace {
+
+/// Instances that left are remembered so long; a heartbeat is late by seconds at most.
+constexpr std::size_t kRememberedLeavers = 10'000;
+
+}  // namespace
+
+base::Bytes DirectoryState::apply(consensus::LogIndex /*index*/, const base::Bytes& command) {
+  const auto decoded = base::decode<DirectoryCommand>(command);
+  if (decoded) {
+    std::visit([this](const auto& typed) { applyTyped(typed); }, *decoded);
+  }
+  return {};
+}
+
+void DirectoryState::applyTyped(const ReplaceConfiguration& command) {
+  if (command.configuration.version > data_.configuration.version) {
+    data_.configuration = command.configuration;
+    ++data_.revision;
+  }
+}
+
+void DirectoryState::applyTyped(const RegisterInstance& command) {
+  const InstanceRecord& record = command.record;
+  if (left_.contains(record.id)) {
+    return;
+  }
+  // An address belongs to the instance that was seen there last.
+  std::erase_if(data_.instances, [&](const auto& entry) {
+    return entry.first != record.id && entry.second.host == record.host &&
+           entry.second.port == record.port;
+  });
+  const auto known = data_.instances.find(record.id);
+  const bool leaving = record.leaving || (known != data_.instances.end() && known->second.leaving);
+  InstanceRecord& stored = data_.instances[record.id];
+  stored = record;
+  stored.leaving = leaving;
+  ++data_.revision;
+}
+
+void DirectoryState::applyTyped(const RemoveInstance& command) {
+  data_.instances.erase(command.id);
+  ++data_.revision;
+  if (!command.final || !left_.insert(command.id).second) {
+    return;
+  }
+  data_.leftInOrder.push_back(command.id);
+  if (data_.leftInOrder.size() > kRememberedLeavers) {
+    left_.erase(data_.leftInOrder.front());
+    data_.leftInOrder.pop_front();
+  }
+}
+
+void DirectoryState::applyTyped(const PublishVersion& command) {
+  std::uint64_t& version = data_.versions[command.model];
+  if (command.version > version) {
+    version = command.version;
+    ++data_.revision;
+  }
+}
+
+void DirectoryState::applyTyped(const FoundLedgers& command) {
+  if (data_.ledgerFounders.empty()) {
+    data_.ledgerFounders = command.founders;
+    ++data_.revision;
+  }
+}
+
+void DirectoryState::applyTyped(const BeginRetirement& command) {
+  if (data_.retirements.try_emplace(command.name, Retirement::kRunning).second) {
+    ++data_.revision;
+  }
+}
+
+void DirectoryState::applyTyped(const CompleteRetirement& command) {
+  data_.retirements[command.name] = Retirement::kCompleted;
+  ++data_.revision;
+}
+
+base::Bytes DirectoryState::takeSnapshot() const { return base::encode(data_); }
+
+void DirectoryState::loadSnapshot(const base::Bytes& snapshot) {
+  data_ = base::decode<Data>(snapshot).value_or(Data{});
+  left_ = {data_.leftInOrder.begin(), data_.leftInOrder.end()};
+}
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/directory_state.h
@@ -0,0 +1,73 @@
+/// \file
+/// The replicated state of the controllers of a cluster that forms itself.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include "consensus/state_machine.h"
+#include "directory/directory_messages.h"
+
+namespace tackpick::directory {
+
+/// Whether a retiring machine still holds data.
+enum class Retirement : std::uint8_t { kRunning, kCompleted };
+
+/// Deterministic. Owned by the controllers' replica.
+class DirectoryState final : public consensus::StateMachine {
+ public:
+  base::Bytes apply(consensus::LogIndex index, const base::Bytes& command) override;
+  [[nodiscard]] base::Bytes query(const base::Bytes& /*query*/) const override { return {}; }
+  [[nodiscard]] base::Bytes takeSnapshot() const override;
+  void loadSnapshot(const base::Bytes& snapshot) override;
+
+  [[nodiscard]] const Configuration& configuration() const { return data_.configuration; }
+  [[nodiscard]] const std::map<std::string, InstanceRecord>& instances() const {
+    return data_.instances;
+  }
+  /// True when that instance has said that it leaves for good.
+  [[nodiscard]] bool hasLeft(const std::string& id) const { return left_.contains(id); }
+  [[nodiscard]] const std::map<std::string, std::uint64_t>& versions() const {
+    return data_.versions;
+  }
+  [[nodiscard]] const std::set<base::NodeId>& ledgerFounders() const {
+    return data_.ledgerFounders;
+  }
+  [[nodiscard]] const std::map<std::string, Retirement>& retirements() const {
+    return data_.retirements;
+  }
+  /// Rises with every change.
+  [[nodiscard]] std::uint64_t revision() const { return data_.revision; }
+
+ private:
+  struct Data {
+    std::uint64_t revision = 0;
+    Configuration configuration;
+    std::map<std::string, InstanceRecord> instances;
+    std::deque<std::string> leftInOrder;
+    std::map<std::string, std::uint64_t> versions;
+    std::set<base::NodeId> ledgerFounders;
+    std::map<std::string, Retirement> retirements;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(revision, configuration, instances, leftInOrder, versions, ledgerFounders,
+              retirements);
+    }
+  };
+
+  void applyTyped(const ReplaceConfiguration& command);
+  void applyTyped(const RegisterInstance& command);
+  void applyTyped(const RemoveInstance& command);
+  void applyTyped(const PublishVersion& command);
+  void applyTyped(const FoundLedgers& command);
+  void applyTyped(const BeginRetirement& command);
+  void applyTyped(const CompleteRetirement& command);
+
+  Data data_;
+  std::set<std::string> left_;
+};
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/version_orders.cpp
@@ -0,0 +1,190 @@
+#include "directory/version_orders.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace tackpick::directory {
+namespace {
+
+std::uint64_t versionOf(const std::map<std::string, ReportedEngine>& engines,
+                        const std::string& instance, const std::string& model) {
+  const auto engine = engines.find(instance);
+  if (engine == engines.end()) {
+    return 0;
+  }
+  const auto version = engine->second.versions.find(model);
+  return version == engine->second.versions.end() ? 0 : version->second;
+}
+
+const Service* findService(const Configuration& configuration, const std::string& name) {
+  for (const Service& service : configuration.services) {
+    if (service.name == name) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+/// True when some route wants all of a text from one version.
+bool wantsSingleVersion(const Configuration& configuration, const std::string& service) {
+  return std::any_of(
+      configuration.routes.begin(), configuration.routes.end(), [&](const Route& route) {
+        return route.singleVersion &&
+               std::any_of(route.splits.begin(), route.splits.end(),
+                           [&](const TrafficSplit& split) { return split.service == service; });
+      });
+}
+
+}  // namespace
+
+void VersionOrders::reset(base::TimePoint now) {
+  leader_since_ = now;
+  homes_.clear();
+  given_.clear();
+}
+
+void VersionOrders::assignHomes(const DirectoryState& state,
+                                const std::map<std::string, ReportedEngine>& engines) {
+  std::erase_if(homes_, [&](const auto& home) { return !state.instances().contains(home.first); });
+  std::erase_if(given_,
+                [&](const auto& given) { return !state.instances().contains(given.first); });
+  for (const Service& service : state.configuration().services) {
+    std::map<std::string, std::size_t> counts;
+    for (const std::string& model : service.models) {
+      counts[model] = 0;
+    }
+    if (counts.empty()) {
+      continue;
+    }
+    std::vector<const InstanceRecord*> homeless;
+    for (const auto& [id, record] : state.instances()) {
+      if (record.service != service.name || record.leaving) {
+        continue;
+      }
+      const auto home = homes_.find(id);
+      if (home != homes_.end() && counts.contains(home->second)) {
+        ++counts[home->second];
+      } else {
+        homeless.push_back(&record);
+      }
+    }
+    // A new leader finds each engine's home in what the engine holds: the model nearest to its
+    // published version, as long as that model has not had its share.
+    std::size_t engineCount = homeless.size();
+    for (const auto& [model, count] : counts) {
+      engineCount += count;
+    }
+    const std::size_t share = (engineCount + counts.size() - 1) / counts.size();
+    const auto backlog = [&](const InstanceRecord& record, const std::string& model) {
+      const auto published = state.versions().find(model);
+      const std::uint64_t wanted = published == state.versions().end() ? 1 : published->second;
+      const std::uint64_t held = versionOf(engines, record.id, model);
+      return wanted > held ? wanted - held : 0;
+    };
+    for (const InstanceRecord* record : homeless) {
+      const auto best =
+          std::min_element(counts.begin(), counts.end(), [&](const auto& left, const auto& right) {
+            const auto key = [&](const auto& entry) {
+              return std::tuple(entry.second >= share, backlog(*record, entry.first), entry.second);
+            };
+            return key(left) < key(right);
+          });
+      homes_[record->id] = best->first;
+      ++best->second;
+    }
+    // An engine moves when one model has lost two more than another.
+    const auto byCount = [](const auto& left, const auto& right) {
+      return left.second < right.second;
+    };
+    const auto least = std::min_element(counts.begin(), counts.end(), byCount);
+    const auto most = std::max_element(counts.begin(), counts.end(), byCount);
+    if (most->second > least->second + 1) {
+      for (auto& [id, model] : homes_) {
+        const auto record = state.instances().find(id);
+        if (model == most->first && record->second.service == service.name &&
+            !record->second.leaving) {
+          model = least->first;
+          break;
+        }
+      }
+    }
+  }
+}
+
+std::size_t VersionOrders::loading(const std::map<std::string, ReportedEngine>& engines,
+                                   base::TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::count_if(given_.begin(), given_.end(), [&](const auto& entry) {
+        return now < entry.second.slotUntil &&
+               versionOf(engines, entry.first, entry.second.model) < entry.second.version;
+      }));
+}
+
+bool VersionOrders::mayOrder(const InstanceRecord& record,
+                             const std::map<std::string, ReportedEngine>& engines,
+                             base::TimePoint now) const {
+  const auto engine = engines.find(record.id);
+  if (record.leaving || engine == engines.end() ||
+      now - engine->second.heardAt > settings_.silenceLimit) {
+    return false;
+  }
+  const auto given = given_.find(record.id);
+  return given == given_.end() || now >= given->second.retryAt ||
+         versionOf(engines, record.id, given->second.model) >= given->second.version;
+}
+
+std::vector<VersionOrder> VersionOrders::step(const DirectoryState& state,
+                                              const std::map<std::string, ReportedEngine>& engines,
+                                              std::uint64_t term, base::TimePoint now) {
+  std::vector<VersionOrder> orders;
+  if (now - leader_since_ < settings_.quietAfterElection) {
+    return orders;
+  }
+  assignHomes(state, engines);
+  std::size_t running = loading(engines, now);
+  for (const auto& [id, record] : state.instances()) {
+    const auto home = homes_.find(id);
+    if (running >= settings_.concurrentLoads || home == homes_.end()) {
+      continue;
+    }
+    const auto published = state.versions().find(home->second);
+    if (published == state.versions().end() ||
+        versionOf(engines, id, home->second) >= published->second ||
+        !mayOrder(record, engines, now)) {
+      continue;
+    }
+    if (findService(state.configuration(), record.service) == nullptr) {
+      continue;
+    }
+    VersionOrder order{id,
+                       record.host,
+                       record.port,
+                       home->second,
+                       published->second,
+                       term,
+                       wantsSingleVersion(state.configuration(), record.service)};
+    given_[id] = {order.model, order.version, now + settings_.orderTimeout,
+                  now + settings_.expectedLoad};
+    orders.push_back(std::move(order));
+    ++running;
+  }
+  return orders;
+}
+
+void VersionOrders::onOutcome(const VersionOrder& order, OrderOutcome outcome,
+                              base::TimePoint now) {
+  const auto found = given_.find(order.instance);
+  if (found == given_.end() || found->second.version != order.version ||
+      found->second.model != order.model) {
+    return;
+  }
+  constexpr base::Duration kBusyRetry = base::milliseconds(700);
+  constexpr base::Duration kRefusedRetry = base::seconds(2);
+  if (outcome == OrderOutcome::kBusy) {
+    found->second.retryAt = now + kBusyRetry;
+  } else if (outcome == OrderOutcome::kRefused) {
+    found->second.retryAt = now + kRefusedRetry;
+  }
+}
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/version_orders.h
@@ -0,0 +1,96 @@
+/// \file
+/// Brings the newest published weights onto the engines that report themselves.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/time.h"
+#include "directory/directory_messages.h"
+#include "directory/directory_state.h"
+
+namespace tackpick::directory {
+
+/// Knobs of VersionOrders.
+struct VersionOrderSettings {
+  /// Engines that may load at once; a store of weights slows down when many do.
+  std::size_t concurrentLoads = 3;
+  /// No order is given within this time of becoming leader, so that the orders of two leaders do
+  /// not alternate.
+  base::Duration quietAfterElection = base::milliseconds(3100);
+  /// An order is taken as without effect when the engine has not reported the version by then.
+  base::Duration orderTimeout = base::seconds(4);
+  /// How long an engine usually loads.
+  base::Duration expectedLoad = base::milliseconds(1200);
+  /// Engines silent for longer get no orders.
+  base::Duration silenceLimit = base::seconds(4);
+};
+
+/// An order to change the weights of a model on one engine.
+struct VersionOrder {
+  std::string instance;
+  std::string host;
+  std::uint16_t port = 0;
+  std::string model;
+  std::uint64_t version = 0;
+  std::uint64_t fence = 0;       ///< the term of the leader that gives it
+  bool finishRunsFirst = false;  ///< else running requests go on under the new weights
+};
+
+/// What an engine answered to an order.
+enum class OrderOutcome : std::uint8_t {
+  kTaken,      ///< under way
+  kHolds,      ///< it has that version already
+  kBusy,       ///< another is under way
+  kRefused,    ///< a higher fence was seen, or another instance is there
+  kUncertain,  ///< no answer: it may be taken, now or later
+};
+
+/// What the leader has heard of an engine.
+struct ReportedEngine {
+  base::TimePoint heardAt{};
+  std::map<std::string, std::uint64_t> versions;
+};
+
+/// The leading controller's. Deterministic; owned by one thread. When engines hold several trained
+/// models, each engine follows one of them ("home"), so that a version costs as few loads as it
+/// can; the others keep the versions they have.
+class VersionOrders {
+ public:
+  explicit VersionOrders(VersionOrderSettings settings) : settings_(settings) {}
+
+  /// Call when this controller becomes leader.
+  void reset(base::TimePoint now);
+  /// Orders to give now.
+  [[nodiscard]] std::vector<VersionOrder> step(const DirectoryState& state,
+                                               const std::map<std::string, ReportedEngine>& engines,
+                                               std::uint64_t term, base::TimePoint now);
+  void onOutcome(const VersionOrder& order, OrderOutcome outcome, base::TimePoint now);
+
+ private:
+  struct Given {
+    std::string model;
+    std::uint64_t version = 0;
+    base::TimePoint retryAt{};
+    base::TimePoint slotUntil{};  ///< counted as loading until then
+  };
+
+  void assignHomes(const DirectoryState& state,
+                   const std::map<std::string, ReportedEngine>& engines);
+  [[nodiscard]] bool mayOrder(const InstanceRecord& record,
+                              const std::map<std::string, ReportedEngine>& engines,
+                              base::TimePoint now) const;
+  [[nodiscard]] std::size_t loading(const std::map<std::string, ReportedEngine>& engines,
+                                    base::TimePoint now) const;
+
+  const VersionOrderSettings settings_;
+  base::TimePoint leader_since_{};
+  std::map<std::string, std::string> homes_;  ///< model by instance
+  std::map<std::string, Given> given_;        ///< latest order by instance
+};
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/edge/dialect.h
@@ -0,0 +1,84 @@
+/// \file
+/// What callers, engines, servers, trainers and operators of one kind of site say over HTTP, as
+/// typed calls of the product. A dialect only translates: it keeps no state and decides nothing.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "directory/directory_messages.h"
+#include "directory/version_orders.h"
+#include "forwarding/instance_table.h"
+#include "http/exchange_server.h"
+#include "http/upstream_client.h"
+#include "jobs/item_run.h"
+
+namespace tackpick::edge {
+
+/// Names of the headers that the product reads or sets.
+struct HeaderNames {
+  std::string requestId;         ///< names a request; engines repeat it in their answers
+  std::string deadline;          ///< milliseconds that the sender will wait
+  std::string expectedInstance;  ///< the only instance that may run the request
+  std::string notExecuted;       ///< in an answer: the instance did not run the request
+  std::string load;              ///< in an answer: the instance's load
+  std::string weightsVersion;    ///< in an answer: the weights that make it
+  std::string weightsField;      ///< the same as a field of a stream's event
+  std::string lastEvent;         ///< continue a stream behind this event
+};
+
+/// An answer of our own.
+struct Answer {
+  int status = 200;
+  http::HeaderList headers;
+  std::string body;
+};
+
+// Calls at a gateway.
+
+/// To be sent on to an instance.
+struct ForwardCall {};
+struct MalformedCall {
+  std::string why;
+};
+struct JobCall {
+  jobs::JobRequest request;
+};
+using GatewayCall = std::variant<ForwardCall, JobCall, MalformedCall>;
+
+// Calls at a controller.
+
+struct UnknownCall {};
+using ControlCall = std::variant<directory::DirectoryRequest, MalformedCall, UnknownCall>;
+
+class Dialect {
+ public:
+  virtual ~Dialect() = default;
+  [[nodiscard]] virtual const HeaderNames& headers() const = 0;
+
+  /// `route` is the request's route, or null.
+  [[nodiscard]] virtual GatewayCall gatewayCall(const http::RawRequest& request,
+                                                const directory::Route* route) const = 0;
+  /// `reply` is null when the ledgers gave no answer in time.
+  [[nodiscard]] virtual Answer jobAnswer(const jobs::JobRequest& request,
+                                         const jobs::JobReply* reply) const = 0;
+  [[nodiscard]] virtual ControlCall controlCall(const http::RawRequest& request) const = 0;
+  /// `reply` is null when the controllers gave no answer in time.
+  [[nodiscard]] virtual Answer controlAnswer(const directory::DirectoryRequest& request,
+                                             const directory::DirectoryReply* reply) const = 0;
+
+  [[nodiscard]] virtual std::optional<forwarding::ReportedLoad> load(
+      std::string_view header) const = 0;
+  /// The engine's call for an order; `holder` names the process that gives it.
+  [[nodiscard]] virtual http::UpstreamRequest orderRequest(const directory::VersionOrder& order,
+                                                           const std::string& holder) const = 0;
+  [[nodiscard]] virtual directory::OrderOutcome orderOutcome(int status) const = 0;
+  /// The call that runs an item, continuing behind `lastEvent`.
+  [[nodiscard]] virtual http::UpstreamRequest itemRequest(
+      const jobs::LeasedItem& item, std::optional<std::uint64_t> lastEvent) const = 0;
+};
+
+}  // namespace tackpick::edge
--- /dev/null
+++ b/src/forwarding/instance_table.cpp
@@ -0,0 +1,192 @@
+#include "forwarding/instance_table.h"
+
+#include <algorithm>
+#include <array>
+
+namespace tackpick::forwarding {
+namespace {
+
+/// Reports of load older than this say nothing.
+constexpr base::Duration kLoadFreshness = base::milliseconds(800);
+constexpr double kLatencyWeight = 0.2;
+/// An instance in another zone counts as this much busier, in requests.
+constexpr double kOtherZoneCost = 0.4;
+
+}  // namespace
+
+std::uint64_t InstanceEntry::version(const std::string& model) const {
+  const auto found = versions.find(model);
+  return found == versions.end() ? 0 : found->second;
+}
+
+void InstanceTable::update(const std::vector<directory::InstanceView>& view, base::TimePoint now) {
+  std::set<std::string> present;
+  for (const directory::InstanceView& instance : view) {
+    present.insert(instance.record.id);
+    InstanceEntry& entry = entries_[instance.record.id];
+    const bool leaving = entry.record.leaving || instance.record.leaving;
+    entry.record = instance.record;
+    entry.record.leaving = leaving;
+    entry.heardAt = std::max(entry.heardAt, now - instance.silence);
+    for (const auto& [model, version] : instance.versions) {
+      std::uint64_t& known = entry.versions[model];
+      known = std::max(known, version);
+    }
+  }
+  // Answers under way may still arrive for what is gone; it only gets nothing new.
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    if (present.contains(it->first)) {
+      ++it;
+    } else if (it->second.inFlight == 0) {
+      it = entries_.erase(it);
+    } else {
+      it->second.gone = true;
+      ++it;
+    }
+  }
+}
+
+double InstanceTable::cost(const InstanceEntry& entry, base::TimePoint now) const {
+  const double slots = std::max<double>(1.0, entry.record.slots);
+  double busy = entry.inFlight;
+  if (now - entry.loadAt < kLoadFreshness) {
+    busy = std::max<double>(busy, entry.load.running + entry.load.waiting);
+  }
+  if (entry.record.zone != settings_.zone) {
+    busy += kOtherZoneCost;
+  }
+  constexpr double kUnknownLatencyMs = 10.0;
+  const double latency = entry.latencyMs > 0 ? entry.latencyMs : kUnknownLatencyMs;
+  return (busy + 1.0) / slots * latency;
+}
+
+const InstanceEntry* InstanceTable::select(const InstanceNeed& need,
+                                           const std::set<std::string>& tried, base::Random& random,
+                                           base::TimePoint now) const {
+  // Lower is better: sound, then silent or just full or failed, then tried before.
+  enum Rank : std::uint8_t { kSound, kSilent, kAvoided, kTried, kRanks };
+  std::array<std::vector<const InstanceEntry*>, kRanks> ranked;
+  for (const auto& [id, entry] : entries_) {
+    const bool usable = entry.record.service == need.service && !entry.record.leaving &&
+                        !entry.gone &&
+                        (need.model.empty() || entry.version(need.model) >= need.minimumVersion);
+    if (!usable) {
+      continue;
+    }
+    Rank rank = kSound;
+    if (tried.contains(id)) {
+      rank = kTried;
+    } else if (now < entry.avoidUntil) {
+      rank = kAvoided;
+    } else if (now - entry.heardAt > settings_.silenceLimit) {
+      rank = kSilent;
+    }
+    ranked.at(rank).push_back(&entry);
+  }
+  for (const auto& candidates : ranked) {
+    if (candidates.empty()) {
+      continue;
+    }
+    const InstanceEntry* first = candidates[random.below(candidates.size())];
+    const InstanceEntry* second = candidates[random.below(candidates.size())];
+    return cost(*second, now) < cost(*first, now) ? second : first;
+  }
+  return nullptr;
+}
+
+void InstanceTable::onSent(const std::string& id) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    ++found->second.inFlight;
+  }
+}
+
+void InstanceTable::onEnded(const std::string& id, SendOutcome outcome, base::Duration took,
+                            base::TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  InstanceEntry& entry = found->second;
+  entry.inFlight -= entry.inFlight > 0 ? 1 : 0;
+  switch (outcome) {
+    case SendOutcome::kServed: {
+      const double sample = base::toMilliseconds(took);
+      entry.latencyMs = entry.latencyMs > 0
+                            ? entry.latencyMs + kLatencyWeight * (sample - entry.latencyMs)
+                            : sample;
+      entry.failures = 0;
+      break;
+    }
+    case SendOutcome::kFailed:
+    case SendOutcome::kUnreached: {
+      const unsigned doublings = std::min(entry.failures, 4U);
+      ++entry.failures;
+      entry.avoidUntil =
+          now + std::min(settings_.ejectionTime * (1U << doublings), settings_.longestEjection);
+      break;
+    }
+    case SendOutcome::kFull:
+      entry.avoidUntil = std::max(entry.avoidUntil, now + settings_.fullTime);
+      break;
+    case SendOutcome::kGone:
+      entry.gone = true;
+      break;
+    case SendOutcome::kAbandoned:
+      break;
+  }
+}
+
+void InstanceTable::onLoad(const std::string& id, const ReportedLoad& load, base::TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.load = load;
+    found->second.loadAt = now;
+  }
+}
+
+void InstanceTable::onVersion(const std::string& id, const std::string& model,
+                              std::uint64_t version) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    std::uint64_t& known = found->second.versions[model];
+    known = std::max(known, version);
+  }
+}
+
+const InstanceEntry* InstanceTable::find(const std::string& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::size_t InstanceTable::count(const std::string& service) const {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
+        return entry.second.record.service == service && !entry.second.record.leaving &&
+               !entry.second.gone;
+      }));
+}
+
+std::uint32_t InstanceTable::slots(const std::string& service) const {
+  std::uint32_t total = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service == service && !entry.record.leaving && !entry.gone) {
+      total += entry.record.slots;
+    }
+  }
+  return total;
+}
+
+double InstanceTable::occupancy(const std::string& service) const {
+  double taken = 0;
+  double places = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service == service && !entry.record.leaving && !entry.gone) {
+      taken += std::max<double>(entry.inFlight, entry.load.running + entry.load.waiting);
+      places += entry.record.slots;
+    }
+  }
+  return places > 0 ? taken / places : 1.0;
+}
+
+}  // namespace tackpick::forwarding
--- /dev/null
+++ b/src/forwarding/instance_table.h
@@ -0,0 +1,107 @@
+/// \file
+/// What a gateway knows of the instances it may send to: the directory's view joined with what it
+/// sees on its own connections.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "directory/directory_messages.h"
+
+namespace tackpick::forwarding {
+
+/// Knobs of InstanceTable.
+struct InstanceTableSettings {
+  std::string zone;  ///< this gateway's
+  /// An instance that failed is avoided for this long, doubled with each further failure.
+  base::Duration ejectionTime = base::milliseconds(400);
+  base::Duration longestEjection = base::seconds(4);
+  /// After a refusal for want of room it is avoided for this long.
+  base::Duration fullTime = base::milliseconds(60);
+  /// An instance silent for longer is used only when no other is left: it may be dead, or merely
+  /// cut off from the controllers.
+  base::Duration silenceLimit = base::seconds(4);
+};
+
+/// How one send to an instance ended.
+enum class SendOutcome : std::uint8_t {
+  kServed,     ///< it answered
+  kFailed,     ///< it answered with a failure of its own, or broke off
+  kUnreached,  ///< no connection
+  kFull,       ///< it had no room and did not run the request
+  kGone,       ///< another instance answers at its address
+  kAbandoned,  ///< we broke off
+};
+
+/// What an instance says of its load in an answer.
+struct ReportedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// What a request needs of an instance.
+struct InstanceNeed {
+  std::string service;
+  std::string model;                 ///< empty: any
+  std::uint64_t minimumVersion = 0;  ///< of that model's weights
+};
+
+/// One instance as the gateway sees it.
+struct InstanceEntry {
+  directory::InstanceRecord record;
+  std::map<std::string, std::uint64_t> versions;
+  base::TimePoint heardAt{};  ///< when the controllers last heard it, on this gateway's clock
+  std::uint32_t inFlight = 0;
+  ReportedLoad load;
+  base::TimePoint loadAt{};
+  double latencyMs = 0;  ///< moving average of served requests; zero: none yet
+  std::uint32_t failures = 0;
+  base::TimePoint avoidUntil{};
+  bool gone = false;
+
+  [[nodiscard]] std::uint64_t version(const std::string& model) const;
+};
+
+/// Deterministic; owned by one thread.
+class InstanceTable {
+ public:
+  explicit InstanceTable(InstanceTableSettings settings) : settings_(std::move(settings)) {}
+
+  void update(const std::vector<directory::InstanceView>& view, base::TimePoint now);
+  /// The instance to send to, or nothing when none may be used. Instances in `tried` come last and
+  /// only when `repeat` holds. Of two drawn at random the less loaded one is taken.
+  [[nodiscard]] const InstanceEntry* select(const InstanceNeed& need,
+                                            const std::set<std::string>& tried,
+                                            base::Random& random, base::TimePoint now) const;
+  void onSent(const std::string& id);
+  void onEnded(const std::string& id, SendOutcome outcome, base::Duration took,
+               base::TimePoint now);
+  void onLoad(const std::string& id, const ReportedLoad& load, base::TimePoint now);
+  /// An answer named the version that makes it.
+  void onVersion(const std::string& id, const std::string& model, std::uint64_t version);
+
+  [[nodiscard]] const InstanceEntry* find(const std::string& id) const;
+  /// Instances of a service that do not leave.
+  [[nodiscard]] std::size_t count(const std::string& service) const;
+  /// Places of all instances of a service that do not leave.
+  [[nodiscard]] std::uint32_t slots(const std::string& service) const;
+  /// Share of the places of a service that are taken, as last reported; requests of this gateway
+  /// count at least.
+  [[nodiscard]] double occupancy(const std::string& service) const;
+  [[nodiscard]] const std::map<std::string, InstanceEntry>& entries() const { return entries_; }
+
+ private:
+  [[nodiscard]] double cost(const InstanceEntry& entry, base::TimePoint now) const;
+
+  const InstanceTableSettings settings_;
+  std::map<std::string, InstanceEntry> entries_;
+};
+
+}  // namespace tackpick::forwarding
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,8 +19,9 @@
   return view;
 }
 
-GroupClientSettings clientSettings(base::GroupId group, std::vector<base::NodeId> replicas) {
-  GroupClientSettings client;
+consensus::GroupClientSettings clientSettings(base::GroupId group,
+                                              std::vector<base::NodeId> replicas) {
+  consensus::GroupClientSettings client;
   client.group = group;
   client.replicas = std::move(replicas);
   return client;
@@ -43,8 +44,8 @@
       rate_at_(now) {
   for (const LedgerGroup& group : settings_.ledgers) {
     LedgerLink link;
-    link.client = std::make_unique<GroupClient>(clientSettings(group.group, group.replicas),
-                                                firstCall(settings_, group.group.value));
+    link.client = std::make_unique<consensus::GroupClient>(
+        clientSettings(group.group, group.replicas), firstCall(settings_, group.group.value));
     ledgers_.push_back(std::move(link));
   }
 }
@@ -133,18 +134,20 @@
 }
 
 void Gateway::callLedger(const base::BatchId& batch, transport::CommandKind kind,
-                         base::Bytes payload, base::TimePoint now, GroupClient::Callback callback) {
+                         base::Bytes payload, base::TimePoint now,
+                         consensus::GroupClient::Callback callback) {
   callGroup(*ledgerFor(base::hashBytes(batch.value)).client, kind, std::move(payload), now,
             std::move(callback));
 }
 
 void Gateway::callControl(transport::CommandKind kind, base::Bytes payload, base::TimePoint now,
-                          GroupClient::Callback callback) {
+                          consensus::GroupClient::Callback callback) {
   callGroup(control_, kind, std::move(payload), now, std::move(callback));
 }
 
-void Gateway::callGroup(GroupClient& client, transport::CommandKind kind, base::Bytes payload,
-                        base::TimePoint now, GroupClient::Callback callback) {
+void Gateway::callGroup(consensus::GroupClient& client, transport::CommandKind kind,
+                        base::Bytes payload, base::TimePoint now,
+                        consensus::GroupClient::Callback callback) {
   client.call(kind, std::move(payload), now, actions_.messages, std::move(callback));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,9 +10,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "consensus/group_client.h"
 #include "gateway/actions.h"
 #include "gateway/control_view.h"
-#include "gateway/group_client.h"
 #include "gateway/job.h"
 #include "ledger/length_estimates.h"
 #include "routing/dispatch_queue.h"
@@ -124,10 +124,10 @@
   // Trainers and operators: calls to the groups.
   /// Calls the ledger group that owns `batch`.
   void callLedger(const base::BatchId& batch, transport::CommandKind kind, base::Bytes payload,
-                  base::TimePoint now, GroupClient::Callback callback);
+                  base::TimePoint now, consensus::GroupClient::Callback callback);
   /// Calls the controllers.
   void callControl(transport::CommandKind kind, base::Bytes payload, base::TimePoint now,
-                   GroupClient::Callback callback);
+                   consensus::GroupClient::Callback callback);
 
   /// Planned stop: refuses new work, returns samples not begun, finishes the rest.
   void beginDrain(base::TimePoint now);
@@ -150,7 +150,7 @@
     std::uint32_t inFlight = 0;
   };
   struct LedgerLink {
-    std::unique_ptr<GroupClient> client;
+    std::unique_ptr<consensus::GroupClient> client;
     std::uint64_t leaseRequest = 0;
     bool leaseOutstanding = false;
     base::TimePoint leasedAt{};
@@ -205,8 +205,8 @@
 
   LedgerLink& ledgerFor(std::uint64_t hash);
   LedgerLink& ledgerOf(base::GroupId group);
-  void callGroup(GroupClient& client, transport::CommandKind kind, base::Bytes payload,
-                 base::TimePoint now, GroupClient::Callback callback);
+  void callGroup(consensus::GroupClient& client, transport::CommandKind kind, base::Bytes payload,
+                 base::TimePoint now, consensus::GroupClient::Callback callback);
   void refuse(const RefuseCaller& refusal);
   [[nodiscard]] std::uint64_t uniqueNumber();
 
@@ -219,7 +219,7 @@
   routing::DispatchQueue queue_;
   routing::RetryBudget retry_budget_;
   ledger::LengthEstimates length_estimates_;  ///< of callers' answers
-  GroupClient control_;
+  consensus::GroupClient control_;
   std::vector<LedgerLink> ledgers_;
 
   std::map<JobId, Job> jobs_;
--- a/src/gateway/gateway_attempts.cpp
+++ b/src/gateway/gateway_attempts.cpp
@@ -205,7 +205,7 @@
   record.claimant = job.claimant;
   record.outcome = outcome;
   record.answer = std::move(answer);
-  GroupClient& client = *ledgerOf(job.ledgerGroup).client;
+  consensus::GroupClient& client = *ledgerOf(job.ledgerGroup).client;
   callGroup(client, transport::CommandKind::kCommand,
             base::encode(ledger::LedgerOperation{std::move(record)}), now,
             [this, id = job.id, last = std::move(last)](const base::Bytes* /*result*/,
--- a/src/gateway/gateway_samples.cpp
+++ b/src/gateway/gateway_samples.cpp
@@ -120,7 +120,7 @@
   if (found == jobs_.end()) {
     return;
   }
-  GroupClient& client = *ledgerOf(found->second.ledgerGroup).client;
+  consensus::GroupClient& client = *ledgerOf(found->second.ledgerGroup).client;
   callGroup(client, transport::CommandKind::kCommand, command, now,
             [this, id, command](const base::Bytes* answer, base::TimePoint at) {
               const auto decoded =
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,205 +2,127 @@
 
 #include <algorithm>
 #include <cctype>
-#include <restinio/all.hpp>
-#include <unordered_map>
+#include <optional>
 #include <utility>
 
+#include "http/exchange_server.h"
+
 namespace tackpick::http {
 namespace {
 
-using Closed = std::function<void()>;
+constexpr int kOk = 200;
 
-/// Connections with an unanswered request, by RESTinio's connection number.
-class OpenRequests {
+class ExchangeResponder final : public Responder {
  public:
-  void add(restinio::connection_id_t connection, Closed callback) {
-    callbacks_[connection] = std::move(callback);
+  explicit ExchangeResponder(std::shared_ptr<Exchange> exchange) : exchange_(std::move(exchange)) {}
+
+  void respond(int status, const Headers& headers, std::string body) override {
+    exchange_->respond(status, toList(headers), body);
   }
-  void remove(restinio::connection_id_t connection) { callbacks_.erase(connection); }
-  void closed(restinio::connection_id_t connection) {
-    const auto found = callbacks_.find(connection);
-    if (found != callbacks_.end()) {
-      const Closed callback = std::move(found->second);
-      callbacks_.erase(found);
-      callback();
+  void beginStream(const Headers& headers) override {
+    HeaderList list;
+    list.add("Content-Type", "text/event-stream");
+    list.add("Cache-Control", "no-store");
+    for (const auto& [name, value] : headers) {
+      list.add(name, value);
     }
+    exchange_->begin(kOk, list);
+  }
+  void sendEvent(std::string_view data) override {
+    std::string event = "data: ";
+    event.append(data).append("\n\n");
+    exchange_->write(event);
   }
+  void endStream() override { exchange_->finish(); }
+  void abort() override { exchange_->abort(); }
+  void onClosed(std::function<void()> callback) override {
+    exchange_->onClosed(std::move(callback));
+  }
+  [[nodiscard]] std::size_t unsentBytes() const override { return exchange_->unsentBytes(); }
 
  private:
-  std::unordered_map<restinio::connection_id_t, Closed> callbacks_;
-};
-
-/// Learns from RESTinio when a connection closes.
-class ConnectionListener {
- public:
-  explicit ConnectionListener(std::shared_ptr<OpenRequests> open) : open_(std::move(open)) {}
-
-  // The name is RESTinio's.
-  // NOLINTNEXTLINE(readability-identifier-naming)
-  void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
-      open_->closed(notice.connection_id());
+  static HeaderList toList(const Headers& headers) {
+    HeaderList list;
+    for (const auto& [name, value] : headers) {
+      list.add(name, value);
     }
+    return list;
   }
 
- private:
-  std::shared_ptr<OpenRequests> open_;
+  std::shared_ptr<Exchange> exchange_;
 };
 
-struct ServerTraits : public restinio::default_single_thread_traits_t {
-  // NOLINTNEXTLINE(readability-identifier-naming)
-  using connection_state_listener_t = ConnectionListener;
-};
-
-using HttpServer = restinio::http_server_t<ServerTraits>;
-
-restinio::http_status_line_t statusLine(int status) {
-  static const std::map<int, std::string> kReasons = {
-      {200, "OK"},
-      {202, "Accepted"},
-      {400, "Bad Request"},
-      {401, "Unauthorized"},
-      {403, "Forbidden"},
-      {404, "Not Found"},
-      {409, "Conflict"},
-      {410, "Gone"},
-      {413, "Payload Too Large"},
-      {421, "Misdirected Request"},
-      {422, "Unprocessable Entity"},
-      {429, "Too Many Requests"},
-      {500, "Internal Server Error"},
-      {502, "Bad Gateway"},
-      {503, "Service Unavailable"},
-      {504, "Gateway Timeout"},
-  };
-  const auto found = kReasons.find(status);
-  const std::string reason = found == kReasons.end() ? "Status" : found->second;
-  return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reason};
+std::string toLower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return text;
 }
 
-class RestinioResponder final : public Responder,
-                                public std::enable_shared_from_this<RestinioResponder> {
- public:
-  RestinioResponder(restinio::request_handle_t request, std::shared_ptr<OpenRequests> open)
-      : request_(std::move(request)),
-        connection_(request_->connection_id()),
-        open_(std::move(open)) {}
-  RestinioResponder(const RestinioResponder&) = delete;
-  RestinioResponder& operator=(const RestinioResponder&) = delete;
-
-  ~RestinioResponder() override {
-    if (!done_) {
-      open_->remove(connection_);
-    }
+int hexDigit(char digit) {
+  constexpr int kLetterOffset = 10;
+  if (digit >= '0' && digit <= '9') {
+    return digit - '0';
   }
-
-  void respond(int status, const Headers& headers, std::string body) override {
-    if (std::exchange(done_, true)) {
-      return;
-    }
-    open_->remove(connection_);
-    auto response = request_->create_response(statusLine(status));
-    for (const auto& [name, value] : headers) {
-      response.append_header(name, value);
-    }
-    response.set_body(std::move(body));
-    response.done();
+  if (digit >= 'a' && digit <= 'f') {
+    return digit - 'a' + kLetterOffset;
   }
-
-  void beginStream(const Headers& headers) override {
-    stream_ = std::make_unique<Stream>(
-        request_->create_response<restinio::chunked_output_t>(statusLine(200)));
-    stream_->append_header(restinio::http_field::content_type, "text/event-stream");
-    stream_->append_header(restinio::http_field::cache_control, "no-store");
-    for (const auto& [name, value] : headers) {
-      stream_->append_header(name, value);
-    }
-    stream_->flush();
+  if (digit >= 'A' && digit <= 'F') {
+    return digit - 'A' + kLetterOffset;
   }
+  return -1;
+}
 
-  void sendEvent(std::string_view data) override {
-    if (!stream_ || done_) {
-      return;
+/// Decodes %XX and '+' of a query; nothing when an escape is malformed.
+std::optional<std::string> decodeQueryText(std::string_view text) {
+  constexpr int kHexBase = 16;
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '+') {
+      decoded += ' ';
+    } else if (text[i] != '%') {
+      decoded += text[i];
+    } else if (i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0) {
+      decoded += static_cast<char>(hexDigit(text[i + 1]) * kHexBase + hexDigit(text[i + 2]));
+      i += 2;
+    } else {
+      return std::nullopt;
     }
-    std::string event;
-    constexpr std::size_t kFraming = 8;
-    event.reserve(data.size() + kFraming);
-    event.append("data: ").append(data).append("\n\n");
-    const std::size_t size = event.size();
-    unsent_ += size;
-    stream_->append_chunk(std::move(event));
-    stream_->flush([self = shared_from_this(), size](const asio::error_code& /*error*/) {
-      self->unsent_ -= std::min(size, self->unsent_);
-    });
   }
+  return decoded;
+}
 
-  void endStream() override {
-    if (std::exchange(done_, true) || !stream_) {
-      return;
-    }
-    open_->remove(connection_);
-    stream_->done();
-    stream_.reset();
-  }
+}  // namespace
 
-  void abort() override {
-    if (std::exchange(done_, true)) {
-      return;
-    }
-    open_->remove(connection_);
-    if (stream_) {
-      // Closing without the last chunk tells the client that the answer is incomplete.
-      stream_->connection_close();
-      stream_.reset();
+std::map<std::string, std::string> parseQuery(std::string_view target) {
+  std::map<std::string, std::string> query;
+  const std::size_t mark = target.find('?');
+  std::string_view rest = mark == std::string_view::npos ? "" : target.substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    const auto name = decodeQueryText(pair.substr(0, equals));
+    const auto value =
+        equals == std::string_view::npos ? std::string() : decodeQueryText(pair.substr(equals + 1));
+    if (!name || !value) {
+      return {};  // a malformed query is as good as none
     }
-    request_.reset();
-  }
-
-  void onClosed(std::function<void()> callback) override {
-    open_->add(connection_, [weak = weak_from_this(), callback = std::move(callback)] {
-      if (const auto self = weak.lock()) {
-        self->done_ = true;
-      }
-      callback();
-    });
+    query[*name] = *value;
   }
-
-  [[nodiscard]] std::size_t unsentBytes() const override { return unsent_; }
-
- private:
-  using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
-
-  restinio::request_handle_t request_;
-  restinio::connection_id_t connection_;
-  std::shared_ptr<OpenRequests> open_;
-  std::unique_ptr<Stream> stream_;
-  std::size_t unsent_ = 0;
-  bool done_ = false;
-};
-
-std::string toLower(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return text;
+  return query;
 }
 
-Request convert(const restinio::request_t& source) {
+namespace {
+
+Request convert(RawRequest source) {
   Request request;
-  request.method = source.header().method().c_str();
-  request.path = std::string(source.header().path());
-  try {
-    const auto query = restinio::parse_query(source.header().query());
-    for (const auto& [name, value] : query) {
-      request.query[std::string(name)] = std::string(value);
-    }
-  } catch (const std::exception&) {
-    request.query.clear();  // a malformed query is as good as none
+  request.method = std::move(source.method);
+  request.path = source.path();
+  request.query = parseQuery(source.target);
+  for (const HeaderField& field : source.headers.fields()) {
+    request.headers[toLower(field.name)] = field.value;
   }
-  source.header().for_each_field([&](const restinio::http_header_field_t& field) {
-    request.headers[toLower(field.name())] = field.value();
-  });
-  request.body = source.body();
+  request.body = std::move(source.body);
   return request;
 }
 
@@ -218,62 +140,37 @@
 
 class Server::Implementation {
  public:
-  Implementation(asio::io_context& context, const ServerSettings& settings, Handler handler)
-      : open_(std::make_shared<OpenRequests>()),
-        server_(restinio::external_io_context(context),
-                [&](auto& options) { configure(options, settings, std::move(handler)); }) {
-    server_.open_sync();
-  }
+  Implementation(asio::io_context& context, const ServerSettings& settings, const Handler& handler)
+      : server_(context, settings.host, settings.port, limits(settings),
+                [handler](RawRequest request, const std::shared_ptr<Exchange>& exchange) {
+                  handler(convert(std::move(request)),
+                          std::make_shared<ExchangeResponder>(exchange));
+                }) {}
 
-  HttpServer& server() { return server_; }
-  [[nodiscard]] std::uint16_t port() const { return port_; }
+  ExchangeServer& server() { return server_; }
 
  private:
-  template <typename Options>
-  void configure(Options& options, const ServerSettings& settings, Handler handler) {
-    const auto limits = restinio::incoming_http_msg_limits_t{}
-                            .max_url_size(settings.maximumHeaderBytes)
-                            .max_field_name_size(settings.maximumHeaderBytes)
-                            .max_field_value_size(settings.maximumHeaderBytes)
-                            .max_field_count(settings.maximumHeaderCount)
-                            .max_body_size(settings.maximumBodyBytes);
-    constexpr auto kLongestHandling = std::chrono::hours(24);
-    options.address(settings.host)
-        .port(settings.port)
-        .incoming_http_msg_limits(limits)
-        .read_next_http_message_timelimit(std::chrono::seconds(settings.readTimeoutSeconds))
-        .write_http_response_timelimit(std::chrono::seconds(settings.writeTimeoutSeconds))
-        .handle_request_timeout(kLongestHandling)
-        .max_pipelined_requests(1)
-        .connection_state_listener(std::make_shared<ConnectionListener>(open_))
-        .acceptor_post_bind_hook(
-            [this](asio::ip::tcp::acceptor& acceptor) { port_ = acceptor.local_endpoint().port(); })
-        .acceptor_options_setter([](restinio::acceptor_options_t& acceptor) {
-          acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-        })
-        .socket_options_setter([](restinio::socket_options_t& socket) {
-          socket.set_option(asio::ip::tcp::no_delay(true));
-        })
-        .request_handler(
-            [open = open_, handler = std::move(handler)](restinio::request_handle_t request) {
-              const Request converted = convert(*request);
-              handler(converted, std::make_shared<RestinioResponder>(std::move(request), open));
-              return restinio::request_accepted();
-            });
+  static ExchangeLimits limits(const ServerSettings& settings) {
+    ExchangeLimits limits;
+    limits.headerBytes = settings.maximumHeaderBytes;
+    limits.bodyBytes = settings.maximumBodyBytes;
+    limits.headerTimeout = base::seconds(settings.readTimeoutSeconds);
+    limits.bodyTimeout = base::seconds(settings.readTimeoutSeconds);
+    limits.idleTimeout = base::seconds(settings.readTimeoutSeconds);
+    limits.writeTimeout = base::seconds(settings.writeTimeoutSeconds);
+    return limits;
   }
 
-  std::shared_ptr<OpenRequests> open_;
-  std::uint16_t port_ = 0;
-  HttpServer server_;
+  ExchangeServer server_;
 };
 
 Server::Server(asio::io_context& context, const ServerSettings& settings, Handler handler)
-    : implementation_(std::make_unique<Implementation>(context, settings, std::move(handler))) {}
+    : implementation_(std::make_unique<Implementation>(context, settings, handler)) {}
 
 Server::~Server() = default;
 
-std::uint16_t Server::port() const { return implementation_->port(); }
+std::uint16_t Server::port() const { return implementation_->server().port(); }
 
-void Server::stop() { implementation_->server().close_sync(); }
+void Server::stop() { implementation_->server().stop(); }
 
 }  // namespace tackpick::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,5 @@
 /// \file
-/// HTTP server behind a small interface; RESTinio stays inside server.cpp.
+/// HTTP server of the product's own interface: names in lower case, queries decoded.
 #pragma once
 
 #include <asio.hpp>
@@ -53,11 +53,13 @@
   std::uint16_t port = 0;          ///< 0: chosen by the operating system
   std::size_t maximumBodyBytes = 8U << 20U;
   std::size_t maximumHeaderBytes = 8U << 10U;
-  std::size_t maximumHeaderCount = 64;
-  int readTimeoutSeconds = 20;   ///< for a whole request to arrive
+  int readTimeoutSeconds = 20;   ///< for the headers, then for the body, of a request
   int writeTimeoutSeconds = 20;  ///< for a client to take what was written
 };
 
+/// The decoded query of a request's target; empty when it is malformed.
+[[nodiscard]] std::map<std::string, std::string> parseQuery(std::string_view target);
+
 /// Serves on the thread that runs `context`.
 class Server {
  public:
--- /dev/null
+++ b/src/http/upstream_client.cpp
@@ -0,0 +1,515 @@
+#include "http/upstream_client.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace tackpick::http {
+namespace {
+
+constexpr std::size_t kReadBytes = 32U << 10U;
+constexpr std::size_t kMaximumHeaderBytes = 64U << 10U;
+constexpr int kFirstFinalStatus = 200;
+
+std::string serialize(const UpstreamRequest& request) {
+  std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
+  for (const HeaderField& field : request.headers.fields()) {
+    out += field.name;
+    out += ": ";
+    out += field.value;
+    out += "\r\n";
+  }
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  out += "\r\n";
+  out += request.body;
+  return out;
+}
+
+/// The `timeout` of a Keep-Alive header, in seconds.
+std::optional<int> keepAliveSeconds(const HeaderList& headers) {
+  const std::string value = headers.value("Keep-Alive");
+  constexpr std::string_view kKey = "timeout=";
+  const std::size_t at = value.find(kKey);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* begin = value.data() + at + kKey.size();
+  const auto parsed = std::from_chars(begin, value.data() + value.size(), seconds);
+  return parsed.ec == std::errc() ? std::optional(seconds) : std::nullopt;
+}
+
+}  // namespace
+
+class UpstreamConnection;
+
+/// The connections of one client.
+class UpstreamPool {
+ public:
+  UpstreamPool(asio::io_context& io, UpstreamSettings clientSettings)
+      : context(io), settings(clientSettings) {}
+
+  std::shared_ptr<UpstreamConnection> takeIdle(const Address& address);
+  void keepIdle(const std::shared_ptr<UpstreamConnection>& connection);
+  void forgetIdle(const std::shared_ptr<UpstreamConnection>& connection);
+
+  asio::io_context& context;
+  const UpstreamSettings settings;
+  std::map<ExchangeId, std::shared_ptr<UpstreamConnection>> active;
+  std::map<Address, std::vector<std::shared_ptr<UpstreamConnection>>> idle;
+  UpstreamCounters counters;
+  ExchangeId next{1};
+  bool stopped = false;
+};
+
+/// One connection to a server; serves one exchange at a time.
+class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
+ public:
+  UpstreamConnection(std::shared_ptr<UpstreamPool> client, Address address)
+      : client_(std::move(client)),
+        address_(std::move(address)),
+        socket_(client_->context),
+        timer_(client_->context) {}
+
+  void start(ExchangeId id, UpstreamRequest request, UpstreamEvents events) {
+    id_ = id;
+    request_ = std::move(request);
+    events_ = std::move(events);
+    output_ = serialize(request_);
+    busy_ = true;
+    sent_any_ = false;
+    written_ = false;
+    head_seen_ = false;
+    keep_ = true;
+    answered_ = false;
+    resetParser();
+    timer_.cancel();
+    if (connected_) {
+      write();
+    } else {
+      connect();
+    }
+  }
+
+  void close() {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    asio::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+
+  void waitIdle() {
+    busy_ = false;
+    events_ = {};
+    timer_.expires_after(idle_timeout_);
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+      if (!error && !self->busy_) {
+        self->client_->forgetIdle(self);
+        self->close();
+      }
+    });
+  }
+
+  [[nodiscard]] const Address& address() const { return address_; }
+  [[nodiscard]] bool usable() const { return !closed_; }
+
+ private:
+  static UpstreamConnection& of(http_parser* parser) {
+    return *static_cast<UpstreamConnection*>(parser->data);
+  }
+  static const http_parser_settings& parserSettings();
+
+  void connect();
+  void write();
+  void read();
+  void onBytes(std::size_t count);
+  void onReadError(const asio::error_code& error);
+  int onHeadersComplete();
+  void onMessageComplete();
+  void resetParser();
+  void fail(const std::string& error);
+  void succeed();
+  void end(UpstreamEnd result);
+
+  std::shared_ptr<UpstreamPool> client_;
+  const Address address_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  base::Duration idle_timeout_{};
+
+  ExchangeId id_;
+  UpstreamRequest request_;
+  UpstreamEvents events_;
+  std::string output_;
+  std::array<char, kReadBytes> buffer_{};
+  http_parser parser_{};
+  HeaderList headers_;
+  std::string field_name_;
+  std::string field_value_;
+  bool in_value_ = false;
+  std::size_t header_bytes_ = 0;
+  bool connected_ = false;
+  bool reading_ = false;
+  bool busy_ = false;
+  bool sent_any_ = false;
+  bool written_ = false;
+  bool head_seen_ = false;
+  bool foreign_ = false;  ///< the answer being read belongs to another request
+  bool keep_ = true;
+  bool answered_ = false;  ///< the whole answer has been read
+  bool closed_ = false;
+};
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Address& address) {
+  const auto found = idle.find(address);
+  while (found != idle.end() && !found->second.empty()) {
+    const auto connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (connection->usable()) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void UpstreamPool::keepIdle(const std::shared_ptr<UpstreamConnection>& connection) {
+  auto& kept = idle[connection->address()];
+  if (stopped || kept.size() >= settings.idlePerAddress) {
+    connection->close();
+    return;
+  }
+  kept.push_back(connection);
+  connection->waitIdle();
+}
+
+void UpstreamPool::forgetIdle(const std::shared_ptr<UpstreamConnection>& connection) {
+  const auto found = idle.find(connection->address());
+  if (found != idle.end()) {
+    std::erase(found->second, connection);
+    if (found->second.empty()) {
+      idle.erase(found);
+    }
+  }
+}
+
+const http_parser_settings& UpstreamConnection::parserSettings() {
+  static const http_parser_settings kSettings = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+      UpstreamConnection& self = of(parser);
+      if (self.in_value_) {
+        self.headers_.add(std::exchange(self.field_name_, {}),
+                          std::exchange(self.field_value_, {}));
+        self.in_value_ = false;
+      }
+      self.field_name_.append(at, length);
+      self.header_bytes_ += length;
+      return self.header_bytes_ > kMaximumHeaderBytes ? -1 : 0;
+    };
+    settings.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+      UpstreamConnection& self = of(parser);
+      self.in_value_ = true;
+      self.field_value_.append(at, length);
+      self.header_bytes_ += length;
+      return self.header_bytes_ > kMaximumHeaderBytes ? -1 : 0;
+    };
+    settings.on_headers_complete = [](http_parser* parser) {
+      return of(parser).onHeadersComplete();
+    };
+    settings.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+      UpstreamConnection& self = of(parser);
+      if (!self.foreign_ && self.busy_ && self.events_.onData) {
+        self.events_.onData({at, length});
+      }
+      return 0;
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+      of(parser).onMessageComplete();
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    return settings;
+  }();
+  return kSettings;
+}
+
+void UpstreamConnection::resetParser() {
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  headers_ = {};
+  field_name_.clear();
+  field_value_.clear();
+  in_value_ = false;
+  header_bytes_ = 0;
+  foreign_ = false;
+}
+
+void UpstreamConnection::connect() {
+  ++client_->counters.connectionsOpened;
+  asio::error_code error;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address_.host, error),
+                                         address_.port);
+  timer_.expires_after(client_->settings.connectTimeout);
+  timer_.async_wait([self = shared_from_this()](const asio::error_code& failed) {
+    if (!failed && !self->connected_) {
+      self->fail("connect timed out");
+    }
+  });
+  socket_.async_connect(endpoint, [self = shared_from_this()](const asio::error_code& failed) {
+    if (self->closed_) {
+      return;
+    }
+    self->timer_.cancel();
+    if (failed) {
+      self->fail("connect: " + failed.message());
+      return;
+    }
+    self->connected_ = true;
+    asio::error_code ignored;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->write();
+  });
+}
+
+void UpstreamConnection::write() {
+  sent_any_ = true;
+  asio::async_write(
+      socket_, asio::buffer(output_),
+      [self = shared_from_this(), id = id_](const asio::error_code& error, std::size_t) {
+        if (self->closed_ || self->id_ != id) {
+          return;
+        }
+        // A failed write is not the end: the answer may be there already.
+        self->written_ = !error;
+        if (self->answered_) {
+          self->succeed();
+        }
+      });
+  read();
+}
+
+void UpstreamConnection::read() {
+  if (reading_ || closed_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
+        self->reading_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->onReadError(error);
+        } else {
+          self->onBytes(count);
+        }
+      });
+}
+
+void UpstreamConnection::onReadError(const asio::error_code& error) {
+  if (!busy_) {
+    client_->forgetIdle(shared_from_this());
+    close();
+    return;
+  }
+  if (error == asio::error::eof && head_seen_ && !foreign_) {
+    // An answer without a length ends with its connection, unless that is reset.
+    keep_ = false;
+    http_parser_execute(&parser_, &parserSettings(), nullptr, 0);
+    if (answered_) {
+      written_ = true;
+      succeed();
+      return;
+    }
+  }
+  fail(error.message());
+}
+
+void UpstreamConnection::onBytes(std::size_t count) {
+  if (!busy_ || answered_) {
+    // Bytes after a complete answer belong to no request.
+    ++client_->counters.foreignAnswers;
+    keep_ = false;
+    if (!busy_) {
+      client_->forgetIdle(shared_from_this());
+      close();
+    } else {
+      read();
+    }
+    return;
+  }
+  std::size_t offset = 0;
+  while (offset < count && !answered_ && !closed_) {
+    const std::size_t parsed =
+        http_parser_execute(&parser_, &parserSettings(), buffer_.data() + offset, count - offset);
+    const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+    if (closed_) {
+      return;
+    }
+    if (error == HPE_PAUSED) {
+      offset += parsed;
+      if (!answered_) {
+        resetParser();  // it was an interim answer, or one to another request
+      }
+      continue;
+    }
+    if (error != HPE_OK || parser_.upgrade != 0) {
+      fail(std::string("malformed answer: ") + http_errno_description(error));
+      return;
+    }
+    offset += parsed;
+  }
+  if (closed_) {
+    return;
+  }
+  if (answered_) {
+    if (offset < count) {
+      ++client_->counters.foreignAnswers;
+      keep_ = false;
+    }
+    succeed();
+    return;
+  }
+  read();
+}
+
+int UpstreamConnection::onHeadersComplete() {
+  if (in_value_) {
+    headers_.add(std::exchange(field_name_, {}), std::exchange(field_value_, {}));
+    in_value_ = false;
+  }
+  if (parser_.status_code < kFirstFinalStatus) {
+    return 0;
+  }
+  if (!request_.echoName.empty()) {
+    const std::string echoed = headers_.value(request_.echoName);
+    foreign_ = !echoed.empty() && echoed != request_.echoValue;
+  }
+  if (foreign_) {
+    ++client_->counters.foreignAnswers;
+    return 0;
+  }
+  head_seen_ = true;
+  keep_ = keep_ && http_should_keep_alive(&parser_) != 0;
+  constexpr int kFifths = 5;
+  constexpr int kUsedFifths = 4;
+  const auto told = keepAliveSeconds(headers_);
+  idle_timeout_ = client_->settings.idleTimeout;
+  if (told) {
+    idle_timeout_ =
+        std::min<base::Duration>(idle_timeout_, base::seconds(*told) * kUsedFifths / kFifths);
+  }
+  if (events_.onHead) {
+    events_.onHead(parser_.status_code, headers_);
+  }
+  return request_.method == "HEAD" ? 1 : 0;
+}
+
+void UpstreamConnection::onMessageComplete() {
+  if (!foreign_ && parser_.status_code >= kFirstFinalStatus) {
+    answered_ = true;
+  }
+}
+
+void UpstreamConnection::succeed() {
+  if (!busy_) {
+    return;
+  }
+  // A server that answers before it has read the whole request may read the rest of it later:
+  // nothing else may follow on that connection.
+  const bool reusable = keep_ && written_ && !closed_;
+  UpstreamEnd result;
+  result.complete = true;
+  result.verdict = base::Verdict::kRan;
+  result.answerBegan = true;
+  if (reusable) {
+    UpstreamEvents events = std::exchange(events_, {});
+    client_->active.erase(id_);
+    client_->keepIdle(shared_from_this());
+    read();
+    if (events.onEnd) {
+      events.onEnd(result);
+    }
+    return;
+  }
+  end(std::move(result));
+}
+
+void UpstreamConnection::fail(const std::string& error) {
+  if (!busy_) {
+    return;
+  }
+  UpstreamEnd result;
+  result.verdict = sent_any_ ? base::Verdict::kMayHaveRun : base::Verdict::kNotRun;
+  result.answerBegan = head_seen_;
+  result.error = error;
+  end(std::move(result));
+}
+
+void UpstreamConnection::end(UpstreamEnd result) {
+  busy_ = false;
+  close();
+  client_->active.erase(id_);
+  const UpstreamEvents events = std::exchange(events_, {});
+  if (events.onEnd) {
+    events.onEnd(result);
+  }
+}
+
+UpstreamClient::UpstreamClient(asio::io_context& context, UpstreamSettings settings)
+    : pool_(std::make_shared<UpstreamPool>(context, settings)) {}
+
+UpstreamClient::~UpstreamClient() {
+  pool_->stopped = true;
+  for (const auto& [id, connection] : pool_->active) {
+    connection->close();
+  }
+  for (const auto& [address, connections] : pool_->idle) {
+    for (const auto& connection : connections) {
+      connection->close();
+    }
+  }
+  pool_->active.clear();
+  pool_->idle.clear();
+}
+
+ExchangeId UpstreamClient::start(UpstreamRequest request, UpstreamEvents events) {
+  const ExchangeId id = pool_->next;
+  ++pool_->next.value;
+  auto connection = request.freshConnection ? nullptr : pool_->takeIdle(request.address);
+  if (!connection) {
+    connection = std::make_shared<UpstreamConnection>(pool_, request.address);
+  }
+  pool_->active[id] = connection;
+  connection->start(id, std::move(request), std::move(events));
+  return id;
+}
+
+void UpstreamClient::cancel(ExchangeId exchange) {
+  const auto found = pool_->active.find(exchange);
+  if (found != pool_->active.end()) {
+    const auto connection = found->second;
+    pool_->active.erase(found);
+    connection->close();
+  }
+}
+
+std::size_t UpstreamClient::active() const { return pool_->active.size(); }
+
+const UpstreamCounters& UpstreamClient::counters() const { return pool_->counters; }
+
+}  // namespace tackpick::http
--- /dev/null
+++ b/src/jobs/item_leases.h
@@ -0,0 +1,59 @@
+/// \file
+/// Which gateway runs which item: the memory of the ledgers' leader.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/time.h"
+#include "jobs/job_state.h"
+
+namespace tackpick::jobs {
+
+/// Deterministic. Items are leased oldest job first and, within a job, longest expected first. A
+/// lease that its gateway stops renewing returns to the front of the queue. An item may run twice
+/// (the first result counts), so nothing here needs to be durable.
+class ItemLeases {
+ public:
+  explicit ItemLeases(base::Duration leaseTime) : lease_time_(leaseTime) {}
+
+  /// Forgets everything; call when this ledger becomes leader. Every open item can be leased again
+  /// after `grace`, in which gateways tell what they hold.
+  void reset(base::TimePoint now, base::Duration grace);
+  /// Takes up the items of a job that is new to the leader.
+  void addJob(const std::string& id, const Job& job, base::TimePoint now);
+  /// Ends leases of jobs that are settled or gone, and returns expired ones to the queue.
+  void refresh(const JobState& state, base::TimePoint now);
+  /// Renews what `gateway` holds. Returns the items it holds that need not run any more.
+  [[nodiscard]] std::vector<ItemKey> renew(base::NodeId gateway, const std::vector<ItemKey>& held,
+                                           const JobState& state, base::TimePoint now);
+  /// Leases up to `wanted` items to `gateway`.
+  [[nodiscard]] std::vector<ItemKey> lease(base::NodeId gateway, std::uint32_t wanted,
+                                           const JobState& state, base::TimePoint now);
+  [[nodiscard]] bool hasQueued() const { return !queue_.empty(); }
+  /// When the leader first saw the job; it was submitted no later.
+  [[nodiscard]] base::TimePoint firstSeen(const std::string& job, base::TimePoint now) const;
+  [[nodiscard]] const std::map<std::string, base::TimePoint>& knownJobs() const {
+    return first_seen_;
+  }
+  void forgetJob(const std::string& job) { first_seen_.erase(job); }
+
+ private:
+  struct Lease {
+    base::NodeId gateway;
+    base::TimePoint until{};
+  };
+
+  [[nodiscard]] static bool isOpen(const JobState& state, const ItemKey& key);
+
+  const base::Duration lease_time_;
+  base::TimePoint leasing_from_{};
+  std::deque<ItemKey> queue_;
+  std::map<ItemKey, Lease> leases_;
+  std::map<std::string, base::TimePoint> first_seen_;
+};
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/item_run.cpp
@@ -0,0 +1,112 @@
+#include "jobs/item_run.h"
+
+#include <charconv>
+
+namespace tackpick::jobs {
+namespace {
+
+std::optional<std::uint64_t> parseNumber(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') {
+    text.remove_prefix(1);
+  }
+  std::uint64_t number = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+std::optional<StreamEvent> StreamEventParser::next() {
+  constexpr std::string_view kEnd = "\n\n";
+  const std::size_t end = buffer_.find(kEnd);
+  if (end == std::string::npos) {
+    return std::nullopt;
+  }
+  StreamEvent event;
+  bool first = true;
+  std::string_view rest = std::string_view(buffer_).substr(0, end);
+  while (!rest.empty()) {
+    const std::string_view line = rest.substr(0, rest.find('\n'));
+    rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+      continue;
+    }
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value = line.substr(colon + 1);
+    if (!value.empty() && value.front() == ' ') {
+      value.remove_prefix(1);
+    }
+    if (name == "id") {
+      event.id = parseNumber(value);
+    } else if (name == version_field_) {
+      event.version = parseNumber(value);
+    } else if (name == "data") {
+      event.data += first ? "" : "\n";
+      event.data += value;
+      first = false;
+    }
+  }
+  buffer_.erase(0, end + kEnd.size());
+  return event;
+}
+
+bool ItemRun::accepts(std::uint64_t version) const {
+  if (version < leased_.minimumVersion) {
+    return false;
+  }
+  return !leased_.singleVersion || versions_.empty() || versions_.contains(version);
+}
+
+bool ItemRun::onHead(std::uint64_t version) {
+  if (!accepts(version)) {
+    if (leased_.singleVersion && version >= leased_.minimumVersion) {
+      // A text of one version cannot go on under another: it begins anew.
+      text_.clear();
+      last_event_.reset();
+      versions_.clear();
+    }
+    return false;
+  }
+  run_version_ = version;
+  return true;
+}
+
+bool ItemRun::onEvent(const StreamEvent& event) {
+  if (!event.id || (last_event_ && *event.id != *last_event_ + 1)) {
+    return false;
+  }
+  if (event.version) {
+    run_version_ = *event.version;
+  }
+  if (!accepts(run_version_)) {
+    return false;
+  }
+  text_ += last_event_ ? "\n" : "";
+  text_ += event.data;
+  last_event_ = event.id;
+  versions_.insert(run_version_);
+  return true;
+}
+
+ItemResult ItemRun::completed() const {
+  return {leased_.key.item, ItemState::kCompleted, text_, versions_};
+}
+
+ItemResult ItemRun::terminated() const {
+  return {leased_.key.item, ItemState::kTerminated, {}, {}};
+}
+
+bool ItemRun::onFailure() {
+  ++failures_;
+  return failures_ >= leased_.attempts;
+}
+
+bool ItemRun::outOfTime(base::Duration sinceLease) const {
+  return leased_.age + sinceLease > leased_.queueTimeout;
+}
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/item_run.h
@@ -0,0 +1,72 @@
+/// \file
+/// One leased item at a gateway: collects its text over one or more runs.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "jobs/job_messages.h"
+
+namespace tackpick::jobs {
+
+/// One event of a stream of server-sent events.
+struct StreamEvent {
+  std::optional<std::uint64_t> id;
+  std::string data;
+  std::optional<std::uint64_t> version;  ///< the weights changed with this event
+};
+
+/// Takes server-sent events out of the bytes of an answer. Besides `id` and `data` it knows one
+/// field of its own that carries the version of the weights.
+class StreamEventParser {
+ public:
+  explicit StreamEventParser(std::string versionField) : version_field_(std::move(versionField)) {}
+
+  /// Adds bytes; next() then returns the whole events in them.
+  void feed(std::string_view bytes) { buffer_ += bytes; }
+  [[nodiscard]] std::optional<StreamEvent> next();
+  /// True when bytes of an unfinished event are left.
+  [[nodiscard]] bool hasRest() const { return !buffer_.empty(); }
+
+ private:
+  std::string version_field_;
+  std::string buffer_;
+};
+
+/// Deterministic. Text and position survive a broken run; the next run continues behind the last
+/// whole event.
+class ItemRun {
+ public:
+  explicit ItemRun(LeasedItem leased) : leased_(std::move(leased)) {}
+
+  [[nodiscard]] const LeasedItem& leased() const { return leased_; }
+  /// The event after which the next run is to continue; nothing before the first.
+  [[nodiscard]] std::optional<std::uint64_t> lastEvent() const { return last_event_; }
+
+  /// A run's answer begins, made by `version`. False when that version must not make this text.
+  [[nodiscard]] bool onHead(std::uint64_t version);
+  /// Adds an event. False when it does not follow the last one, or its version must not be used.
+  [[nodiscard]] bool onEvent(const StreamEvent& event);
+  /// The run ended whole: the item's result.
+  [[nodiscard]] ItemResult completed() const;
+  [[nodiscard]] ItemResult terminated() const;
+  /// The engine answered with a failure. True when the item is to be given up.
+  [[nodiscard]] bool onFailure();
+  /// True when the item is too old to be tried again.
+  [[nodiscard]] bool outOfTime(base::Duration sinceLease) const;
+
+ private:
+  [[nodiscard]] bool accepts(std::uint64_t version) const;
+
+  LeasedItem leased_;
+  std::string text_;
+  std::optional<std::uint64_t> last_event_;
+  std::set<std::uint64_t> versions_;
+  std::uint64_t run_version_ = 0;
+  std::uint32_t failures_ = 0;
+};
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/job_messages.h
@@ -0,0 +1,207 @@
+/// \file
+/// Jobs: batches of opaque items that engines run and whose results are kept by the ledgers. What
+/// gateways ask of the ledgers' leader, and what goes through its log.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/serialization.h"
+#include "base/time.h"
+
+namespace tackpick::jobs {
+
+/// One request of a job, to be run as it stands.
+struct Item {
+  std::string id;
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  std::string group;                 ///< items of a group share their prompt
+  std::uint32_t expectedTokens = 0;  ///< the caller's estimate of the output; zero: unknown
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, path, headers, body, group, expectedTokens);
+  }
+};
+
+/// A job as its caller submits it.
+struct JobSubmission {
+  std::string id;
+  std::string host;
+  std::string model;
+  std::uint64_t minimumVersion = 0;  ///< oldest weights that may make its texts
+  std::uint32_t wantedGroups = 0;    ///< whole groups that the caller waits for; zero: all
+  std::uint32_t attempts = 1;        ///< answers of failure after which an item may be given up
+  base::Duration queueTimeout{0};    ///< an item may be given up so long after the submission
+  bool singleVersion = false;
+  std::vector<Item> items;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, host, model, minimumVersion, wantedGroups, attempts, queueTimeout, singleVersion,
+            items);
+  }
+};
+
+enum class ItemState : std::uint8_t { kCompleted, kTerminated };
+
+/// What became of an item.
+struct ItemResult {
+  std::uint32_t item = 0;  ///< its index in the job
+  ItemState state = ItemState::kCompleted;
+  std::string text;
+  std::set<std::uint64_t> versions;  ///< that made the text
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(item, state, text, versions);
+  }
+};
+
+/// Names an item in the cluster.
+struct ItemKey {
+  std::string job;
+  std::uint32_t item = 0;
+
+  auto operator<=>(const ItemKey&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(job, item);
+  }
+};
+
+// Requests.
+
+struct SubmitJob {
+  JobSubmission job;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(job);
+  }
+};
+
+/// Results from position `after` on; held back while there are none.
+struct ReadJob {
+  std::string id;
+  std::uint64_t after = 0;
+  base::Duration hold{0};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, after, hold);
+  }
+};
+
+struct ReadItem {
+  std::string job;
+  std::string item;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(job, item);
+  }
+};
+
+struct EndJob {
+  std::string id;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id);
+  }
+};
+
+/// A gateway renews its leases and asks for more. Leases live in the leader's memory only.
+struct LeaseItems {
+  std::vector<ItemKey> held;
+  std::uint32_t wanted = 0;  ///< further items that it can run
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(held, wanted);
+  }
+};
+
+struct JobResults {
+  std::string job;
+  std::vector<ItemResult> results;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(job, results);
+  }
+};
+
+struct CommitResults {
+  std::vector<JobResults> jobs;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(jobs);
+  }
+};
+
+using JobRequest = std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults>;
+
+// Answers.
+
+enum class JobStatus : std::uint8_t { kDone, kNotFound };
+
+struct ReadResult {
+  std::string itemId;
+  ItemResult result;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(itemId, result);
+  }
+};
+
+/// An item to run, with what its job says about it.
+struct LeasedItem {
+  ItemKey key;
+  Item item;
+  std::string host;
+  std::string model;
+  std::uint64_t minimumVersion = 0;
+  bool singleVersion = false;
+  std::uint32_t attempts = 1;
+  base::Duration age{0};  ///< since its job was submitted
+  base::Duration queueTimeout{0};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(key, item, host, model, minimumVersion, singleVersion, attempts, age, queueTimeout);
+  }
+};
+
+struct JobReply {
+  JobStatus status = JobStatus::kDone;
+  std::uint64_t total = 0;          ///< items of the job
+  std::vector<ReadResult> results;  ///< ReadJob
+  std::string body;                 ///< ReadItem
+  std::vector<LeasedItem> leased;   ///< LeaseItems
+  std::vector<ItemKey> revoked;     ///< LeaseItems: held ones that need not be run any more
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(status, total, results, body, leased, revoked);
+  }
+};
+
+// Through the log.
+
+/// Drops jobs whose retention is over.
+struct ForgetJobs {
+  std::vector<std::string> ids;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(ids);
+  }
+};
+
+using JobCommand = std::variant<SubmitJob, EndJob, CommitResults, ForgetJobs>;
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/job_role.cpp
@@ -0,0 +1,247 @@
+#include "jobs/job_role.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tackpick::jobs {
+
+using transport::CommandStatus;
+
+namespace {
+
+constexpr base::Duration kSlowWorkInterval = base::milliseconds(100);
+
+}  // namespace
+
+JobRole::JobRole(base::NodeId self, base::GroupId group, JobRoleSettings settings,
+                 consensus::LogStore& log, base::Random& random, base::TimePoint now)
+    : self_(self),
+      group_(group),
+      settings_(settings),
+      replica_(self, group, settings.replica, log, state_, random, now),
+      leases_(settings.leaseTime) {}
+
+void JobRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
+                     base::TimePoint now) {
+  replica_.handle(from, message, now);
+}
+
+void JobRole::handle(base::NodeId from, const transport::CommandRequest& message,
+                     base::TimePoint now) {
+  const Caller caller{from, message.call};
+  const auto request = base::decode<JobRequest>(message.payload);
+  if (!request) {
+    return;
+  }
+  if (!replica_.canRead(now)) {
+    refuse(caller, CommandStatus::kNotLeader);
+    return;
+  }
+  std::visit([&](const auto& typed) { onRequest(caller, typed, now); }, *request);
+}
+
+void JobRole::onRequest(const Caller& caller, const SubmitJob& request, base::TimePoint now) {
+  if (state_.find(request.job.id) != nullptr) {
+    replyWith(caller, {});
+    return;
+  }
+  proposeFor(caller, request, now);
+}
+
+void JobRole::onRequest(const Caller& caller, const ReadJob& request, base::TimePoint now) {
+  reads_.push_back({caller, request, now + request.hold});
+}
+
+void JobRole::onRequest(const Caller& caller, const ReadItem& request, base::TimePoint /*now*/) {
+  JobReply reply;
+  reply.status = JobStatus::kNotFound;
+  if (const Job* job = state_.find(request.job)) {
+    for (const Item& item : job->submission.items) {
+      if (item.id == request.item) {
+        reply.status = JobStatus::kDone;
+        reply.body = item.body;
+      }
+    }
+  }
+  replyWith(caller, reply);
+}
+
+void JobRole::onRequest(const Caller& caller, const EndJob& request, base::TimePoint now) {
+  const Job* job = state_.find(request.id);
+  if (job == nullptr || job->ended) {
+    replyWith(caller, {});
+    return;
+  }
+  proposeFor(caller, request, now);
+}
+
+void JobRole::onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now) {
+  JobReply reply;
+  reply.revoked = leases_.renew(caller.node, request.held, state_, now);
+  for (const ItemKey& key : leases_.lease(caller.node, request.wanted, state_, now)) {
+    reply.leased.push_back(describe(key, now));
+  }
+  replyWith(caller, reply);
+}
+
+LeasedItem JobRole::describe(const ItemKey& key, base::TimePoint now) const {
+  const JobSubmission& job = state_.find(key.job)->submission;
+  LeasedItem leased;
+  leased.key = key;
+  leased.item = job.items[key.item];
+  leased.host = job.host;
+  leased.model = job.model;
+  leased.minimumVersion = job.minimumVersion;
+  leased.singleVersion = job.singleVersion;
+  leased.attempts = job.attempts;
+  leased.age = now - leases_.firstSeen(key.job, now);
+  leased.queueTimeout = job.queueTimeout;
+  return leased;
+}
+
+void JobRole::onRequest(const Caller& caller, const CommitResults& request, base::TimePoint now) {
+  proposeFor(caller, request, now);
+}
+
+void JobRole::replyWith(const Caller& caller, const JobReply& reply) {
+  transport::CommandResponse response;
+  response.group = group_;
+  response.call = caller.call;
+  response.status = CommandStatus::kOk;
+  response.payload = base::encode(reply);
+  outbox_.push_back({caller.node, std::move(response)});
+}
+
+void JobRole::refuse(const Caller& caller, CommandStatus status) {
+  transport::CommandResponse response;
+  response.group = group_;
+  response.call = caller.call;
+  response.status = status;
+  const base::NodeId leader = replica_.raft().leader();
+  response.leader = leader == self_ ? base::NodeId{} : leader;
+  outbox_.push_back({caller.node, std::move(response)});
+}
+
+void JobRole::proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now) {
+  const bool proposed =
+      replica_.propose(base::encode(command), now,
+                       [this, caller](const base::Bytes* result, consensus::LogIndex /*index*/) {
+                         if (result == nullptr) {
+                           refuse(caller, CommandStatus::kUnavailable);
+                         } else {
+                           replyWith(caller, {});
+                         }
+                       });
+  if (!proposed) {
+    refuse(caller, CommandStatus::kNotLeader);
+  }
+}
+
+void JobRole::tick(base::TimePoint now) {
+  replica_.tick(now);
+  if (now - slow_work_at_ < kSlowWorkInterval || !replica_.canRead(now)) {
+    return;
+  }
+  slow_work_at_ = now;
+  leases_.refresh(state_, now);
+  expireJobs(now);
+  repairGroup(now);
+}
+
+void JobRole::expireJobs(base::TimePoint now) {
+  ForgetJobs forget;
+  for (const auto& [id, job] : state_.jobs()) {
+    const bool open = !job.settled();
+    const base::Duration limit =
+        open ? std::max(settings_.retention, job.submission.queueTimeout) : settings_.retention;
+    if (now - leases_.firstSeen(id, now) > limit) {
+      forget.ids.push_back(id);
+    }
+  }
+  for (const std::string& id : forget.ids) {
+    leases_.forgetJob(id);
+  }
+  if (!forget.ids.empty()) {
+    replica_.propose(base::encode(JobCommand{forget}), now,
+                     [](const base::Bytes*, consensus::LogIndex) {});
+  }
+}
+
+void JobRole::repairGroup(base::TimePoint now) {
+  consensus::RaftConsensus& raft = replica_.raft();
+  if (raft.membershipChangePending() || now - leader_since_ < settings_.repair.silenceLimit) {
+    return;
+  }
+  const auto change = cluster::nextMembershipChange(raft.membership(), nodes_, settings_.repair);
+  if (!change) {
+    return;
+  }
+  if (change->remove) {
+    raft.removeMember(change->node, now);
+  } else {
+    raft.addMember(change->node, now);
+  }
+}
+
+transport::Outbox JobRole::finish(base::TimePoint now) {
+  replica_.finish(now, outbox_);
+  observeLeadership(now);
+  if (replica_.canRead(now)) {
+    for (const auto& [id, job] : state_.jobs()) {
+      leases_.addJob(id, job, now);
+    }
+  }
+  answerReads(now);
+  return std::exchange(outbox_, {});
+}
+
+void JobRole::observeLeadership(base::TimePoint now) {
+  const consensus::RaftConsensus& raft = replica_.raft();
+  if (raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm())) {
+    leader_since_ = now;
+    leases_.reset(now, settings_.leaseGrace);
+  }
+  was_leader_ = raft.isLeader();
+  observed_term_ = raft.currentTerm();
+}
+
+void JobRole::answerReads(base::TimePoint now) {
+  const bool readable = replica_.canRead(now);
+  for (PendingRead& pending : std::exchange(reads_, {})) {
+    const Job* job = state_.find(pending.read.id);
+    if (!readable) {
+      refuse(pending.caller, CommandStatus::kNotLeader);
+      continue;
+    }
+    JobReply reply;
+    if (job == nullptr) {
+      reply.status = JobStatus::kNotFound;
+      replyWith(pending.caller, reply);
+      continue;
+    }
+    if (pending.read.after >= job->results.size() && !job->settled() && now < pending.until) {
+      reads_.push_back(std::move(pending));
+      continue;
+    }
+    reply.total = job->submission.items.size();
+    std::size_t bytes = 0;
+    for (std::size_t at = pending.read.after; at < job->results.size(); ++at) {
+      const ItemResult& result = job->results[at];
+      bytes += result.text.size();
+      if (!reply.results.empty() && bytes > settings_.answerBytes) {
+        break;
+      }
+      reply.results.push_back({job->submission.items[result.item].id, result});
+    }
+    replyWith(pending.caller, reply);
+  }
+}
+
+std::optional<consensus::Membership> JobRole::settledMembership(base::TimePoint now) const {
+  if (!replica_.canRead(now) || replica_.raft().membershipChangePending()) {
+    return std::nullopt;
+  }
+  return replica_.raft().membership();
+}
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/job_role.h
@@ -0,0 +1,91 @@
+/// \file
+/// The ledger role of a cluster that forms itself: replicated jobs and the leases of their items.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster/group_repair.h"
+#include "consensus/replica.h"
+#include "jobs/item_leases.h"
+#include "jobs/job_state.h"
+
+namespace tackpick::jobs {
+
+/// Knobs of a JobRole.
+struct JobRoleSettings {
+  consensus::ReplicaSettings replica;
+  cluster::GroupRepairSettings repair;
+  /// Results stay readable so long after the submission, and while the job is open.
+  base::Duration retention = base::seconds(120);
+  base::Duration leaseTime = base::milliseconds(2500);
+  /// Of a new leader: gateways tell what they hold before anything is leased again.
+  base::Duration leaseGrace = base::milliseconds(600);
+  /// Results in one answer.
+  std::size_t answerBytes = 900U << 10U;
+};
+
+/// Deterministic; owned by one thread. Only the leader answers, and only under its lease.
+class JobRole {
+ public:
+  JobRole(base::NodeId self, base::GroupId group, JobRoleSettings settings,
+          consensus::LogStore& log, base::Random& random, base::TimePoint now);
+
+  void handle(base::NodeId from, const transport::RaftEnvelope& message, base::TimePoint now);
+  void handle(base::NodeId from, const transport::CommandRequest& message, base::TimePoint now);
+  /// The ledgers as the controllers hear them.
+  void setNodes(std::vector<cluster::GroupNode> nodes) { nodes_ = std::move(nodes); }
+  void tick(base::TimePoint now);
+  /// Ends a turn: syncs, applies, and returns what to send.
+  [[nodiscard]] transport::Outbox finish(base::TimePoint now);
+  void prepareStop(base::TimePoint now) { replica_.raft().transferLeadership(now); }
+  /// The group's members, when this ledger leads it and no change of them is under way.
+  [[nodiscard]] std::optional<consensus::Membership> settledMembership(base::TimePoint now) const;
+
+  [[nodiscard]] const JobState& state() const { return state_; }
+  [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+
+ private:
+  struct Caller {
+    base::NodeId node;
+    base::CallId call;
+  };
+  struct PendingRead {
+    Caller caller;
+    ReadJob read;
+    base::TimePoint until{};
+  };
+
+  void onRequest(const Caller& caller, const SubmitJob& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const ReadJob& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const ReadItem& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const EndJob& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const CommitResults& request, base::TimePoint now);
+
+  void replyWith(const Caller& caller, const JobReply& reply);
+  void refuse(const Caller& caller, transport::CommandStatus status);
+  void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
+  [[nodiscard]] LeasedItem describe(const ItemKey& key, base::TimePoint now) const;
+  void observeLeadership(base::TimePoint now);
+  void answerReads(base::TimePoint now);
+  void expireJobs(base::TimePoint now);
+  void repairGroup(base::TimePoint now);
+
+  const base::NodeId self_;
+  const base::GroupId group_;
+  const JobRoleSettings settings_;
+  JobState state_;
+  consensus::Replica replica_;
+  ItemLeases leases_;
+  std::vector<cluster::GroupNode> nodes_;
+  bool was_leader_ = false;
+  consensus::Term observed_term_ = 0;
+  base::TimePoint leader_since_{};
+  base::TimePoint slow_work_at_{};
+  std::vector<PendingRead> reads_;
+  transport::Outbox outbox_;
+};
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/job_state.h
@@ -0,0 +1,54 @@
+/// \file
+/// The replicated state of the ledgers: jobs, their items and results.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "consensus/state_machine.h"
+#include "jobs/job_messages.h"
+
+namespace tackpick::jobs {
+
+struct Job {
+  JobSubmission submission;
+  std::vector<ItemResult> results;  ///< by position; never changes once listed
+  std::vector<bool> listed;         ///< by item: it has a result
+  bool ended = false;
+
+  [[nodiscard]] bool complete() const { return results.size() == submission.items.size(); }
+  /// Nothing of it needs to run any more.
+  [[nodiscard]] bool settled() const { return ended || complete(); }
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(submission, results, listed, ended);
+  }
+};
+
+/// Deterministic. The first result for an item is listed at the next position of its job; later
+/// ones change nothing.
+class JobState final : public consensus::StateMachine {
+ public:
+  base::Bytes apply(consensus::LogIndex index, const base::Bytes& command) override;
+  [[nodiscard]] base::Bytes query(const base::Bytes& /*query*/) const override { return {}; }
+  [[nodiscard]] base::Bytes takeSnapshot() const override;
+  void loadSnapshot(const base::Bytes& snapshot) override;
+
+  [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
+  [[nodiscard]] const Job* find(const std::string& id) const;
+  /// Rises with every change.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
+ private:
+  void applyTyped(const SubmitJob& command);
+  void applyTyped(const EndJob& command);
+  void applyTyped(const CommitResults& command);
+  void applyTyped(const ForgetJobs& command);
+
+  std::map<std::string, Job> jobs_;
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/node/control_front.h
@@ -0,0 +1,25 @@
+/// \file
+/// The HTTP interface of a controller: operators, instances and trainers.
+#pragma once
+
+#include <memory>
+
+#include "http/exchange_server.h"
+
+namespace tackpick::node {
+
+class Node;
+
+/// Passes every call to the leading controller, which may be this process.
+class ControlFront {
+ public:
+  explicit ControlFront(Node& node);
+
+ private:
+  void onRequest(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange);
+
+  Node& node_;
+  http::ExchangeServer server_;
+};
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/forwarder.cpp
@@ -0,0 +1,325 @@
+#include "node/forwarder.h"
+
+#include <charconv>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "directory/route_table.h"
+#include "forwarding/attempt_policy.h"
+#include "node/node.h"
+#include "telemetry/log.h"
+
+namespace tackpick::node {
+namespace {
+
+using forwarding::AttemptResult;
+using forwarding::SendOutcome;
+
+constexpr int kFirstError = 400;
+constexpr int kMisdirected = 421;
+constexpr int kFirstServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+/// What a caller is told to wait when nothing could take its request.
+constexpr const char* kRetryAfterSeconds = "0.1";
+
+std::optional<std::int64_t> parseInteger(const std::string& text) {
+  std::int64_t number = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+  return parsed.ec == std::errc() ? std::optional(number) : std::nullopt;
+}
+
+/// One caller's request until it is answered. Lives as long as its sends and timers.
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
+ public:
+  ForwardedRequest(Node& node, forwarding::InstanceTable& instances, http::RawRequest request,
+                   std::shared_ptr<http::Exchange> exchange, const directory::Route& route)
+      : node_(node),
+        instances_(instances),
+        request_(std::move(request)),
+        exchange_(std::move(exchange)),
+        route_(route),
+        deadline_timer_(node.context()),
+        hedge_timer_(node.context()),
+        policy_(route, request_.receivedAt, callerDeadline()) {}
+
+  void start() {
+    need_.service = directory::drawService(route_, node_.random());
+    exchange_->onClosed([self = shared_from_this()] { self->onCallerGone(); });
+    deadline_timer_.expires_after(policy_.deadline() - node_.now());
+    deadline_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+      if (!error) {
+        self->onDeadline();
+      }
+    });
+    sendOrGiveUp();
+  }
+
+ private:
+  /// One send to an instance.
+  struct Send {
+    std::string instance;
+    http::ExchangeId exchange;
+    base::TimePoint sentAt{};
+    int status = 0;
+    http::HeaderList headers;
+    std::string body;
+    bool passedOn = false;  ///< pieces went to the caller as they came
+  };
+
+  [[nodiscard]] base::TimePoint callerDeadline() const {
+    const auto told = parseInteger(request_.headers.value(node_.dialect().headers().deadline));
+    return request_.receivedAt + (told ? base::milliseconds(*told) : route_.timeout);
+  }
+
+  void sendOrGiveUp();
+  [[nodiscard]] http::UpstreamRequest upstreamRequest(const forwarding::InstanceEntry& to) const;
+  void send(const forwarding::InstanceEntry& to);
+  void armHedge();
+  void onHead(std::uint64_t number, int status, const http::HeaderList& headers);
+  void onData(std::uint64_t number, std::string_view data);
+  void onEnd(std::uint64_t number, const http::UpstreamEnd& end);
+  [[nodiscard]] std::pair<AttemptResult, SendOutcome> classify(const Send& send,
+                                                               const http::UpstreamEnd& end) const;
+  void deliver(Send send);
+  void answerOwn(int status);
+  void giveUp();
+  void onDeadline();
+  void onCallerGone();
+  void finish(SendOutcome outcomeOfRunning);
+
+  Node& node_;
+  forwarding::InstanceTable& instances_;
+  const http::RawRequest request_;
+  std::shared_ptr<http::Exchange> exchange_;
+  const directory::Route route_;
+  asio::steady_timer deadline_timer_;
+  asio::steady_timer hedge_timer_;
+  forwarding::AttemptPolicy policy_;
+  forwarding::InstanceNeed need_;
+  std::set<std::string> tried_;
+  std::map<std::uint64_t, Send> sends_;  ///< running ones
+  std::uint64_t next_send_ = 0;
+  std::optional<Send> failure_;  ///< a server's whole answer that reports its failure
+  bool done_ = false;
+};
+
+void ForwardedRequest::sendOrGiveUp() {
+  if (policy_.maySend(node_.now())) {
+    const auto* entry = instances_.select(need_, tried_, node_.random(), node_.now());
+    if (entry != nullptr && (!tried_.contains(entry->record.id) || policy_.running() == 0)) {
+      send(*entry);
+      return;
+    }
+  }
+  if (policy_.running() == 0) {
+    giveUp();
+  }
+}
+
+http::UpstreamRequest ForwardedRequest::upstreamRequest(const forwarding::InstanceEntry& to) const {
+  const edge::HeaderNames& names = node_.dialect().headers();
+  http::UpstreamRequest upstream;
+  upstream.address = {to.record.host, to.record.port};
+  upstream.method = request_.method;
+  upstream.target = request_.target;
+  upstream.headers = request_.headers;
+  upstream.headers.removeConnectionFields();
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(policy_.deadline() - node_.now());
+  upstream.headers.set(names.deadline, std::to_string(left.count()));
+  upstream.headers.set(names.expectedInstance, to.record.id);
+  upstream.body = request_.body;
+  upstream.echoName = names.requestId;
+  upstream.echoValue = request_.headers.value(names.requestId);
+  upstream.freshConnection = !policy_.repeatable();
+  return upstream;
+}
+
+void ForwardedRequest::send(const forwarding::InstanceEntry& to) {
+  const std::uint64_t number = next_send_++;
+  const std::string id = to.record.id;
+  tried_.insert(id);
+  policy_.onSend();
+  instances_.onSent(id);
+  http::UpstreamEvents events;
+  events.onHead = [self = shared_from_this(), number](int status, const http::HeaderList& headers) {
+    self->onHead(number, status, headers);
+  };
+  events.onData = [self = shared_from_this(), number](std::string_view data) {
+    self->onData(number, data);
+  };
+  events.onEnd = [self = shared_from_this(), number](const http::UpstreamEnd& end) {
+    self->onEnd(number, end);
+  };
+  Send& record = sends_[number];
+  record.instance = id;
+  record.sentAt = node_.now();
+  record.exchange = node_.upstream().start(upstreamRequest(to), std::move(events));
+  armHedge();
+}
+
+void ForwardedRequest::armHedge() {
+  const auto at = policy_.hedgeAt(node_.now());
+  if (!at || *at >= policy_.deadline()) {
+    return;
+  }
+  hedge_timer_.expires_after(*at - node_.now());
+  hedge_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+    if (!error && !self->done_ && self->policy_.running() > 0) {
+      self->sendOrGiveUp();
+    }
+  });
+}
+
+void ForwardedRequest::onHead(std::uint64_t number, int status, const http::HeaderList& headers) {
+  const auto found = sends_.find(number);
+  if (done_ || found == sends_.end()) {
+    return;
+  }
+  Send& send = found->second;
+  send.status = status;
+  send.headers = headers;
+  send.headers.removeConnectionFields();
+  if (const auto load = node_.dialect().load(headers.value(node_.dialect().headers().load))) {
+    instances_.onLoad(send.instance, *load, node_.now());
+  }
+  if (route_.streaming && status < kFirstError) {
+    send.passedOn = true;
+    exchange_->begin(status, send.headers);
+  }
+}
+
+void ForwardedRequest::onData(std::uint64_t number, std::string_view data) {
+  const auto found = sends_.find(number);
+  if (done_ || found == sends_.end()) {
+    return;
+  }
+  if (found->second.passedOn) {
+    exchange_->write(data);
+  } else {
+    found->second.body.append(data);
+  }
+}
+
+std::pair<AttemptResult, SendOutcome> ForwardedRequest::classify(
+    const Send& send, const http::UpstreamEnd& end) const {
+  if (!end.complete) {
+    return end.verdict == base::Verdict::kNotRun
+               ? std::pair(AttemptResult::kNotRun, SendOutcome::kUnreached)
+               : std::pair(AttemptResult::kBroken, SendOutcome::kFailed);
+  }
+  if (send.status == kMisdirected) {
+    return {AttemptResult::kNotRun, SendOutcome::kGone};
+  }
+  if (send.headers.has(node_.dialect().headers().notExecuted)) {
+    return {AttemptResult::kNotRun, SendOutcome::kFull};
+  }
+  if (send.status >= kFirstServerError) {
+    return {AttemptResult::kServerFailed, SendOutcome::kFailed};
+  }
+  return {AttemptResult::kAnswered, SendOutcome::kServed};
+}
+
+void ForwardedRequest::onEnd(std::uint64_t number, const http::UpstreamEnd& end) {
+  const auto found = sends_.find(number);
+  if (done_ || found == sends_.end()) {
+    return;
+  }
+  Send send = std::move(found->second);
+  sends_.erase(found);
+  const auto [result, outcome] = classify(send, end);
+  instances_.onEnded(send.instance, outcome, node_.now() - send.sentAt, node_.now());
+  policy_.onResult(result);
+  if (send.passedOn) {
+    if (end.complete) {
+      exchange_->finish();
+    } else {
+      exchange_->abort();
+    }
+    finish(SendOutcome::kAbandoned);
+    return;
+  }
+  if (result == AttemptResult::kAnswered) {
+    deliver(std::move(send));
+    return;
+  }
+  if (result == AttemptResult::kServerFailed) {
+    failure_ = std::move(send);
+  }
+  sendOrGiveUp();
+}
+
+void ForwardedRequest::deliver(Send send) {
+  exchange_->respond(send.status, send.headers, send.body);
+  finish(SendOutcome::kAbandoned);
+}
+
+void ForwardedRequest::giveUp() {
+  if (failure_) {
+    deliver(std::move(*failure_));
+  } else if (policy_.verdict() == base::Verdict::kNotRun) {
+    answerOwn(kUnavailable);
+  } else {
+    answerOwn(kBadGateway);
+  }
+}
+
+void ForwardedRequest::onDeadline() {
+  if (done_) {
+    return;
+  }
+  if (policy_.running() == 0 && policy_.verdict() == base::Verdict::kNotRun) {
+    answerOwn(kUnavailable);
+  } else {
+    answerOwn(kGatewayTimeout);
+  }
+}
+
+void ForwardedRequest::answerOwn(int status) {
+  http::HeaderList headers;
+  if (status == kUnavailable) {
+    headers.add("Retry-After", kRetryAfterSeconds);
+  }
+  telemetry::logEvent(
+      telemetry::EventId::kRequestGivenUp,
+      "request=" + request_.headers.value(node_.dialect().headers().requestId) +
+          " route=" + route_.name + " status=" + std::to_string(status) +
+          " sends=" + std::to_string(policy_.sends()) +
+          " verdict=" + std::string(base::toString(policy_.verdict())) + " age_ms=" +
+          std::to_string(
+              static_cast<int>(base::toMilliseconds(node_.now() - request_.receivedAt))));
+  exchange_->respond(status, headers, {});
+  finish(SendOutcome::kFailed);
+}
+
+void ForwardedRequest::onCallerGone() {
+  if (!done_) {
+    finish(SendOutcome::kAbandoned);
+  }
+}
+
+void ForwardedRequest::finish(SendOutcome outcomeOfRunning) {
+  done_ = true;
+  deadline_timer_.cancel();
+  hedge_timer_.cancel();
+  for (const auto& [number, send] : sends_) {
+    node_.upstream().cancel(send.exchange);
+    instances_.onEnded(send.instance, outcomeOfRunning, node_.now() - send.sentAt, node_.now());
+  }
+  sends_.clear();
+  exchange_.reset();
+}
+
+}  // namespace
+
+void Forwarder::forward(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange,
+                        const directory::Route& route) {
+  std::make_shared<ForwardedRequest>(node_, instances_, std::move(request), exchange, route)
+      ->start();
+}
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/forwarder.h
@@ -0,0 +1,29 @@
+/// \file
+/// Sends callers' requests to instances and their answers back.
+#pragma once
+
+#include <memory>
+
+#include "directory/configuration.h"
+#include "forwarding/instance_table.h"
+#include "http/exchange_server.h"
+
+namespace tackpick::node {
+
+class Node;
+
+/// Thin: AttemptPolicy and InstanceTable decide; each request is a ForwardedRequest of its own.
+class Forwarder {
+ public:
+  Forwarder(Node& node, forwarding::InstanceTable& instances)
+      : node_(node), instances_(instances) {}
+
+  void forward(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange,
+               const directory::Route& route);
+
+ private:
+  Node& node_;
+  forwarding::InstanceTable& instances_;
+};
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/gateway_front.cpp
@@ -0,0 +1,122 @@
+#include "node/gateway_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "node/node.h"
+#include "telemetry/log.h"
+
+namespace tackpick::node {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/// For calls to the ledgers, beyond the time that the caller wants to be held.
+constexpr base::Duration kLedgerDeadline = base::milliseconds(2500);
+/// New connections come for so long after this gateway said that it is not ready.
+constexpr base::Duration kUnreadyNotice = base::milliseconds(2500);
+
+forwarding::InstanceTableSettings instanceSettings(const Node& node) {
+  forwarding::InstanceTableSettings settings;
+  settings.zone = node.settings().zone;
+  return settings;
+}
+
+http::ExchangeLimits toExchangeLimits(const directory::CallerLimits& limits) {
+  http::ExchangeLimits exchange;
+  exchange.headerBytes = limits.headerBytes;
+  exchange.bodyBytes = limits.bodyBytes;
+  exchange.headerTimeout = limits.headerTimeout;
+  exchange.idleTimeout = limits.idleTimeout;
+  return exchange;
+}
+
+}  // namespace
+
+GatewayFront::GatewayFront(Node& node)
+    : node_(node),
+      configuration_(std::make_unique<directory::Configuration>()),
+      instances_(instanceSettings(node)),
+      forwarder_(node, instances_),
+      items_(node, instances_, routes_),
+      traffic_(node.context(), node.settings().traffic.host, node.settings().traffic.port, {},
+               [this](http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange) {
+                 onRequest(std::move(request), exchange);
+               }),
+      readiness_(node.context(), node.settings().readiness.host, node.settings().readiness.port, {},
+                 [this](const http::RawRequest&, const std::shared_ptr<http::Exchange>& exchange) {
+                   onReadiness(exchange);
+                 }) {}
+
+void GatewayFront::onView(const directory::DirectoryView& view) {
+  instances_.update(view.instances, node_.now());
+  items_.onView(view);
+  const directory::Configuration& newest = node_.member().configuration();
+  if (newest.version <= configuration_->version) {
+    return;
+  }
+  // Routes in use are copied by those that use them, so the old configuration may go.
+  configuration_ = std::make_unique<directory::Configuration>(newest);
+  routes_ = directory::RouteTable(*configuration_);
+  traffic_.setLimits(toExchangeLimits(configuration_->limits));
+  telemetry::logEvent(telemetry::EventId::kConfigurationInForce,
+                      "version=" + std::to_string(configuration_->version));
+}
+
+void GatewayFront::onReadiness(const std::shared_ptr<http::Exchange>& exchange) const {
+  exchange->respond(ready() ? kOk : kUnavailable, {}, {});
+}
+
+void GatewayFront::onRequest(http::RawRequest request,
+                             const std::shared_ptr<http::Exchange>& exchange) {
+  if (configuration_->version == 0) {
+    http::HeaderList headers;
+    headers.add("Retry-After", "0.5");
+    exchange->respond(kUnavailable, headers, {});
+    return;
+  }
+  const directory::Route* route = routes_.find(request.headers.value("Host"), request.target);
+  const edge::GatewayCall call = node_.dialect().gatewayCall(request, route);
+  if (const auto* job = std::get_if<edge::JobCall>(&call)) {
+    callLedgers(job->request, exchange);
+  } else if (std::holds_alternative<edge::MalformedCall>(call)) {
+    exchange->respond(kBadRequest, {}, {});
+  } else if (route == nullptr) {
+    exchange->respond(kNotFound, {}, {});
+  } else {
+    forwarder_.forward(std::move(request), exchange, *route);
+  }
+}
+
+void GatewayFront::callLedgers(const jobs::JobRequest& request,
+                               const std::shared_ptr<http::Exchange>& exchange) {
+  base::Duration deadline = kLedgerDeadline;
+  if (const auto* read = std::get_if<jobs::ReadJob>(&request)) {
+    deadline += read->hold;
+  }
+  node_.member().call(request, deadline, node_.now(),
+                      [this, request, exchange](const jobs::JobReply* reply) {
+                        const edge::Answer answer = node_.dialect().jobAnswer(request, reply);
+                        exchange->respond(answer.status, answer.headers, answer.body);
+                      });
+  node_.wake();
+}
+
+void GatewayFront::beginStop() {
+  stopping_ = true;
+  stop_begun_ = node_.now();
+  items_.beginStop();
+}
+
+bool GatewayFront::stopComplete() const {
+  const base::Duration stopped = node_.now() - stop_begun_;
+  constexpr int kSixths = 6;
+  constexpr int kUsedSixths = 5;
+  const base::Duration longest = node_.settings().gracePeriod * kUsedSixths / kSixths;
+  const bool quiet = traffic_.openExchanges() == 0 && items_.idle();
+  return stopped > longest || (stopped > kUnreadyNotice && quiet);
+}
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/gateway_front.h
@@ -0,0 +1,46 @@
+/// \file
+/// The HTTP interface of a gateway: callers, submitters of batches, readiness.
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "directory/route_table.h"
+#include "forwarding/instance_table.h"
+#include "http/exchange_server.h"
+#include "node/forwarder.h"
+#include "node/item_runner.h"
+
+namespace tackpick::node {
+
+class Node;
+
+class GatewayFront {
+ public:
+  explicit GatewayFront(Node& node);
+
+  void onView(const directory::DirectoryView& view);
+  void tick() { items_.tick(); }
+  void beginStop();
+  [[nodiscard]] bool stopComplete() const;
+
+ private:
+  void onRequest(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange);
+  void onReadiness(const std::shared_ptr<http::Exchange>& exchange) const;
+  void callLedgers(const jobs::JobRequest& request,
+                   const std::shared_ptr<http::Exchange>& exchange);
+  [[nodiscard]] bool ready() const { return configuration_->version > 0 && !stopping_; }
+
+  Node& node_;
+  std::unique_ptr<directory::Configuration> configuration_;
+  directory::RouteTable routes_;
+  forwarding::InstanceTable instances_;
+  Forwarder forwarder_;
+  ItemRunner items_;
+  http::ExchangeServer traffic_;
+  http::ExchangeServer readiness_;
+  bool stopping_ = false;
+  base::TimePoint stop_begun_{};
+};
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/item_runner.h
@@ -0,0 +1,82 @@
+/// \file
+/// Runs the items that this gateway has leased from the ledgers.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "directory/route_table.h"
+#include "forwarding/instance_table.h"
+#include "http/upstream_client.h"
+#include "jobs/item_run.h"
+
+namespace tackpick::node {
+
+class Node;
+
+class ItemRunner {
+ public:
+  ItemRunner(Node& node, forwarding::InstanceTable& instances, const directory::RouteTable& routes)
+      : node_(node), instances_(instances), routes_(routes) {}
+
+  void onView(const directory::DirectoryView& view);
+  void tick();
+  /// Takes no further items; what runs may finish.
+  void beginStop() { stopping_ = true; }
+  /// Nothing runs and every result is handed in.
+  [[nodiscard]] bool idle() const { return items_.empty() && results_.empty() && !committing_; }
+
+ private:
+  /// An item between its lease and the commit of its result.
+  struct Running {
+    explicit Running(jobs::LeasedItem leased, std::string versionField)
+        : run(std::move(leased)), parser(std::move(versionField)) {}
+
+    jobs::ItemRun run;
+    jobs::StreamEventParser parser;
+    base::TimePoint leasedAt{};
+    base::TimePoint notBefore{};
+    std::set<std::string> tried;
+    http::ExchangeId exchange;  ///< valid while an attempt runs
+    std::string instance;
+    std::string service;
+    base::TimePoint sentAt{};
+    base::TimePoint lastByteAt{};
+    int status = 0;
+    bool notExecuted = false;
+    bool unusable = false;  ///< the running attempt's answer must not be used
+    bool finished = false;  ///< its result waits to be committed
+  };
+
+  void lease(base::TimePoint now);
+  void onLeased(const jobs::JobReply& reply);
+  [[nodiscard]] std::uint32_t wantedItems() const;
+  void startAttempts(base::TimePoint now);
+  void startAttempt(const jobs::ItemKey& key, Running& item, base::TimePoint now);
+  void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
+  void onData(const jobs::ItemKey& key, std::string_view data);
+  void onEnd(const jobs::ItemKey& key, const http::UpstreamEnd& end);
+  void onWholeAnswer(const jobs::ItemKey& key, Running& item);
+  void retryLater(Running& item, base::Duration delay);
+  void cutSilent(base::TimePoint now);
+  void cancelAttempt(Running& item);
+  void finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result);
+  void commit(base::TimePoint now);
+
+  Node& node_;
+  forwarding::InstanceTable& instances_;
+  const directory::RouteTable& routes_;
+  std::map<jobs::ItemKey, std::unique_ptr<Running>> items_;
+  std::map<std::string, std::vector<jobs::ItemResult>> results_;  ///< to be committed, by job
+  std::uint32_t gateways_ = 1;
+  std::set<std::string> engine_services_;
+  bool leasing_ = false;
+  bool committing_ = false;
+  bool stopping_ = false;
+  base::TimePoint lease_at_{};
+  base::TimePoint renewed_at_{};
+};
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,401 @@
+#include "node/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/random.h"
+#include "node/control_front.h"
+#include "node/gateway_front.h"
+#include "runtime/node_identity.h"
+#include "storage/posix_file_system.h"
+#include "telemetry/log.h"
+#include "transport/shared_key.h"
+
+namespace tackpick::node {
+namespace {
+
+using telemetry::EventId;
+using telemetry::logEvent;
+
+constexpr auto kTickInterval = std::chrono::milliseconds(20);
+constexpr const char* kIdentityFile = "node";
+constexpr const char* kDirectoryFolder = "directory";
+constexpr const char* kLedgerFolder = "ledger";
+
+/// How long a replica stays after it has been asked to stop, so that another leads by then.
+constexpr base::Duration kReplicaStop = base::milliseconds(300);
+
+std::uint32_t drawInstance() {
+  constexpr std::uint32_t kInstanceMask = 0xffffffffU;
+  return static_cast<std::uint32_t>(runtime::randomNumber() & kInstanceMask) | 1U;
+}
+
+}  // namespace
+
+Node::Node(config::ClusterSettings settings, const edge::Dialect& dialect)
+    : settings_(std::move(settings)),
+      dialect_(dialect),
+      random_(std::make_unique<base::SeededRandom>(runtime::randomNumber())),
+      ticker_(context_),
+      signals_(context_, SIGINT, SIGTERM, SIGHUP) {}
+
+Node::~Node() = default;
+
+base::Result<std::unique_ptr<Node>> Node::create(const config::ClusterSettings& settings,
+                                                 const edge::Dialect& dialect) {
+  std::unique_ptr<Node> node(new Node(settings, dialect));
+  BOOST_LEAF_CHECK(node->open());
+  return node;
+}
+
+base::Result<void> Node::open() {
+  BOOST_LEAF_ASSIGN(self_, openIdentity());
+  upstream_ = std::make_unique<http::UpstreamClient>(context_, http::UpstreamSettings{});
+  openMember();
+  if (settings_.role == directory::NodeRole::kController) {
+    BOOST_LEAF_CHECK(openDirectory());
+  }
+  return openNetwork();
+}
+
+bool Node::isSeed() const {
+  return std::any_of(
+      settings_.seeds.begin(), settings_.seeds.end(),
+      [&](const transport::Endpoint& seed) { return seed.host == settings_.address; });
+}
+
+base::Result<base::NodeId> Node::openIdentity() {
+  BOOST_LEAF_AUTO(number, config::nodeNumberOf(settings_.address));
+  if (settings_.dataFolder.empty()) {
+    return base::makeNodeId(number, drawInstance());
+  }
+  BOOST_LEAF_AUTO(folder, storage::PosixFileSystem::create(settings_.dataFolder));
+  BOOST_LEAF_AUTO(names, folder->list());
+  if (std::find(names.begin(), names.end(), kIdentityFile) != names.end()) {
+    BOOST_LEAF_AUTO(bytes, folder->read(kIdentityFile));
+    const auto stored = base::decode<runtime::NodeIdentity>(bytes);
+    if (!stored || stored->cluster != settings_.cluster ||
+        base::nodeNumber({stored->node}) != number) {
+      return base::fail(base::ErrorCode::kWrongIdentity,
+                        settings_.dataFolder + ": belongs to another node or cluster");
+    }
+    return base::NodeId{stored->node};
+  }
+  // The founding controllers have instance 0, so that each knows the others from its settings. An
+  // empty folder at any other time is a new node, which never votes in an old one's name.
+  const bool founder =
+      settings_.role == directory::NodeRole::kController && settings_.bootstrap && isSeed();
+  const base::NodeId self = base::makeNodeId(number, founder ? 0 : drawInstance());
+  const runtime::NodeIdentity identity{settings_.cluster, self.value, 0};
+  BOOST_LEAF_CHECK(storage::writeDurably(*folder, kIdentityFile, base::encode(identity)));
+  return self;
+}
+
+std::vector<base::NodeId> Node::seedNodes() const {
+  std::vector<base::NodeId> seeds;
+  for (const transport::Endpoint& seed : settings_.seeds) {
+    base::recover(
+        [&]() -> base::Result<int> {
+          BOOST_LEAF_AUTO(number, config::nodeNumberOf(seed.host));
+          seeds.push_back(base::makeNodeId(number, 0));
+          return 0;
+        },
+        [](const base::Error&) { return 0; });
+  }
+  return seeds;
+}
+
+directory::NodeRecord Node::ownRecord() const {
+  directory::NodeRecord record;
+  record.node = self_;
+  record.role = settings_.role;
+  record.name = settings_.name;
+  record.zone = settings_.zone;
+  if (settings_.role == directory::NodeRole::kController) {
+    record.controlAddress = settings_.control.host + ":" + std::to_string(settings_.control.port);
+  }
+  return record;
+}
+
+void Node::openMember() {
+  cluster::ClusterMemberSettings member;
+  member.directoryGroup = directory::kDirectoryGroup;
+  member.ledgerGroup = directory::kLedgerGroup;
+  member.seeds = seedNodes();
+  member_ = std::make_unique<cluster::ClusterMember>(ownRecord(), member,
+                                                     base::CallId{runtime::randomNumber()});
+  member_->onView([this](const directory::DirectoryView& view) { onView(view); });
+  member_->reportLedgerMembership([this]() -> std::optional<consensus::Membership> {
+    return ledger_ ? ledger_->settledMembership(now()) : std::nullopt;
+  });
+}
+
+base::Result<void> Node::openLog(const std::string& name, base::GroupId group,
+                                 const std::set<base::NodeId>& founders) {
+  BOOST_LEAF_AUTO(folder, storage::PosixFileSystem::create(settings_.dataFolder + "/" + name));
+  folders_.push_back(std::move(folder));
+  consensus::Membership initial;
+  if (founders.contains(self_)) {
+    initial.voters = founders;
+  }
+  const storage::FolderIdentity identity{settings_.cluster, self_, group};
+  BOOST_LEAF_ASSIGN(log_, storage::SegmentedLog::open(*folders_.back(), identity, initial));
+  return {};
+}
+
+base::Result<void> Node::openDirectory() {
+  const std::vector<base::NodeId> seeds = seedNodes();
+  BOOST_LEAF_CHECK(openLog(kDirectoryFolder, directory::kDirectoryGroup,
+                           std::set<base::NodeId>(seeds.begin(), seeds.end())));
+  directory::DirectorySettings settings;
+  settings.repair.targetSize = 2 * settings_.lossesBorne + 1;
+  settings.ledgerFounders = 2 * settings_.lossesBorne + 1;
+  settings.orders.concurrentLoads = settings_.concurrentLoads;
+  constexpr base::Duration kOrderMargin = base::milliseconds(100);
+  settings.orders.quietAfterElection = settings_.orderLease + kOrderMargin;
+  directory_ =
+      std::make_unique<directory::DirectoryRole>(ownRecord(), settings, *log_, *random_, now());
+  return {};
+}
+
+base::Result<void> Node::openLedger(const std::set<base::NodeId>& founders) {
+  BOOST_LEAF_CHECK(openLog(kLedgerFolder, directory::kLedgerGroup, founders));
+  jobs::JobRoleSettings settings;
+  settings.repair.targetSize = 2 * settings_.lossesBorne + 1;
+  settings.retention = settings_.retention;
+  ledger_ = std::make_unique<jobs::JobRole>(self_, directory::kLedgerGroup, settings, *log_,
+                                            *random_, now());
+  return {};
+}
+
+base::Result<void> Node::openNetwork() {
+  transport::PeerNetworkSettings network;
+  network.self = self_;
+  // The machines of such a cluster share no secret; the key keeps strangers' bytes out, no more.
+  network.key = "self-formed cluster " + settings_.cluster;
+  network.listen = {settings_.address, settings_.internalPort};
+  network.addressedPort = settings_.internalPort;
+  try {
+    network_ = std::make_unique<transport::PeerNetwork>(
+        context_, network, [this](base::NodeId from, const transport::InternalMessage& message) {
+          onMessage(from, message);
+        });
+    if (settings_.role == directory::NodeRole::kController) {
+      control_front_ = std::make_unique<ControlFront>(*this);
+    } else if (settings_.role == directory::NodeRole::kGateway) {
+      gateway_front_ = std::make_unique<GatewayFront>(*this);
+    }
+  } catch (const std::exception& error) {
+    return base::fail(base::ErrorCode::kNetwork, std::string("cannot listen: ") + error.what());
+  }
+  return {};
+}
+
+int Node::run() {
+  logEvent(EventId::kProcessStarted,
+           "node=" + std::to_string(self_.value) + " name=" + settings_.name);
+  waitForSignal();
+  tick();
+  context_.run();
+  logEvent(EventId::kProcessStopped, "");
+  return failed_ ? 1 : 0;
+}
+
+void Node::waitForSignal() {
+  signals_.async_wait([this](const asio::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal != SIGHUP) {
+      beginStop();
+    }
+    waitForSignal();
+  });
+}
+
+void Node::beginStop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_begun_ = now();
+  logEvent(EventId::kProcessStopping, "");
+  if (gateway_front_) {
+    gateway_front_->beginStop();
+  }
+  if (directory_) {
+    directory_->prepareStop(now());
+  }
+  if (ledger_) {
+    ledger_->prepareStop(now());
+  }
+  wake();
+}
+
+bool Node::stopComplete() const {
+  if (gateway_front_) {
+    return gateway_front_->stopComplete();
+  }
+  return now() - stop_begun_ > kReplicaStop;
+}
+
+void Node::tick() {
+  const base::TimePoint at = now();
+  if (directory_) {
+    directory_->tick(at);
+  }
+  if (ledger_) {
+    ledger_->tick(at);
+  }
+  member_->tick(at);
+  if (gateway_front_) {
+    gateway_front_->tick();
+  }
+  turn();
+  observe();
+  if (failed_ || (stopping_ && stopComplete())) {
+    context_.stop();
+    return;
+  }
+  ticker_.expires_after(kTickInterval);
+  ticker_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void Node::wake() {
+  if (turn_scheduled_) {
+    return;
+  }
+  turn_scheduled_ = true;
+  asio::post(context_, [this] { turn(); });
+}
+
+void Node::turn() {
+  turn_scheduled_ = false;
+  if (directory_) {
+    const directory::DirectoryActions actions = directory_->finish(now());
+    sendAll(actions.messages);
+    for (const directory::VersionOrder& order : actions.orders) {
+      sendOrder(order);
+    }
+  }
+  if (ledger_) {
+    sendAll(ledger_->finish(now()));
+  }
+  sendAll(member_->takeMessages());
+}
+
+void Node::sendAll(const transport::Outbox& outbox) {
+  for (const transport::OutgoingMessage& outgoing : outbox) {
+    network_->send(outgoing.to, outgoing.message);
+  }
+}
+
+void Node::onMessage(base::NodeId from, const transport::InternalMessage& message) {
+  const base::TimePoint at = now();
+  if (const auto* raft = std::get_if<transport::RaftEnvelope>(&message)) {
+    if (directory_ && raft->group == directory::kDirectoryGroup) {
+      directory_->handle(from, *raft, at);
+    } else if (ledger_ && raft->group == directory::kLedgerGroup) {
+      ledger_->handle(from, *raft, at);
+    }
+  } else if (const auto* request = std::get_if<transport::CommandRequest>(&message)) {
+    if (directory_ && request->group == directory::kDirectoryGroup) {
+      directory_->handle(from, *request, at);
+    } else if (ledger_ && request->group == directory::kLedgerGroup) {
+      ledger_->handle(from, *request, at);
+    }
+  } else if (const auto* response = std::get_if<transport::CommandResponse>(&message)) {
+    member_->onResponse(*response, at);
+  }
+  wake();
+}
+
+void Node::onView(const directory::DirectoryView& view) {
+  if (gateway_front_) {
+    gateway_front_->onView(view);
+  }
+  if (settings_.role != directory::NodeRole::kLedger) {
+    return;
+  }
+  if (!ledger_ && !view.ledgerFounders.empty()) {
+    failed_ = base::recover(
+        [&]() -> base::Result<bool> {
+          BOOST_LEAF_CHECK(openLedger(view.ledgerFounders));
+          return false;
+        },
+        [](const base::Error& error) {
+          logEvent(EventId::kDataFolderRefused, error.message);
+          return true;
+        });
+  }
+  if (!ledger_ || !view.nodesSettled) {
+    return;
+  }
+  std::vector<cluster::GroupNode> nodes;
+  for (const base::NodeId node : view.ledgers) {
+    cluster::GroupNode listed{node, base::Duration{0}, false};
+    for (const auto& [name, named] : view.ledgerNames) {
+      listed.retiring = listed.retiring || (named == node && view.retiringLedgers.contains(name));
+    }
+    nodes.push_back(listed);
+  }
+  ledger_->setNodes(std::move(nodes));
+}
+
+void Node::sendOrder(const directory::VersionOrder& order) {
+  logEvent(EventId::kEngineOrdered, "instance=" + order.instance + " model=" + order.model +
+                                        " version=" + std::to_string(order.version) +
+                                        " fence=" + std::to_string(order.fence));
+  const auto status = std::make_shared<int>(0);
+  http::UpstreamEvents events;
+  events.onHead = [status](int code, const http::HeaderList&) { *status = code; };
+  events.onEnd = [this, order, status](const http::UpstreamEnd& end) {
+    const directory::OrderOutcome outcome =
+        end.complete ? dialect_.orderOutcome(*status) : directory::OrderOutcome::kUncertain;
+    if (outcome == directory::OrderOutcome::kRefused ||
+        outcome == directory::OrderOutcome::kUncertain) {
+      logEvent(EventId::kEngineOrderFailed, "instance=" + order.instance + " status=" +
+                                                std::to_string(*status) + " error=" + end.error);
+    }
+    directory_->onOrderOutcome(order, outcome, now());
+    wake();
+  };
+  upstream_->start(dialect_.orderRequest(order, settings_.name), std::move(events));
+}
+
+void Node::observe() {
+  const consensus::Replica* replica = nullptr;
+  if (directory_) {
+    replica = &directory_->replica();
+  } else if (ledger_) {
+    replica = &ledger_->replica();
+  }
+  if (replica == nullptr) {
+    return;
+  }
+  const consensus::RaftConsensus& raft = replica->raft();
+  if (raft.isLeader() != reported_leader_) {
+    reported_leader_ = raft.isLeader();
+    logEvent(reported_leader_ ? EventId::kBecameLeader : EventId::kLostLeadership,
+             "group=" + std::to_string(replica->group().value) +
+                 " term=" + std::to_string(raft.currentTerm()) +
+                 " applied=" + std::to_string(replica->appliedIndex()));
+  }
+  const std::size_t voters = raft.membership().voters.size();
+  if (voters != reported_voters_) {
+    reported_voters_ = voters;
+    logEvent(EventId::kMembershipChanged, "group=" + std::to_string(replica->group().value) +
+                                              " voters=" + std::to_string(voters) + " learners=" +
+                                              std::to_string(raft.membership().learners.size()));
+  }
+  if (raft.failed() && !failed_) {
+    failed_ = true;
+    logEvent(EventId::kReplicaFailed, "group=" + std::to_string(replica->group().value));
+  }
+}
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,104 @@
+/// \file
+/// A process of a cluster that forms itself: one role on one event loop.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/cluster_member.h"
+#include "config/cluster_settings.h"
+#include "directory/directory_role.h"
+#include "edge/dialect.h"
+#include "http/exchange_server.h"
+#include "http/upstream_client.h"
+#include "jobs/job_role.h"
+#include "storage/file_system.h"
+#include "storage/segmented_log.h"
+#include "transport/peer_network.h"
+
+namespace tackpick::node {
+
+class ControlFront;
+class GatewayFront;
+
+/// Thin: decisions are made by DirectoryRole, JobRole and the modules of the gateway; this class
+/// opens folders and ports and moves messages. Single-threaded.
+class Node {
+ public:
+  [[nodiscard]] static base::Result<std::unique_ptr<Node>> create(
+      const config::ClusterSettings& settings, const edge::Dialect& dialect);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /// Runs until a planned stop is complete. Returns the exit code.
+  int run();
+
+  [[nodiscard]] asio::io_context& context() { return context_; }
+  [[nodiscard]] base::TimePoint now() const { return clock_.now(); }
+  [[nodiscard]] base::Random& random() { return *random_; }
+  [[nodiscard]] const config::ClusterSettings& settings() const { return settings_; }
+  [[nodiscard]] const edge::Dialect& dialect() const { return dialect_; }
+  [[nodiscard]] cluster::ClusterMember& member() { return *member_; }
+  [[nodiscard]] http::UpstreamClient& upstream() { return *upstream_; }
+  /// Ends the current turn soon: the role syncs and messages go out. Call after every event.
+  void wake();
+
+ private:
+  Node(config::ClusterSettings settings, const edge::Dialect& dialect);
+
+  [[nodiscard]] base::Result<void> open();
+  [[nodiscard]] base::Result<base::NodeId> openIdentity();
+  [[nodiscard]] base::Result<void> openDirectory();
+  [[nodiscard]] base::Result<void> openLedger(const std::set<base::NodeId>& founders);
+  [[nodiscard]] base::Result<void> openLog(const std::string& name, base::GroupId group,
+                                           const std::set<base::NodeId>& founders);
+  [[nodiscard]] base::Result<void> openNetwork();
+  [[nodiscard]] std::vector<base::NodeId> seedNodes() const;
+  [[nodiscard]] bool isSeed() const;
+  [[nodiscard]] directory::NodeRecord ownRecord() const;
+  void openMember();
+  void onMessage(base::NodeId from, const transport::InternalMessage& message);
+  void onView(const directory::DirectoryView& view);
+  void sendOrder(const directory::VersionOrder& order);
+  void sendAll(const transport::Outbox& outbox);
+  void tick();
+  void turn();
+  void observe();
+  void waitForSignal();
+  void beginStop();
+  [[nodiscard]] bool stopComplete() const;
+
+  const config::ClusterSettings settings_;
+  const edge::Dialect& dialect_;
+  asio::io_context context_;
+  base::SteadyTimeSource clock_;
+  std::unique_ptr<base::Random> random_;
+  base::NodeId self_;
+
+  std::vector<std::unique_ptr<storage::FileSystem>> folders_;
+  std::unique_ptr<storage::SegmentedLog> log_;
+  std::unique_ptr<directory::DirectoryRole> directory_;
+  std::unique_ptr<jobs::JobRole> ledger_;
+  std::unique_ptr<cluster::ClusterMember> member_;
+  std::unique_ptr<transport::PeerNetwork> network_;
+  std::unique_ptr<http::UpstreamClient> upstream_;
+  std::unique_ptr<ControlFront> control_front_;
+  std::unique_ptr<GatewayFront> gateway_front_;
+
+  asio::steady_timer ticker_;
+  asio::signal_set signals_;
+  bool turn_scheduled_ = false;
+  bool stopping_ = false;
+  base::TimePoint stop_begun_{};
+  bool failed_ = false;
+
+  // What was last reported as events.
+  bool reported_leader_ = false;
+  std::size_t reported_voters_ = 0;
+};
+
+}  // namespace tackpick::node
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -30,6 +30,8 @@
        "an order did not reach an engine or was refused", "it is repeated; look at the engine"},
       {Id::kMachineListUnreadable, "machine_list_unreadable", kWarning,
        "the platform's machine list could not be read", "engines' own flags still count"},
+      {Id::kEngineOrdered, "engine_ordered", kInfo, "an engine was ordered to change its weights",
+       ""},
       {Id::kLeaseLost, "lease_lost", kWarning,
        "this gateway has lost its serving lease and refuses new work",
        "check that a majority of controllers runs and is reachable"},
@@ -39,6 +41,13 @@
       {Id::kEngineLeaving, "engine_leaving", kInfo, "an engine gets no new work", ""},
       {Id::kDrainBegun, "drain_begun", kInfo, "new work is refused, running work finishes", ""},
       {Id::kDrainComplete, "drain_complete", kInfo, "nothing runs any more", ""},
+      {Id::kRequestGivenUp, "request_given_up", kInfo,
+       "a caller's request got an answer of our own: which instances were tried, and whether it "
+       "may "
+       "have run",
+       "look for the instances' failures at that time"},
+      {Id::kItemGivenUp, "item_given_up", kInfo, "an item of a batch was ended without a result",
+       "its status says what the engine answered"},
       {Id::kConnectionRefused, "connection_refused", kWarning,
        "an internal connection showed a wrong key, version or frame",
        "look for a process of another cluster or release"},
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -25,12 +25,15 @@
   kWeightsPublished = 3003,
   kEngineOrderFailed = 3004,
   kMachineListUnreadable = 3005,
+  kEngineOrdered = 3006,
   kLeaseLost = 4001,
   kLeaseGained = 4002,
   kConfigurationInForce = 4003,
   kEngineLeaving = 4004,
   kDrainBegun = 4005,
   kDrainComplete = 4006,
+  kRequestGivenUp = 4007,
+  kItemGivenUp = 4008,
   kConnectionRefused = 5001,
 };
 
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,5 +1,8 @@
 #include "transport/connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <utility>
 
 #include "transport/shared_key.h"
@@ -12,7 +15,8 @@
 constexpr std::size_t kNonceBytes = 16;
 /// Before the peer has proved the key, frames are small.
 constexpr std::uint32_t kMaximumHandshakeFrame = 512;
-constexpr auto kHandshakeTimeout = std::chrono::seconds(3);
+constexpr auto kHandshakeTimeout = std::chrono::milliseconds(1200);
+constexpr int kUnacknowledgedMillis = 1500;
 
 struct Hello {
   std::string magic;
@@ -38,18 +42,25 @@
       dialled_(dialled),
       expected_peer_(expectedPeer) {}
 
-void Connection::start() {
-  asio::error_code ignored;
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  own_hello_ = base::encode(
-      Hello{kMagic, kProtocolVersion, network_.settings_.self, randomBytes(kNonceBytes)});
-  enqueue(own_hello_);
+void Connection::limitHandshake() {
   handshake_timer_.expires_after(kHandshakeTimeout);
   handshake_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
     if (!error && !self->ready_) {
       self->close();
     }
   });
+}
+
+void Connection::start() {
+  asio::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  // A peer behind a silent cut acknowledges nothing: the connection must not outlive it for long.
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  socket_.set_option(UserTimeout(kUnacknowledgedMillis), ignored);
+  own_hello_ = base::encode(
+      Hello{kMagic, kProtocolVersion, network_.settings_.self, randomBytes(kNonceBytes)});
+  enqueue(own_hello_);
+  limitHandshake();
   readHeader();
 }
 
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -19,6 +19,8 @@
   Connection(PeerNetwork& network, asio::ip::tcp::socket socket, bool dialled,
              base::NodeId expectedPeer);
 
+  /// Closes the connection unless both ends have proved themselves soon.
+  void limitHandshake();
   void start();
   void send(const base::Bytes& frame);
   void close();
--- a/src/transport/internal_messages.h
+++ b/src/transport/internal_messages.h
@@ -33,6 +33,7 @@
 enum class CommandKind : std::uint8_t {
   kCommand,  ///< goes through the log
   kQuery,    ///< answered by the leader under its lease
+  kService,  ///< decided by the role that owns the group, on its leader
 };
 
 /// A call to a replication group.
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -57,24 +57,35 @@
   });
 }
 
+std::optional<Endpoint> PeerNetwork::addressOf(std::uint32_t number) const {
+  const auto listed = settings_.peers.find(number);
+  if (listed != settings_.peers.end()) {
+    return listed->second;
+  }
+  if (settings_.addressedPort == 0) {
+    return std::nullopt;
+  }
+  return Endpoint{asio::ip::address_v4(number).to_string(), settings_.addressedPort};
+}
+
 void PeerNetwork::dial(std::uint32_t number) {
   Dialled& dialled = dialled_[number];
-  const auto address = settings_.peers.find(number);
-  if (dialled.connection || dialled.waiting || stopped_ || address == settings_.peers.end()) {
+  const auto address = addressOf(number);
+  if (dialled.connection || dialled.waiting || stopped_ || !address) {
     return;
   }
   const auto connection = std::make_shared<Connection>(*this, asio::ip::tcp::socket(context_), true,
                                                        base::makeNodeId(number, 0));
   dialled.connection = connection;
   all_[connection.get()] = connection;
-  connection->socket().async_connect(toAsio(address->second),
-                                     [connection](const asio::error_code& error) {
-                                       if (error) {
-                                         connection->close();
-                                       } else {
-                                         connection->start();
-                                       }
-                                     });
+  connection->limitHandshake();
+  connection->socket().async_connect(toAsio(*address), [connection](const asio::error_code& error) {
+    if (error) {
+      connection->close();
+    } else {
+      connection->start();
+    }
+  });
 }
 
 void PeerNetwork::onReady(const std::shared_ptr<Connection>& connection) {
@@ -117,19 +128,21 @@
   if (number == base::nodeNumber(settings_.self)) {
     return;  // an earlier instance of this very node
   }
-  if (settings_.peers.contains(number)) {
-    dial(number);
-    const auto& connection = dialled_[number].connection;
-    // Not yet connected: the message waits in the connection's queue only once it is ready, so
-    // that a peer that is down does not collect old messages.
-    if (connection && connection->isReady()) {
-      connection->send(base::encode(message));
-    }
-    return;
-  }
+  const bool listed = settings_.peers.contains(number);
   const auto accepted = accepted_.find(to);
-  if (accepted != accepted_.end()) {
+  if (!listed && accepted != accepted_.end()) {
     accepted->second->send(base::encode(message));
+    return;
+  }
+  if (!addressOf(number)) {
+    return;
+  }
+  dial(number);
+  const auto& connection = dialled_[number].connection;
+  // Not yet connected: the message waits in the connection's queue only once it is ready, so
+  // that a peer that is down does not collect old messages.
+  if (connection && connection->isReady()) {
+    connection->send(base::encode(message));
   }
 }
 
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "transport/internal_messages.h"
@@ -25,6 +26,8 @@
   base::Bytes key;                          ///< shared by all processes of the cluster
   Endpoint listen;                          ///< port 0: chosen by the operating system
   std::map<std::uint32_t, Endpoint> peers;  ///< by node number
+  /// Where nodes listen whose number is their IPv4 address; 0: only `peers` have addresses.
+  std::uint16_t addressedPort = 0;
   std::size_t maximumFrameBytes = 64U << 20U;
   /// Messages to a peer that does not take them are dropped beyond this; all protocols above
   /// resend.
@@ -35,8 +38,8 @@
 
 class Connection;
 
-/// Sends to peers whose node number has a known address over a connection it dials, to others
-/// (gateways, towards a controller) over the one they dialled. Messages may be lost whenever a
+/// Sends over the connection that the peer dialled when there is one, else over one that it dials
+/// to the known address of the peer's node number. Messages may be lost whenever a
 /// connection breaks. Before any message is read, both ends prove the shared key and agree on the
 /// protocol version. Runs on the thread of its io_context.
 class PeerNetwork {
@@ -66,6 +69,7 @@
     std::shared_ptr<asio::steady_timer> timer;
   };
 
+  [[nodiscard]] std::optional<Endpoint> addressOf(std::uint32_t number) const;
   void accept();
   void dial(std::uint32_t number);
   void onReady(const std::shared_ptr<Connection>& connection);
