Gateways reconnect at once; a ledger with a log opens it without the controllers; items leave a line

Ledgers restarted with their logs waited for the controllers' view before they opened them (3.4 s of the 5 s without a ledger leader). Change: connecting ends after 600 ms, unacknowledged bytes after 1 s, messages wait for a connection under way, lost peers hurry their calls, and a ledger opens what it has.

--- a/src/cluster/cluster_member.cpp
+++ b/src/cluster/cluster_member.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr base::Duration kCallResend = base::milliseconds(300);
+/// Ledgers silent for longer are not asked.
+constexpr base::Duration kLedgerSilence = base::milliseconds(2500);
 
 consensus::GroupClientSettings clientSettings(base::GroupId group,
                                               std::vector<base::NodeId> replicas) {
@@ -33,6 +35,11 @@
   }
 }
 
+void ClusterMember::onPeerLost(std::uint32_t number) {
+  directory_.onPeerLost(number);
+  ledgers_.onPeerLost(number);
+}
+
 void ClusterMember::tick(base::TimePoint now) {
   directory_.tick(now, outbox_);
   ledgers_.tick(now, outbox_);
@@ -85,7 +92,13 @@
     }
   }
   directory_.setReplicas(std::move(controllers));
-  ledgers_.setReplicas(view.ledgers);
+  std::vector<base::NodeId> ledgers;
+  for (const directory::LedgerSight& sight : view.ledgers) {
+    if (sight.silence < kLedgerSilence) {
+      ledgers.push_back(sight.node);
+    }
+  }
+  ledgers_.setReplicas(std::move(ledgers));
   if (on_view_) {
     on_view_(view_);
   }
--- a/src/cluster/cluster_member.h
+++ b/src/cluster/cluster_member.h
@@ -21,8 +21,8 @@
   base::GroupId ledgerGroup;
   std::vector<base::NodeId> seeds;
   /// The controllers hold a watch back so long when nothing changed.
-  base::Duration watchHold = base::milliseconds(600);
-  base::Duration watchResend = base::milliseconds(1100);
+  base::Duration watchHold = base::milliseconds(500);
+  base::Duration watchResend = base::milliseconds(800);
   base::Duration watchDeadline = base::milliseconds(5000);
 };
 
@@ -39,6 +39,8 @@
   void reportLedgerMembership(MembershipSource source) { ledger_membership_ = std::move(source); }
 
   void onResponse(const transport::CommandResponse& response, base::TimePoint now);
+  /// The connection to a node broke: calls sent there are sent again soon, to another.
+  void onPeerLost(std::uint32_t number);
   void tick(base::TimePoint now);
 
   /// Gets the reply, or null when there was none by the deadline; it may then still take effect.
--- a/src/consensus/group_client.cpp
+++ b/src/consensus/group_client.cpp
@@ -40,8 +40,9 @@
     send(found->second, now, outbox);
     return;
   }
-  // No leader is known there: the resend timer tries the next replica.
+  // No leader is known there: the next replica is tried after a short pause.
   tryNextReplica();
+  found->second.hurried = true;
 }
 
 void GroupClient::tick(base::TimePoint now, transport::Outbox& outbox) {
@@ -54,8 +55,9 @@
       it = calls_.erase(it);
       continue;
     }
-    if (now - call.sentAt >= call.resendInterval) {
-      if (!moved) {
+    constexpr base::Duration kShortPause = base::milliseconds(50);
+    if (now - call.sentAt >= (call.hurried ? kShortPause : call.resendInterval)) {
+      if (!moved && call.sentTo == target()) {
         tryNextReplica();
         moved = true;
       }
@@ -68,6 +70,15 @@
   }
 }
 
+void GroupClient::onPeerLost(std::uint32_t number) {
+  if (base::nodeNumber(leader_) == number) {
+    tryNextReplica();
+  }
+  for (auto& [id, call] : calls_) {
+    call.hurried = call.hurried || base::nodeNumber(call.sentTo) == number;
+  }
+}
+
 void GroupClient::setReplicas(std::vector<base::NodeId> replicas) {
   if (!replicas.empty()) {
     settings_.replicas = std::move(replicas);
@@ -88,7 +99,9 @@
 
 void GroupClient::send(Call& call, base::TimePoint now, transport::Outbox& outbox) const {
   call.sentAt = now;
-  outbox.push_back({target(), call.request});
+  call.sentTo = target();
+  call.hurried = false;
+  outbox.push_back({call.sentTo, call.request});
 }
 
 }  // namespace tackpick::consensus
--- a/src/consensus/group_client.h
+++ b/src/consensus/group_client.h
@@ -44,6 +44,8 @@
   void onResponse(const transport::CommandResponse& response, base::TimePoint now,
                   transport::Outbox& outbox);
   void tick(base::TimePoint now, transport::Outbox& outbox);
+  /// The connection to a node broke: calls sent there are sent again at the next tick.
+  void onPeerLost(std::uint32_t number);
   /// Replaces the replicas to ask; an empty list is ignored.
   void setReplicas(std::vector<base::NodeId> replicas);
   [[nodiscard]] base::GroupId group() const { return settings_.group; }
@@ -53,6 +55,8 @@
   struct Call {
     transport::CommandRequest request;
     base::TimePoint sentAt{};
+    base::NodeId sentTo;
+    bool hurried = false;  ///< to be sent again after a short pause
     base::TimePoint deadline{};
     base::Duration resendInterval{0};
     Callback callback;
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -56,10 +56,11 @@
   InstanceRecord record;
   base::Duration silence{0};                      ///< since its last heartbeat
   std::map<std::string, std::uint64_t> versions;  ///< weights by model
+  bool loading = false;  ///< it was ordered to change weights and has not reported them
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(record, silence, versions);
+    archive(record, silence, versions, loading);
   }
 };
 
@@ -155,6 +156,18 @@
   kRunning,   ///< begun and not finished
 };
 
+/// A ledger as the leading controller hears it.
+struct LedgerSight {
+  base::NodeId node;
+  base::Duration silence{0};
+  bool retiring = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node, silence, retiring);
+  }
+};
+
 /// What a node learns from a watch.
 struct DirectoryView {
   std::uint64_t revision = 0;
@@ -163,18 +176,15 @@
   std::vector<InstanceView> instances;
   std::map<std::string, std::uint64_t> publishedVersions;
   std::vector<base::NodeId> controllers;
-  std::vector<base::NodeId> ledgers;      ///< heard of lately
+  std::vector<LedgerSight> ledgers;
   std::set<base::NodeId> ledgerFounders;  ///< first voters; empty until decided
-  std::set<std::string> retiringLedgers;  ///< names
-  std::map<std::string, base::NodeId> ledgerNames;
-  std::uint32_t gateways = 1;  ///< heard of lately
-  bool nodesSettled = false;   ///< the leader has led long enough to have heard of every node
+  std::uint32_t gateways = 1;             ///< heard of lately
+  bool nodesSettled = false;  ///< the leader has led long enough to have heard of every node
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(revision, configuration, configurationVersion, instances, publishedVersions,
-            controllers, ledgers, ledgerFounders, retiringLedgers, ledgerNames, gateways,
-            nodesSettled);
+            controllers, ledgers, ledgerFounders, gateways, nodesSettled);
   }
 };
 
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -290,6 +290,7 @@
     } else {
       instance.silence = now - leader_since_;
     }
+    instance.loading = orders_.isLoading(id, reports_, now);
     view.instances.push_back(std::move(instance));
   }
   view.publishedVersions = state_.versions();
@@ -301,17 +302,12 @@
     if (heard.record.role == NodeRole::kGateway) {
       view.gateways += now - heard.heardAt < settings_.repair.silenceLimit ? 1 : 0;
     } else if (heard.record.role == NodeRole::kLedger) {
-      view.ledgerNames[heard.record.name] = node;
-      if (now - heard.heardAt < settings_.repair.silenceLimit) {
-        view.ledgers.push_back(node);
-      }
+      view.ledgers.push_back(
+          {node, now - heard.heardAt, state_.retirements().contains(heard.record.name)});
     }
   }
   view.gateways = std::max(view.gateways, 1U);
   view.nodesSettled = now - leader_since_ > settings_.repair.silenceLimit;
-  for (const auto& [name, retirement] : state_.retirements()) {
-    view.retiringLedgers.insert(name);
-  }
   return view;
 }
 
@@ -341,6 +337,7 @@
   forgetSilent(now);
   const auto orders = orders_.step(state_, reports_, replica_.raft().currentTerm(), now);
   actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
+  view_revision_ += orders.empty() ? 0 : 1;
 }
 
 void DirectoryRole::foundLedgers(base::TimePoint now) {
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -111,13 +111,19 @@
   }
 }
 
+bool VersionOrders::isLoading(const std::string& instance,
+                              const std::map<std::string, ReportedEngine>& engines,
+                              base::TimePoint now) const {
+  const auto given = given_.find(instance);
+  return given != given_.end() && now < given->second.slotUntil &&
+         versionOf(engines, instance, given->second.model) < given->second.version;
+}
+
 std::size_t VersionOrders::loading(const std::map<std::string, ReportedEngine>& engines,
                                    base::TimePoint now) const {
   return static_cast<std::size_t>(
-      std::count_if(given_.begin(), given_.end(), [&](const auto& entry) {
-        return now < entry.second.slotUntil &&
-               versionOf(engines, entry.first, entry.second.model) < entry.second.version;
-      }));
+      std::count_if(given_.begin(), given_.end(),
+                    [&](const auto& entry) { return isLoading(entry.first, engines, now); }));
 }
 
 bool VersionOrders::mayOrder(const InstanceRecord& record,
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -69,6 +69,10 @@
   [[nodiscard]] std::vector<VersionOrder> step(const DirectoryState& state,
                                                const std::map<std::string, ReportedEngine>& engines,
                                                std::uint64_t term, base::TimePoint now);
+  /// True while an engine is expected to load.
+  [[nodiscard]] bool isLoading(const std::string& instance,
+                               const std::map<std::string, ReportedEngine>& engines,
+                               base::TimePoint now) const;
   void onOutcome(const VersionOrder& order, OrderOutcome outcome, base::TimePoint now);
 
  private:
--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -28,6 +28,7 @@
     entry.record = instance.record;
     entry.record.leaving = leaving;
     entry.heardAt = std::max(entry.heardAt, now - instance.silence);
+    entry.loading = instance.loading;
     for (const auto& [model, version] : instance.versions) {
       std::uint64_t& known = entry.versions[model];
       known = std::max(known, version);
@@ -76,7 +77,7 @@
     Rank rank = kSound;
     if (tried.contains(id)) {
       rank = kTried;
-    } else if (now < entry.avoidUntil) {
+    } else if (now < entry.avoidUntil || (entry.loading && !need.model.empty())) {
       rank = kAvoided;
     } else if (now - entry.heardAt > settings_.silenceLimit) {
       rank = kSilent;
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -65,6 +65,7 @@
   std::uint32_t failures = 0;
   base::TimePoint avoidUntil{};
   bool gone = false;
+  bool loading = false;  ///< it changes weights and refuses new requests
 
   [[nodiscard]] std::uint64_t version(const std::string& model) const;
 };
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -169,7 +169,7 @@
 
 void JobRole::repairGroup(base::TimePoint now) {
   consensus::RaftConsensus& raft = replica_.raft();
-  if (raft.membershipChangePending() || now - leader_since_ < settings_.repair.silenceLimit) {
+  if (raft.membershipChangePending()) {
     return;
   }
   const auto change = cluster::nextMembershipChange(raft.membership(), nodes_, settings_.repair);
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -153,6 +153,8 @@
   item.tried.insert(entry->record.id);
   item.instance = entry->record.id;
   item.sentAt = now;
+  item.firstSentAt = item.attempts == 0 ? now : item.firstSentAt;
+  ++item.attempts;
   item.lastByteAt = now;
   item.status = 0;
   item.notExecuted = false;
@@ -281,6 +283,19 @@
     telemetry::logEvent(telemetry::EventId::kItemGivenUp,
                         "job=" + key.job + " item=" + item.run.leased().item.id +
                             " status=" + std::to_string(item.status));
+  } else {
+    const auto millis = [](base::Duration time) {
+      return std::to_string(static_cast<int>(base::toMilliseconds(time)));
+    };
+    const base::TimePoint now = node_.now();
+    telemetry::logEvent(
+        telemetry::EventId::kItemFinished,
+        "job=" + key.job + " item=" + item.run.leased().item.id + " instance=" + item.instance +
+            " lease_age_ms=" + millis(item.run.leased().age) + " wait_ms=" +
+            millis(item.firstSentAt - item.leasedAt) + " run_ms=" + millis(now - item.firstSentAt) +
+            " last_ms=" + millis(now - item.sentAt) + " attempts=" + std::to_string(item.attempts) +
+            " events=" + std::to_string(item.run.lastEvent().value_or(0)) +
+            " hint=" + std::to_string(item.run.leased().item.expectedTokens));
   }
   results_[key.job].push_back(std::move(result));
 }
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -45,6 +45,8 @@
     base::TimePoint sentAt{};
     base::TimePoint lastByteAt{};
     int status = 0;
+    std::uint32_t attempts = 0;
+    base::TimePoint firstSentAt{};
     bool notExecuted = false;
     bool unusable = false;  ///< the running attempt's answer must not be used
     bool finished = false;  ///< its result waits to be committed
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,6 +54,8 @@
   openMember();
   if (settings_.role == directory::NodeRole::kController) {
     BOOST_LEAF_CHECK(openDirectory());
+  } else if (settings_.role == directory::NodeRole::kLedger) {
+    BOOST_LEAF_CHECK(reopenLedger());
   }
   return openNetwork();
 }
@@ -158,6 +160,16 @@
   return {};
 }
 
+base::Result<void> Node::reopenLedger() {
+  BOOST_LEAF_AUTO(folder,
+                  storage::PosixFileSystem::create(settings_.dataFolder + "/" + kLedgerFolder));
+  BOOST_LEAF_AUTO(names, folder->list());
+  const bool initialised =
+      std::find(names.begin(), names.end(), storage::kIdentityFileName) != names.end();
+  // A new folder waits for the controllers to say who founds the group.
+  return initialised ? openLedger({}) : base::Result<void>{};
+}
+
 base::Result<void> Node::openLedger(const std::set<base::NodeId>& founders) {
   BOOST_LEAF_CHECK(openLog(kLedgerFolder, directory::kLedgerGroup, founders));
   jobs::JobRoleSettings settings;
@@ -175,6 +187,7 @@
   network.key = "self-formed cluster " + settings_.cluster;
   network.listen = {settings_.address, settings_.internalPort};
   network.addressedPort = settings_.internalPort;
+  network.onLost = [this](std::uint32_t number) { member_->onPeerLost(number); };
   try {
     network_ = std::make_unique<transport::PeerNetwork>(
         context_, network, [this](base::NodeId from, const transport::InternalMessage& message) {
@@ -336,12 +349,8 @@
     return;
   }
   std::vector<cluster::GroupNode> nodes;
-  for (const base::NodeId node : view.ledgers) {
-    cluster::GroupNode listed{node, base::Duration{0}, false};
-    for (const auto& [name, named] : view.ledgerNames) {
-      listed.retiring = listed.retiring || (named == node && view.retiringLedgers.contains(name));
-    }
-    nodes.push_back(listed);
+  for (const directory::LedgerSight& sight : view.ledgers) {
+    nodes.push_back({sight.node, sight.silence, sight.retiring});
   }
   ledger_->setNodes(std::move(nodes));
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -53,6 +53,7 @@
   [[nodiscard]] base::Result<void> open();
   [[nodiscard]] base::Result<base::NodeId> openIdentity();
   [[nodiscard]] base::Result<void> openDirectory();
+  [[nodiscard]] base::Result<void> reopenLedger();
   [[nodiscard]] base::Result<void> openLedger(const std::set<base::NodeId>& founders);
   [[nodiscard]] base::Result<void> openLog(const std::string& name, base::GroupId group,
                                            const std::set<base::NodeId>& founders);
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kMaximumRecordSize = 256U << 20U;
 constexpr std::string_view kSegmentPrefix = "segment-";
 constexpr std::size_t kSegmentDigits = 10;
-const std::string kIdentityFile = "identity";
+const std::string kIdentityFile = kIdentityFileName;
 const std::string kSnapshotFile = "snapshot";
 
 /// Removes the entries from `firstRemoved` on, when replayed.
--- a/src/storage/segmented_log.h
+++ b/src/storage/segmented_log.h
@@ -27,6 +27,9 @@
   }
 };
 
+/// The file of an initialised folder that holds its identity.
+inline constexpr const char* kIdentityFileName = "identity";
+
 /// Reads the identity of a folder; kNotFound when the folder is empty.
 [[nodiscard]] base::Result<FolderIdentity> readIdentity(FileSystem& files);
 
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -34,6 +34,7 @@
   kDrainComplete = 4006,
   kRequestGivenUp = 4007,
   kItemGivenUp = 4008,
+  kItemFinished = 4009,
   kConnectionRefused = 5001,
 };
 
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t kNonceBytes = 16;
 /// Before the peer has proved the key, frames are small.
 constexpr std::uint32_t kMaximumHandshakeFrame = 512;
-constexpr auto kHandshakeTimeout = std::chrono::milliseconds(1200);
-constexpr int kUnacknowledgedMillis = 1500;
+constexpr auto kHandshakeTimeout = std::chrono::milliseconds(600);
+constexpr int kUnacknowledgedMillis = 1000;
 
 struct Hello {
   std::string magic;
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -90,7 +90,12 @@
 
 void PeerNetwork::onReady(const std::shared_ptr<Connection>& connection) {
   if (connection->isDialled()) {
-    dialled_[base::nodeNumber(connection->expectedPeer())].backoff = base::Duration{0};
+    Dialled& dialled = dialled_[base::nodeNumber(connection->expectedPeer())];
+    dialled.backoff = base::Duration{0};
+    dialled.pendingBytes = 0;
+    for (const base::Bytes& frame : std::exchange(dialled.pending, {})) {
+      connection->send(frame);
+    }
   } else {
     accepted_[connection->peer()] = connection;
   }
@@ -102,12 +107,19 @@
   if (accepted != accepted_.end() && accepted->second == connection) {
     accepted_.erase(accepted);
   }
+  const base::NodeId peer =
+      connection->isDialled() ? connection->expectedPeer() : connection->peer();
+  if (settings_.onLost && !stopped_ && peer.valid()) {
+    settings_.onLost(base::nodeNumber(peer));
+  }
   if (!connection->isDialled() || stopped_) {
     return;
   }
   const std::uint32_t number = base::nodeNumber(connection->expectedPeer());
   Dialled& dialled = dialled_[number];
   dialled.connection.reset();
+  dialled.pending.clear();
+  dialled.pendingBytes = 0;
   dialled.waiting = true;
   dialled.backoff =
       std::clamp(dialled.backoff * 2, settings_.shortestBackoff, settings_.longestBackoff);
@@ -138,11 +150,17 @@
     return;
   }
   dial(number);
-  const auto& connection = dialled_[number].connection;
-  // Not yet connected: the message waits in the connection's queue only once it is ready, so
-  // that a peer that is down does not collect old messages.
-  if (connection && connection->isReady()) {
-    connection->send(base::encode(message));
+  Dialled& dialled = dialled_[number];
+  if (!dialled.connection) {
+    return;
+  }
+  base::Bytes frame = base::encode(message);
+  if (dialled.connection->isReady()) {
+    dialled.connection->send(frame);
+  } else if (dialled.pendingBytes + frame.size() <= settings_.maximumPendingBytes) {
+    // Connecting takes a moment at most: a peer that is down does not collect old messages.
+    dialled.pendingBytes += frame.size();
+    dialled.pending.push_back(std::move(frame));
   }
 }
 
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "transport/internal_messages.h"
 
@@ -32,8 +33,12 @@
   /// Messages to a peer that does not take them are dropped beyond this; all protocols above
   /// resend.
   std::size_t maximumQueuedBytes = 128U << 20U;
+  /// Kept for a peer while the connection to it is being made.
+  std::size_t maximumPendingBytes = 1U << 20U;
   base::Duration shortestBackoff = base::milliseconds(50);
-  base::Duration longestBackoff = base::milliseconds(500);
+  base::Duration longestBackoff = base::milliseconds(200);
+  /// Called with the number of a node when a connection to or from it breaks or is not made.
+  std::function<void(std::uint32_t number)> onLost;
 };
 
 class Connection;
@@ -66,6 +71,8 @@
     std::shared_ptr<Connection> connection;
     base::Duration backoff{0};
     bool waiting = false;
+    std::vector<base::Bytes> pending;  ///< to be sent once connected
+    std::size_t pendingBytes = 0;
     std::shared_ptr<asio::steady_timer> timer;
   };
 
