Weights are loaded two engines at a time, known as soon as they are in; long items go to fast engines

Items of 190 events ran on engines half as fast as the others. Ruled out: room at the engines (0 of 16 places taken while they refused). Change: two loads at once, engines that load are asked for their versions, a new version waits 500 ms so that its step starts on the version before, gateways avoid engines that load; long items choose fast engines and move from slow ones.

--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Orders, repair and the like are looked at this often.
-constexpr base::Duration kSlowWorkInterval = base::milliseconds(100);
+constexpr base::Duration kSlowWorkInterval = base::milliseconds(50);
 /// View revisions of different leaders must not be confused.
 constexpr unsigned kTermShift = 40;
 
@@ -326,6 +326,20 @@
   }
 }
 
+void DirectoryRole::onReport(const std::string& instance,
+                             const std::map<std::string, std::uint64_t>& versions,
+                             base::TimePoint now) {
+  const auto report = reports_.find(instance);
+  if (report == reports_.end()) {
+    return;
+  }
+  report->second.heardAt = now;
+  if (report->second.versions != versions) {
+    report->second.versions = versions;
+    ++view_revision_;
+  }
+}
+
 void DirectoryRole::tick(base::TimePoint now) {
   replica_.tick(now);
   if (now - slow_work_at_ < kSlowWorkInterval || !leads(now)) {
@@ -335,6 +349,12 @@
   foundLedgers(now);
   repairOwnGroup(now);
   forgetSilent(now);
+  for (const std::string& id : orders_.dueReports(reports_, now)) {
+    const auto record = state_.instances().find(id);
+    if (record != state_.instances().end()) {
+      actions_.reportsWanted.push_back(record->second);
+    }
+  }
   const auto orders = orders_.step(state_, reports_, replica_.raft().currentTerm(), now);
   actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
   view_revision_ += orders.empty() ? 0 : 1;
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -38,6 +38,7 @@
 struct DirectoryActions {
   transport::Outbox messages;
   std::vector<VersionOrder> orders;
+  std::vector<InstanceRecord> reportsWanted;  ///< engines to be asked for their versions
 };
 
 /// Deterministic; owned by one thread. Only the leader decides, and only under its lease.
@@ -49,6 +50,9 @@
   void handle(base::NodeId from, const transport::RaftEnvelope& message, base::TimePoint now);
   void handle(base::NodeId from, const transport::CommandRequest& message, base::TimePoint now);
   void onOrderOutcome(const VersionOrder& order, OrderOutcome outcome, base::TimePoint now);
+  /// An engine told its versions.
+  void onReport(const std::string& instance, const std::map<std::string, std::uint64_t>& versions,
+                base::TimePoint now);
   void tick(base::TimePoint now);
   /// Ends a turn: syncs, applies, and says what to do.
   [[nodiscard]] DirectoryActions finish(base::TimePoint now);
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -40,6 +40,7 @@
 void VersionOrders::reset(base::TimePoint now) {
   leader_since_ = now;
   homes_.clear();
+  published_.clear();
   given_.clear();
 }
 
@@ -115,15 +116,33 @@
                               const std::map<std::string, ReportedEngine>& engines,
                               base::TimePoint now) const {
   const auto given = given_.find(instance);
-  return given != given_.end() && now < given->second.slotUntil &&
+  return given != given_.end() && now < given->second.loadingUntil &&
          versionOf(engines, instance, given->second.model) < given->second.version;
 }
 
-std::size_t VersionOrders::loading(const std::map<std::string, ReportedEngine>& engines,
-                                   base::TimePoint now) const {
-  return static_cast<std::size_t>(
-      std::count_if(given_.begin(), given_.end(),
-                    [&](const auto& entry) { return isLoading(entry.first, engines, now); }));
+std::map<std::string, VersionOrders::ModelLoad> VersionOrders::loadByModel(
+    const std::map<std::string, ReportedEngine>& engines, base::TimePoint now) const {
+  std::map<std::string, ModelLoad> loads;
+  for (const auto& [instance, model] : homes_) {
+    ModelLoad& load = loads[model];
+    ++load.engines;
+    load.loading += isLoading(instance, engines, now) ? 1 : 0;
+  }
+  return loads;
+}
+
+void VersionOrders::notePublished(const DirectoryState& state, base::TimePoint now) {
+  for (const auto& [model, version] : state.versions()) {
+    Published& published = published_[model];
+    if (published.version != version) {
+      published = {version, now};
+    }
+  }
+}
+
+bool VersionOrders::isDue(const std::string& model, std::uint64_t held, std::uint64_t published,
+                          base::TimePoint now) const {
+  return held + 1 < published || now - published_.at(model).seenAt >= settings_.settlingTime;
 }
 
 bool VersionOrders::mayOrder(const InstanceRecord& record,
@@ -139,6 +158,36 @@
          versionOf(engines, record.id, given->second.model) >= given->second.version;
 }
 
+std::vector<const InstanceRecord*> VersionOrders::oldestVersionFirst(
+    const DirectoryState& state) const {
+  std::vector<const InstanceRecord*> records;
+  for (const auto& [id, record] : state.instances()) {
+    records.push_back(&record);
+  }
+  const auto publishedAt = [this](const InstanceRecord* record) {
+    const auto home = homes_.find(record->id);
+    const auto published = home == homes_.end() ? published_.end() : published_.find(home->second);
+    return published == published_.end() ? base::TimePoint{} : published->second.seenAt;
+  };
+  std::stable_sort(records.begin(), records.end(),
+                   [&](const InstanceRecord* left, const InstanceRecord* right) {
+                     return publishedAt(left) < publishedAt(right);
+                   });
+  return records;
+}
+
+std::vector<std::string> VersionOrders::dueReports(
+    const std::map<std::string, ReportedEngine>& engines, base::TimePoint now) {
+  std::vector<std::string> due;
+  for (auto& [instance, given] : given_) {
+    if (isLoading(instance, engines, now) && now >= given.reportAt) {
+      given.reportAt = now + settings_.reportInterval;
+      due.push_back(instance);
+    }
+  }
+  return due;
+}
+
 std::vector<VersionOrder> VersionOrders::step(const DirectoryState& state,
                                               const std::map<std::string, ReportedEngine>& engines,
                                               std::uint64_t term, base::TimePoint now) {
@@ -146,17 +195,32 @@
   if (now - leader_since_ < settings_.quietAfterElection) {
     return orders;
   }
+  notePublished(state, now);
   assignHomes(state, engines);
-  std::size_t running = loading(engines, now);
-  for (const auto& [id, record] : state.instances()) {
+  std::map<std::string, ModelLoad> loads = loadByModel(engines, now);
+  std::size_t running = 0;
+  for (const auto& [model, load] : loads) {
+    running += load.loading;
+  }
+  for (const InstanceRecord* candidate : oldestVersionFirst(state)) {
+    const InstanceRecord& record = *candidate;
+    const std::string& id = record.id;
     const auto home = homes_.find(id);
     if (running >= settings_.concurrentLoads || home == homes_.end()) {
       continue;
     }
     const auto published = state.versions().find(home->second);
-    if (published == state.versions().end() ||
-        versionOf(engines, id, home->second) >= published->second ||
-        !mayOrder(record, engines, now)) {
+    const std::uint64_t held = versionOf(engines, id, home->second);
+    if (published == state.versions().end() || held >= published->second ||
+        !isDue(home->second, held, published->second, now) || !mayOrder(record, engines, now)) {
+      continue;
+    }
+    constexpr std::size_t kWholePercent = 100;
+    ModelLoad& load = loads[home->second];
+    const std::size_t most =
+        (load.engines * static_cast<std::size_t>(settings_.loadingPercent) + kWholePercent - 1) /
+        kWholePercent;
+    if (load.loading >= most) {
       continue;
     }
     if (findService(state.configuration(), record.service) == nullptr) {
@@ -170,9 +234,10 @@
                        term,
                        wantsSingleVersion(state.configuration(), record.service)};
     given_[id] = {order.model, order.version, now + settings_.orderTimeout,
-                  now + settings_.expectedLoad};
+                  now + settings_.orderTimeout, now + settings_.firstReport};
     orders.push_back(std::move(order));
     ++running;
+    ++load.loading;
   }
   return orders;
 }
@@ -188,8 +253,12 @@
   constexpr base::Duration kRefusedRetry = base::seconds(2);
   if (outcome == OrderOutcome::kBusy) {
     found->second.retryAt = now + kBusyRetry;
+    found->second.loadingUntil = found->second.retryAt;
   } else if (outcome == OrderOutcome::kRefused) {
     found->second.retryAt = now + kRefusedRetry;
+    found->second.loadingUntil = now;
+  } else if (outcome == OrderOutcome::kUncertain) {
+    found->second.loadingUntil = now + settings_.uncertainLoad;
   }
 }
 
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -18,14 +18,24 @@
 /// Knobs of VersionOrders.
 struct VersionOrderSettings {
   /// Engines that may load at once; a store of weights slows down when many do.
-  std::size_t concurrentLoads = 3;
+  std::size_t concurrentLoads = 2;
+  /// Of the engines that follow one model, at most this share loads at once, so that the others
+  /// take new work.
+  int loadingPercent = 50;
+  /// A new version is ordered this much later on engines that hold the one before: the work that
+  /// comes with a new version may still run there, and an engine that loads takes none.
+  base::Duration settlingTime = base::milliseconds(500);
   /// No order is given within this time of becoming leader, so that the orders of two leaders do
   /// not alternate.
   base::Duration quietAfterElection = base::milliseconds(3100);
   /// An order is taken as without effect when the engine has not reported the version by then.
   base::Duration orderTimeout = base::seconds(4);
-  /// How long an engine usually loads.
-  base::Duration expectedLoad = base::milliseconds(1200);
+  /// An engine that was given an order is asked for its versions from this time on, so that the
+  /// next can be ordered as soon as it has loaded.
+  base::Duration firstReport = base::milliseconds(850);
+  base::Duration reportInterval = base::milliseconds(150);
+  /// An order without an answer no longer counts as a load after this time.
+  base::Duration uncertainLoad = base::milliseconds(1500);
   /// Engines silent for longer get no orders.
   base::Duration silenceLimit = base::seconds(4);
 };
@@ -69,6 +79,9 @@
   [[nodiscard]] std::vector<VersionOrder> step(const DirectoryState& state,
                                                const std::map<std::string, ReportedEngine>& engines,
                                                std::uint64_t term, base::TimePoint now);
+  /// Engines to be asked for their versions now.
+  [[nodiscard]] std::vector<std::string> dueReports(
+      const std::map<std::string, ReportedEngine>& engines, base::TimePoint now);
   /// True while an engine is expected to load.
   [[nodiscard]] bool isLoading(const std::string& instance,
                                const std::map<std::string, ReportedEngine>& engines,
@@ -80,21 +93,39 @@
     std::string model;
     std::uint64_t version = 0;
     base::TimePoint retryAt{};
-    base::TimePoint slotUntil{};  ///< counted as loading until then
+    base::TimePoint loadingUntil{};  ///< at the latest
+    base::TimePoint reportAt{};      ///< when to ask for its versions next
   };
 
+  /// The engines that follow one model.
+  struct ModelLoad {
+    std::size_t engines = 0;
+    std::size_t loading = 0;
+  };
+
+  void notePublished(const DirectoryState& state, base::TimePoint now);
+  [[nodiscard]] std::map<std::string, ModelLoad> loadByModel(
+      const std::map<std::string, ReportedEngine>& engines, base::TimePoint now) const;
+  [[nodiscard]] bool isDue(const std::string& model, std::uint64_t held, std::uint64_t published,
+                           base::TimePoint now) const;
   void assignHomes(const DirectoryState& state,
                    const std::map<std::string, ReportedEngine>& engines);
+  /// All instances, those first whose model's version was published first.
+  [[nodiscard]] std::vector<const InstanceRecord*> oldestVersionFirst(
+      const DirectoryState& state) const;
   [[nodiscard]] bool mayOrder(const InstanceRecord& record,
                               const std::map<std::string, ReportedEngine>& engines,
                               base::TimePoint now) const;
-  [[nodiscard]] std::size_t loading(const std::map<std::string, ReportedEngine>& engines,
-                                    base::TimePoint now) const;
 
   const VersionOrderSettings settings_;
   base::TimePoint leader_since_{};
   std::map<std::string, std::string> homes_;  ///< model by instance
   std::map<std::string, Given> given_;        ///< latest order by instance
+  struct Published {
+    std::uint64_t version = 0;
+    base::TimePoint seenAt{};
+  };
+  std::map<std::string, Published> published_;  ///< newest version by model, and since when
 };
 
 }  // namespace tackpick::directory
--- a/src/edge/dialect.h
+++ b/src/edge/dialect.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -76,6 +77,12 @@
   [[nodiscard]] virtual http::UpstreamRequest orderRequest(const directory::VersionOrder& order,
                                                            const std::string& holder) const = 0;
   [[nodiscard]] virtual directory::OrderOutcome orderOutcome(int status) const = 0;
+  /// The call that asks an engine for the versions it holds.
+  [[nodiscard]] virtual http::UpstreamRequest reportRequest(
+      const directory::InstanceRecord& engine) const = 0;
+  /// Nothing when the body cannot be read.
+  [[nodiscard]] virtual std::optional<std::map<std::string, std::uint64_t>> reportedVersions(
+      const std::string& body) const = 0;
   /// The call that runs an item, continuing behind `lastEvent`.
   [[nodiscard]] virtual http::UpstreamRequest itemRequest(
       const jobs::LeasedItem& item, std::optional<std::uint64_t> lastEvent) const = 0;
--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -9,6 +9,10 @@
 /// Reports of load older than this say nothing.
 constexpr base::Duration kLoadFreshness = base::milliseconds(800);
 constexpr double kLatencyWeight = 0.2;
+constexpr double kPaceWeight = 0.15;
+/// Instances drawn at random, of which the cheapest is taken.
+constexpr int kDraws = 2;
+constexpr int kDrawsWhenLong = 6;
 /// An instance in another zone counts as this much busier, in requests.
 constexpr double kOtherZoneCost = 0.4;
 
@@ -47,18 +51,51 @@
   }
 }
 
-double InstanceTable::cost(const InstanceEntry& entry, base::TimePoint now) const {
+bool InstanceTable::serves(const InstanceEntry& entry, const InstanceNeed& need) {
+  return entry.record.service == need.service && !entry.record.leaving && !entry.gone &&
+         (need.model.empty() || entry.version(need.model) >= need.minimumVersion);
+}
+
+double InstanceTable::busyness(const InstanceEntry& entry, base::TimePoint now) {
+  const double reported =
+      now - entry.loadAt < kLoadFreshness ? entry.load.running + entry.load.waiting : 0.0;
+  return std::max<double>(entry.inFlight, reported);
+}
+
+double InstanceTable::cost(const InstanceEntry& entry, const InstanceNeed& need,
+                           base::TimePoint now) const {
   const double slots = std::max<double>(1.0, entry.record.slots);
-  double busy = entry.inFlight;
-  if (now - entry.loadAt < kLoadFreshness) {
-    busy = std::max<double>(busy, entry.load.running + entry.load.waiting);
+  const double occupied = (busyness(entry, now) + 1.0) / slots;
+  if (need.model.empty()) {
+    const double away = entry.record.zone != settings_.zone ? kOtherZoneCost / slots : 0.0;
+    constexpr double kUnknownLatencyMs = 10.0;
+    return (occupied + away) * (entry.latencyMs > 0 ? entry.latencyMs : kUnknownLatencyMs);
   }
-  if (entry.record.zone != settings_.zone) {
-    busy += kOtherZoneCost;
+  // A batching engine is hardly slower when fuller, until it is full.
+  constexpr double kSharing = 0.5;
+  constexpr double kQueueing = 4.0;
+  constexpr double kUnknownPaceMs = 1.0;
+  const double queued = std::max(0.0, occupied - 1.0);
+  return (entry.paceMs > 0 ? entry.paceMs : kUnknownPaceMs) *
+         (1.0 + kSharing * occupied + kQueueing * queued);
+}
+
+const InstanceEntry* InstanceTable::findFaster(const InstanceNeed& need, const std::string& current,
+                                               double gain, base::TimePoint now) const {
+  const InstanceEntry* here = find(current);
+  if (here == nullptr || here->paceMs <= 0) {
+    return nullptr;
+  }
+  const InstanceEntry* best = nullptr;
+  for (const auto& [id, entry] : entries_) {
+    const bool usable = serves(entry, need) && !entry.loading && now >= entry.avoidUntil &&
+                        entry.paceMs > 0 && entry.paceMs * gain <= here->paceMs &&
+                        busyness(entry, now) + 1 <= entry.record.slots;
+    if (usable && (best == nullptr || entry.paceMs < best->paceMs)) {
+      best = &entry;
+    }
   }
-  constexpr double kUnknownLatencyMs = 10.0;
-  const double latency = entry.latencyMs > 0 ? entry.latencyMs : kUnknownLatencyMs;
-  return (busy + 1.0) / slots * latency;
+  return best;
 }
 
 const InstanceEntry* InstanceTable::select(const InstanceNeed& need,
@@ -68,10 +105,7 @@
   enum Rank : std::uint8_t { kSound, kSilent, kAvoided, kTried, kRanks };
   std::array<std::vector<const InstanceEntry*>, kRanks> ranked;
   for (const auto& [id, entry] : entries_) {
-    const bool usable = entry.record.service == need.service && !entry.record.leaving &&
-                        !entry.gone &&
-                        (need.model.empty() || entry.version(need.model) >= need.minimumVersion);
-    if (!usable) {
+    if (!serves(entry, need)) {
       continue;
     }
     Rank rank = kSound;
@@ -88,9 +122,14 @@
     if (candidates.empty()) {
       continue;
     }
-    const InstanceEntry* first = candidates[random.below(candidates.size())];
-    const InstanceEntry* second = candidates[random.below(candidates.size())];
-    return cost(*second, now) < cost(*first, now) ? second : first;
+    const InstanceEntry* best = nullptr;
+    for (int draw = 0; draw < (need.longRunning ? kDrawsWhenLong : kDraws); ++draw) {
+      const InstanceEntry* drawn = candidates[random.below(candidates.size())];
+      if (best == nullptr || cost(*drawn, need, now) < cost(*best, need, now)) {
+        best = drawn;
+      }
+    }
+    return best;
   }
   return nullptr;
 }
@@ -128,7 +167,9 @@
       break;
     }
     case SendOutcome::kFull:
-      entry.avoidUntil = std::max(entry.avoidUntil, now + settings_.fullTime);
+      entry.avoidUntil = std::max(
+          entry.avoidUntil, now + (busyness(entry, now) < entry.record.slots ? settings_.loadingTime
+                                                                             : settings_.fullTime));
       break;
     case SendOutcome::kGone:
       entry.gone = true;
@@ -138,6 +179,16 @@
   }
 }
 
+void InstanceTable::onPace(const std::string& id, base::Duration perEvent) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  InstanceEntry& entry = found->second;
+  const double sample = base::toMilliseconds(perEvent);
+  entry.paceMs = entry.paceMs > 0 ? entry.paceMs + kPaceWeight * (sample - entry.paceMs) : sample;
+}
+
 void InstanceTable::onLoad(const std::string& id, const ReportedLoad& load, base::TimePoint now) {
   const auto found = entries_.find(id);
   if (found != entries_.end()) {
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -24,6 +24,8 @@
   base::Duration longestEjection = base::seconds(4);
   /// After a refusal for want of room it is avoided for this long.
   base::Duration fullTime = base::milliseconds(60);
+  /// After a refusal although it has room: it changes its weights.
+  base::Duration loadingTime = base::milliseconds(200);
   /// An instance silent for longer is used only when no other is left: it may be dead, or merely
   /// cut off from the controllers.
   base::Duration silenceLimit = base::seconds(4);
@@ -51,6 +53,7 @@
   std::string service;
   std::string model;                 ///< empty: any
   std::uint64_t minimumVersion = 0;  ///< of that model's weights
+  bool longRunning = false;          ///< expected to run long: speed counts more than balance
 };
 
 /// One instance as the gateway sees it.
@@ -61,6 +64,7 @@
   std::uint32_t inFlight = 0;
   ReportedLoad load;
   base::TimePoint loadAt{};
+  double paceMs = 0;  ///< moving average of the time between two events of a stream; zero: none yet
   double latencyMs = 0;  ///< moving average of served requests; zero: none yet
   std::uint32_t failures = 0;
   base::TimePoint avoidUntil{};
@@ -84,6 +88,13 @@
   void onSent(const std::string& id);
   void onEnded(const std::string& id, SendOutcome outcome, base::Duration took,
                base::TimePoint now);
+  /// Events of a stream came so far apart on average.
+  void onPace(const std::string& id, base::Duration perEvent);
+  /// The instance where a stream would go on faster: at least `gain` times as fast as at `current`,
+  /// with room. Nothing when there is none.
+  [[nodiscard]] const InstanceEntry* findFaster(const InstanceNeed& need,
+                                                const std::string& current, double gain,
+                                                base::TimePoint now) const;
   void onLoad(const std::string& id, const ReportedLoad& load, base::TimePoint now);
   /// An answer named the version that makes it.
   void onVersion(const std::string& id, const std::string& model, std::uint64_t version);
@@ -99,7 +110,11 @@
   [[nodiscard]] const std::map<std::string, InstanceEntry>& entries() const { return entries_; }
 
  private:
-  [[nodiscard]] double cost(const InstanceEntry& entry, base::TimePoint now) const;
+  [[nodiscard]] static bool serves(const InstanceEntry& entry, const InstanceNeed& need);
+  /// Requests at an instance, as far as this gateway knows.
+  [[nodiscard]] static double busyness(const InstanceEntry& entry, base::TimePoint now);
+  [[nodiscard]] double cost(const InstanceEntry& entry, const InstanceNeed& need,
+                            base::TimePoint now) const;
 
   const InstanceTableSettings settings_;
   std::map<std::string, InstanceEntry> entries_;
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -26,6 +26,12 @@
 constexpr base::Duration kRetryDelay = base::milliseconds(40);
 /// An attempt without a byte for so long is broken off and continued elsewhere.
 constexpr base::Duration kSilenceLimit = base::milliseconds(2500);
+/// Events over which the pace of an engine is noted.
+constexpr std::uint32_t kPaceEvents = 6;
+/// An item that has run for so long may be one of the few that run very long: moving it pays.
+constexpr base::Duration kLongRun = base::milliseconds(900);
+constexpr double kMoveGain = 1.25;
+constexpr std::uint32_t kMostMoves = 4;
 /// Items beyond the engines' places that may wait at them, in percent.
 constexpr std::uint32_t kOvercommitPercent = 110;
 constexpr std::uint32_t kWholePercent = 100;
@@ -51,6 +57,7 @@
 void ItemRunner::tick() {
   const base::TimePoint now = node_.now();
   cutSilent(now);
+  moveFromSlow(now);
   startAttempts(now);
   commit(now);
   const bool idleNow = items_.empty();
@@ -111,6 +118,8 @@
     }
     auto item = std::make_unique<Running>(leased, node_.dialect().headers().weightsField);
     item->leasedAt = now;
+    constexpr double kWeight = 0.02;
+    typical_tokens_ += kWeight * (leased.item.expectedTokens - typical_tokens_);
     items_.emplace(leased.key, std::move(item));
   }
   startAttempts(now);
@@ -135,7 +144,8 @@
     return;
   }
   item.service = directory::drawService(*route, node_.random());
-  const forwarding::InstanceNeed need{item.service, leased.model, leased.minimumVersion};
+  const forwarding::InstanceNeed need{item.service, leased.model, leased.minimumVersion,
+                                      isLong(item)};
   const auto* entry = instances_.select(need, item.tried, node_.random(), now);
   if (entry == nullptr) {
     retryLater(item, kRetryDelay);
@@ -160,6 +170,8 @@
   item.notExecuted = false;
   item.unusable = false;
   item.parser = jobs::StreamEventParser(names.weightsField);
+  item.paceSince = {};
+  item.paceEvents = 0;
   instances_.onSent(item.instance);
   http::UpstreamEvents events;
   events.onHead = [this, key](int status, const http::HeaderList& headers) {
@@ -208,6 +220,7 @@
       item.unusable = true;
       return;
     }
+    notePace(item, item.lastByteAt);
   }
 }
 
@@ -277,6 +290,47 @@
   }
 }
 
+void ItemRunner::notePace(Running& item, base::TimePoint now) {
+  if (item.paceSince == base::TimePoint{}) {
+    item.paceSince = now;  // the first event also waited for its prompt
+    return;
+  }
+  if (++item.paceEvents < kPaceEvents) {
+    return;
+  }
+  instances_.onPace(item.instance, (now - item.paceSince) / item.paceEvents);
+  item.paceSince = now;
+  item.paceEvents = 0;
+}
+
+bool ItemRunner::isLong(const Running& item) const {
+  constexpr double kLongFactor = 1.5;
+  return item.moves > 0 || item.run.leased().item.expectedTokens > kLongFactor * typical_tokens_;
+}
+
+void ItemRunner::moveFromSlow(base::TimePoint now) {
+  for (const auto& [key, item] : items_) {
+    const bool mayMove = item->exchange.valid() && item->paceSince != base::TimePoint{} &&
+                         item->moves < kMostMoves && now - item->firstSentAt > kLongRun;
+    if (!mayMove) {
+      continue;
+    }
+    const jobs::LeasedItem& leased = item->run.leased();
+    const forwarding::InstanceNeed need{item->service, leased.model, leased.minimumVersion, true};
+    const auto* faster = instances_.findFaster(need, item->instance, kMoveGain, now);
+    if (faster == nullptr) {
+      continue;
+    }
+    telemetry::logEvent(telemetry::EventId::kItemMoved,
+                        "job=" + key.job + " item=" + leased.item.id + " from=" + item->instance +
+                            " to=" + faster->record.id);
+    ++item->moves;
+    cancelAttempt(*item);
+    item->tried.insert(item->instance);
+    retryLater(*item, base::Duration{0});
+  }
+}
+
 void ItemRunner::finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result) {
   item.finished = true;
   if (result.state == jobs::ItemState::kTerminated) {
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -46,6 +46,9 @@
     base::TimePoint lastByteAt{};
     int status = 0;
     std::uint32_t attempts = 0;
+    std::uint32_t moves = 0;       ///< to faster engines
+    std::uint32_t paceEvents = 0;  ///< events since the pace was last noted
+    base::TimePoint paceSince{};
     base::TimePoint firstSentAt{};
     bool notExecuted = false;
     bool unusable = false;  ///< the running attempt's answer must not be used
@@ -63,6 +66,10 @@
   void onWholeAnswer(const jobs::ItemKey& key, Running& item);
   void retryLater(Running& item, base::Duration delay);
   void cutSilent(base::TimePoint now);
+  /// Continues items elsewhere that have run long on an engine much slower than another.
+  void moveFromSlow(base::TimePoint now);
+  void notePace(Running& item, base::TimePoint now);
+  [[nodiscard]] bool isLong(const Running& item) const;
   void cancelAttempt(Running& item);
   void finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result);
   void commit(base::TimePoint now);
@@ -79,6 +86,7 @@
   bool stopping_ = false;
   base::TimePoint lease_at_{};
   base::TimePoint renewed_at_{};
+  double typical_tokens_ = 0;  ///< moving average of the expected length of an item
 };
 
 }  // namespace tackpick::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -294,6 +294,9 @@
     for (const directory::VersionOrder& order : actions.orders) {
       sendOrder(order);
     }
+    for (const directory::InstanceRecord& engine : actions.reportsWanted) {
+      askForReport(engine);
+    }
   }
   if (ledger_) {
     sendAll(ledger_->finish(now()));
@@ -376,6 +379,20 @@
   upstream_->start(dialect_.orderRequest(order, settings_.name), std::move(events));
 }
 
+void Node::askForReport(const directory::InstanceRecord& engine) {
+  const auto body = std::make_shared<std::string>();
+  http::UpstreamEvents events;
+  events.onData = [body](std::string_view data) { body->append(data); };
+  events.onEnd = [this, body, id = engine.id](const http::UpstreamEnd& end) {
+    const auto versions = end.complete ? dialect_.reportedVersions(*body) : std::nullopt;
+    if (versions) {
+      directory_->onReport(id, *versions, now());
+      wake();
+    }
+  };
+  upstream_->start(dialect_.reportRequest(engine), std::move(events));
+}
+
 void Node::observe() {
   const consensus::Replica* replica = nullptr;
   if (directory_) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -65,6 +65,7 @@
   void onMessage(base::NodeId from, const transport::InternalMessage& message);
   void onView(const directory::DirectoryView& view);
   void sendOrder(const directory::VersionOrder& order);
+  void askForReport(const directory::InstanceRecord& engine);
   void sendAll(const transport::Outbox& outbox);
   void tick();
   void turn();
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -51,6 +51,8 @@
       {Id::kItemFinished, "item_finished", kInfo,
        "an item of a batch has its result: how long it waited and ran, and over how many attempts",
        ""},
+      {Id::kItemMoved, "item_moved", kInfo, "a long item goes on at an engine that is much faster",
+       ""},
       {Id::kConnectionRefused, "connection_refused", kWarning,
        "an internal connection showed a wrong key, version or frame",
        "look for a process of another cluster or release"},
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -35,6 +35,7 @@
   kRequestGivenUp = 4007,
   kItemGivenUp = 4008,
   kItemFinished = 4009,
+  kItemMoved = 4010,
   kConnectionRefused = 5001,
 };
 
