--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -164,7 +164,7 @@
   ExchangeServer server_;
 };
 
-Server::Server(asio::io_context& context, const ServerSettings& settings, Handler handler)
+Server::Server(asio::io_context& context, const ServerSettings& settings, const Handler& handler)
     : implementation_(std::make_unique<Implementation>(context, settings, handler)) {}
 
 Server::~Server() = default;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -63,7 +63,7 @@
 /// Serves on the thread that runs `context`.
 class Server {
  public:
-  Server(asio::io_context& context, const ServerSettings& settings, Handler handler);
+  Server(asio::io_context& context, const ServerSettings& settings, const Handler& handler);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -140,7 +140,7 @@
   void resetParser();
   void fail(const std::string& error);
   void succeed();
-  void end(UpstreamEnd result);
+  void end(const UpstreamEnd& result);
 
   std::shared_ptr<UpstreamPool> client_;
   const Address address_;
@@ -174,7 +174,7 @@
 std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Address& address) {
   const auto found = idle.find(address);
   while (found != idle.end() && !found->second.empty()) {
-    const auto connection = std::move(found->second.back());
+    auto connection = std::move(found->second.back());
     found->second.pop_back();
     if (connection->usable()) {
       return connection;
@@ -446,7 +446,7 @@
     }
     return;
   }
-  end(std::move(result));
+  end(result);
 }
 
 void UpstreamConnection::fail(const std::string& error) {
@@ -457,10 +457,10 @@
   result.verdict = sent_any_ ? base::Verdict::kMayHaveRun : base::Verdict::kNotRun;
   result.answerBegan = head_seen_;
   result.error = error;
-  end(std::move(result));
+  end(result);
 }
 
-void UpstreamConnection::end(UpstreamEnd result) {
+void UpstreamConnection::end(const UpstreamEnd& result) {
   busy_ = false;
   close();
   client_->active.erase(id_);
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -25,11 +25,11 @@
 ControlFront::ControlFront(Node& node)
     : node_(node),
       server_(node.context(), node.settings().control.host, node.settings().control.port, limits(),
-              [this](http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange) {
-                onRequest(std::move(request), exchange);
+              [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
+                onRequest(request, exchange);
               }) {}
 
-void ControlFront::onRequest(http::RawRequest request,
+void ControlFront::onRequest(const http::RawRequest& request,
                              const std::shared_ptr<http::Exchange>& exchange) {
   edge::ControlCall call = node_.dialect().controlCall(request);
   if (std::holds_alternative<edge::UnknownCall>(call)) {
--- a/src/node/control_front.h
+++ b/src/node/control_front.h
@@ -16,7 +16,7 @@
   explicit ControlFront(Node& node);
 
  private:
-  void onRequest(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange);
+  void onRequest(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange);
 
   Node& node_;
   http::ExchangeServer server_;
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -84,7 +84,7 @@
   void onEnd(std::uint64_t number, const http::UpstreamEnd& end);
   [[nodiscard]] std::pair<AttemptResult, SendOutcome> classify(const Send& send,
                                                                const http::UpstreamEnd& end) const;
-  void deliver(Send send);
+  void deliver(const Send& send);
   void answerOwn(int status);
   void giveUp();
   void onDeadline();
@@ -244,7 +244,7 @@
     return;
   }
   if (result == AttemptResult::kAnswered) {
-    deliver(std::move(send));
+    deliver(send);
     return;
   }
   if (result == AttemptResult::kServerFailed) {
@@ -253,14 +253,14 @@
   sendOrGiveUp();
 }
 
-void ForwardedRequest::deliver(Send send) {
+void ForwardedRequest::deliver(const Send& send) {
   exchange_->respond(send.status, send.headers, send.body);
   finish(SendOutcome::kAbandoned);
 }
 
 void ForwardedRequest::giveUp() {
   if (failure_) {
-    deliver(std::move(*failure_));
+    deliver(*failure_);
   } else if (policy_.verdict() == base::Verdict::kNotRun) {
     answerOwn(kUnavailable);
   } else {
--- /dev/null
+++ b/test/cluster/group_repair_test.cpp
@@ -0,0 +1,87 @@
+#include "cluster/group_repair.h"
+
+#include <criterion/criterion.h>
+
+namespace base = tackpick::base;
+namespace cluster = tackpick::cluster;
+namespace consensus = tackpick::consensus;
+
+namespace {
+
+constexpr base::NodeId node(std::uint32_t number, std::uint32_t instance = 1) {
+  return base::makeNodeId(number, instance);
+}
+
+consensus::Membership voters(std::set<base::NodeId> nodes) {
+  consensus::Membership membership;
+  membership.voters = std::move(nodes);
+  return membership;
+}
+
+constexpr base::Duration kHeard = base::milliseconds(100);
+constexpr base::Duration kSilent = base::seconds(4);
+
+}  // namespace
+
+Test(group_repair, sound_group_stays_as_it_is) {
+  const auto group = voters({node(1), node(2), node(3)});
+  const auto change = cluster::nextMembershipChange(
+      group, {{node(1), kHeard}, {node(2), kHeard}, {node(3), kHeard}, {node(4), kHeard}}, {});
+  cr_assert_not(change.has_value());
+}
+
+Test(group_repair, wiped_member_is_removed_and_its_successor_added) {
+  auto group = voters({node(1), node(2), node(3)});
+  const std::vector<cluster::GroupNode> nodes = {
+      {node(1), kHeard}, {node(2), kHeard}, {node(3), base::seconds(1)}, {node(3, 77), kHeard}};
+  auto change = cluster::nextMembershipChange(group, nodes, {});
+  cr_assert(change == (cluster::MembershipChange{node(3), true}));
+  group.voters.erase(node(3));
+  change = cluster::nextMembershipChange(group, nodes, {});
+  cr_assert(change == (cluster::MembershipChange{node(3, 77), false}));
+}
+
+// Two instances at one address: a late word from the earlier one must not oust the later one.
+Test(group_repair, successor_is_not_taken_for_replaced) {
+  const auto group = voters({node(1), node(2), node(3, 77)});
+  const auto change = cluster::nextMembershipChange(
+      group,
+      {{node(1), kHeard}, {node(2), kHeard}, {node(3), base::seconds(1)}, {node(3, 77), kHeard}},
+      {});
+  cr_assert_not(change.has_value());
+}
+
+Test(group_repair, silent_member_stays_until_another_votes_in_its_place) {
+  auto group = voters({node(1), node(2), node(3)});
+  const std::vector<cluster::GroupNode> without = {
+      {node(1), kHeard}, {node(2), kHeard}, {node(3), kSilent}};
+  cr_assert_not(cluster::nextMembershipChange(group, without, {}).has_value());
+  auto with = without;
+  with.push_back({node(4), kHeard});
+  cr_assert(cluster::nextMembershipChange(group, with, {}) ==
+            (cluster::MembershipChange{node(4), false}));
+  group.learners.insert(node(4));
+  cr_assert_not(cluster::nextMembershipChange(group, with, {}).has_value());
+  group.learners.clear();
+  group.voters.insert(node(4));
+  cr_assert(cluster::nextMembershipChange(group, with, {}) ==
+            (cluster::MembershipChange{node(3), true}));
+}
+
+Test(group_repair, retiring_member_leaves_after_its_successor_votes) {
+  auto group = voters({node(1), node(2), node(3)});
+  const std::vector<cluster::GroupNode> nodes = {
+      {node(1), kHeard}, {node(2), kHeard}, {node(3), kHeard, true}, {node(4), kHeard}};
+  cr_assert(cluster::nextMembershipChange(group, nodes, {}) ==
+            (cluster::MembershipChange{node(4), false}));
+  group.voters.insert(node(4));
+  cr_assert(cluster::nextMembershipChange(group, nodes, {}) ==
+            (cluster::MembershipChange{node(3), true}));
+}
+
+Test(group_repair, retiring_node_is_never_added) {
+  const auto group = voters({node(1), node(2)});
+  const auto change = cluster::nextMembershipChange(
+      group, {{node(1), kHeard}, {node(2), kHeard}, {node(3), kHeard, true}}, {});
+  cr_assert_not(change.has_value());
+}
--- /dev/null
+++ b/test/directory/directory_test.cpp
@@ -0,0 +1,267 @@
+/// Configurations, routes, the replicated directory, and orders to engines.
+#include <criterion/criterion.h>
+
+#include "directory/configuration.h"
+#include "directory/directory_state.h"
+#include "directory/route_table.h"
+#include "directory/version_orders.h"
+
+namespace base = tackpick::base;
+namespace directory = tackpick::directory;
+
+namespace {
+
+directory::Route route(const std::string& host, const std::string& prefix,
+                       const std::string& service = "s") {
+  directory::Route made;
+  made.name = host + prefix;
+  made.host = host;
+  made.pathPrefix = prefix;
+  made.timeout = base::seconds(1);
+  made.splits = {{service, 1}};
+  return made;
+}
+
+directory::Configuration configuration(std::uint64_t version) {
+  directory::Configuration made;
+  made.version = version;
+  made.services = {{"s", "/health", 10, 4, {"m"}}};
+  made.routes = {route("a.example", "/x/")};
+  made.document = "document " + std::to_string(version);
+  return made;
+}
+
+bool isValid(const directory::Configuration& configuration) {
+  return base::recover(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_CHECK(directory::validate(configuration));
+        return true;
+      },
+      [](const base::Error& error) {
+        cr_assert_not(error.message.empty());
+        return false;
+      });
+}
+
+directory::InstanceRecord instance(const std::string& id, std::uint16_t port = 1) {
+  return {id, "s", "10.0.0.1", port, "z", 4, false};
+}
+
+void apply(directory::DirectoryState& state, const directory::DirectoryCommand& command) {
+  (void)state.apply(1, base::encode(command));
+}
+
+}  // namespace
+
+Test(configuration, each_broken_rule_is_refused) {
+  cr_assert(isValid(configuration(1)));
+  auto bad = configuration(1);
+  bad.routes[0].splits[0].service = "unknown";
+  cr_assert_not(isValid(bad));
+  bad = configuration(1);
+  bad.routes.push_back(bad.routes[0]);
+  cr_assert_not(isValid(bad));
+  bad = configuration(1);
+  bad.routes[0].splits[0].weight = 0;
+  cr_assert_not(isValid(bad));
+  bad = configuration(1);
+  bad.routes[0].timeout = base::Duration{0};
+  cr_assert_not(isValid(bad));
+  bad = configuration(1);
+  bad.routes[0].pathPrefix = "/x";
+  cr_assert_not(isValid(bad));
+}
+
+Test(route_table, longest_prefix_of_the_host_wins) {
+  auto all = configuration(1);
+  all.routes = {route("a.example", "/"), route("a.example", "/x/"), route("a.example", "/x/y/"),
+                route("b.example", "/x/")};
+  const directory::RouteTable table(all);
+  cr_assert_eq(table.find("A.example:80", "/x/y/z?q=/")->pathPrefix, "/x/y/");
+  cr_assert_eq(table.find("a.example", "/x/yy")->pathPrefix, "/x/");
+  cr_assert_eq(table.find("a.example", "/x")->pathPrefix, "/");
+  cr_assert_null(table.find("b.example", "/y"));
+  cr_assert_null(table.find("c.example", "/x/"));
+}
+
+Test(route_table, services_are_drawn_by_weight) {
+  auto split = route("a", "/");
+  split.splits = {{"one", 90}, {"two", 10}, {"never", 0}};
+  base::SeededRandom random(1);
+  std::map<std::string, int> drawn;
+  for (int i = 0; i < 10'000; ++i) {
+    ++drawn[directory::drawService(split, random)];
+  }
+  cr_assert_eq(drawn["never"], 0);
+  cr_assert(drawn["two"] > 850 && drawn["two"] < 1150, "%d", drawn["two"]);
+}
+
+Test(directory_state, highest_version_prevails_and_others_change_nothing) {
+  directory::DirectoryState state;
+  apply(state, directory::ReplaceConfiguration{configuration(5)});
+  auto other = configuration(5);
+  other.document = "other content under the held version";
+  apply(state, directory::ReplaceConfiguration{other});
+  apply(state, directory::ReplaceConfiguration{configuration(4)});
+  cr_assert_eq(state.configuration().document, "document 5");
+  apply(state, directory::ReplaceConfiguration{configuration(6)});
+  cr_assert_eq(state.configuration().document, "document 6");
+}
+
+Test(directory_state, leaving_is_for_good) {
+  directory::DirectoryState state;
+  auto leaving = instance("i");
+  leaving.leaving = true;
+  apply(state, directory::RegisterInstance{leaving});
+  apply(state, directory::RegisterInstance{instance("i")});
+  cr_assert(state.instances().at("i").leaving);
+  apply(state, directory::RemoveInstance{"i", true});
+  apply(state, directory::RegisterInstance{instance("i")});
+  cr_assert(state.instances().empty());
+  cr_assert(state.hasLeft("i"));
+}
+
+Test(directory_state, address_belongs_to_the_last_instance_seen_there) {
+  directory::DirectoryState state;
+  apply(state, directory::RegisterInstance{instance("old")});
+  apply(state, directory::RegisterInstance{instance("new")});
+  cr_assert_eq(state.instances().size(), 1U);
+  cr_assert_eq(state.instances().begin()->first, "new");
+}
+
+Test(directory_state, silent_instance_may_come_back) {
+  directory::DirectoryState state;
+  apply(state, directory::RegisterInstance{instance("i")});
+  apply(state, directory::RemoveInstance{"i", false});
+  apply(state, directory::RegisterInstance{instance("i")});
+  cr_assert_eq(state.instances().size(), 1U);
+}
+
+Test(directory_state, snapshot_holds_everything) {
+  directory::DirectoryState state;
+  apply(state, directory::ReplaceConfiguration{configuration(5)});
+  apply(state, directory::RegisterInstance{instance("i")});
+  apply(state, directory::RemoveInstance{"gone", true});
+  apply(state, directory::PublishVersion{"m", 7});
+  apply(state, directory::PublishVersion{"m", 6});
+  apply(state, directory::FoundLedgers{{base::makeNodeId(1, 1)}});
+  apply(state, directory::FoundLedgers{{base::makeNodeId(2, 1)}});
+  apply(state, directory::BeginRetirement{"storage-1"});
+  apply(state, directory::CompleteRetirement{"storage-1"});
+  apply(state, directory::BeginRetirement{"storage-1"});
+  directory::DirectoryState loaded;
+  loaded.loadSnapshot(state.takeSnapshot());
+  cr_assert_eq(loaded.takeSnapshot(), state.takeSnapshot());
+  cr_assert(loaded.hasLeft("gone"));
+  cr_assert_eq(loaded.versions().at("m"), 7U);
+  cr_assert(loaded.ledgerFounders().contains(base::makeNodeId(1, 1)));
+  cr_assert(loaded.retirements().at("storage-1") == directory::Retirement::kCompleted);
+}
+
+namespace {
+
+/// Engines that hold version 1 of their models, and a leader that has led for long.
+struct OrdersFixture {
+  explicit OrdersFixture(int engineCount, std::vector<std::string> models = {"m"}) {
+    auto all = configuration(1);
+    all.services[0].models = models;
+    apply(state, directory::ReplaceConfiguration{all});
+    for (int i = 0; i < engineCount; ++i) {
+      const std::string id = "e" + std::to_string(i);
+      apply(state, directory::RegisterInstance{instance(id, static_cast<std::uint16_t>(i + 1))});
+      for (const std::string& model : models) {
+        engines[id].versions[model] = 1;
+      }
+    }
+    orders.reset(now);
+    now += base::seconds(10);
+  }
+  std::vector<directory::VersionOrder> step() {
+    for (auto& [id, engine] : engines) {
+      engine.heardAt = now;
+    }
+    return orders.step(state, engines, 3, now);
+  }
+
+  directory::DirectoryState state;
+  std::map<std::string, directory::ReportedEngine> engines;
+  base::TimePoint now{};
+  directory::VersionOrders orders{directory::VersionOrderSettings{}};
+};
+
+}  // namespace
+
+Test(version_orders, two_at_once_until_every_engine_has_the_version) {
+  OrdersFixture fixture(5);
+  cr_assert(fixture.step().empty(), "nothing is published");
+  apply(fixture.state, directory::PublishVersion{"m", 2});
+  cr_assert(fixture.step().empty(), "the new step may still start on version 1");
+  fixture.now += base::seconds(1);
+  std::set<std::string> ordered;
+  for (int round = 0; round < 3; ++round) {
+    for (const directory::VersionOrder& order : fixture.step()) {
+      cr_assert_eq(order.fence, 3U);
+      cr_assert(ordered.insert(order.instance).second);
+      cr_assert(fixture.orders.isLoading(order.instance, fixture.engines, fixture.now));
+    }
+    cr_assert_leq(ordered.size(), 2U * (round + 1U));
+    cr_assert(fixture.step().empty(), "two are loading");
+    fixture.now += base::seconds(1);
+    for (const std::string& id : ordered) {
+      fixture.engines[id].versions["m"] = 2;
+    }
+  }
+  cr_assert_eq(ordered.size(), 5U);
+  cr_assert(fixture.step().empty());
+}
+
+Test(version_orders, new_leader_waits_until_orders_cannot_alternate) {
+  OrdersFixture fixture(1);
+  apply(fixture.state, directory::PublishVersion{"m", 9});
+  fixture.orders.reset(fixture.now);
+  fixture.now += base::milliseconds(3000);
+  cr_assert(fixture.step().empty());
+  fixture.now += base::milliseconds(200);
+  cr_assert_eq(fixture.step().size(), 1U);
+}
+
+Test(version_orders, each_engine_follows_one_model) {
+  OrdersFixture fixture(6, {"m", "n"});
+  apply(fixture.state, directory::PublishVersion{"m", 5});
+  apply(fixture.state, directory::PublishVersion{"n", 5});
+  std::map<std::string, std::set<std::string>> models;
+  for (int round = 0; round < 8; ++round) {
+    for (const directory::VersionOrder& order : fixture.step()) {
+      models[order.model].insert(order.instance);
+      fixture.engines[order.instance].versions[order.model] = order.version;
+    }
+    fixture.now += base::seconds(1);
+  }
+  cr_assert_eq(models["m"].size(), 3U);
+  cr_assert_eq(models["n"].size(), 3U);
+}
+
+Test(version_orders, silent_and_leaving_engines_get_none) {
+  OrdersFixture fixture(2);
+  apply(fixture.state, directory::PublishVersion{"m", 5});
+  auto leaving = instance("e0", 1);
+  leaving.leaving = true;
+  apply(fixture.state, directory::RegisterInstance{leaving});
+  (void)fixture.step();
+  OrdersFixture silent(1);
+  apply(silent.state, directory::PublishVersion{"m", 5});
+  silent.engines["e0"].heardAt = silent.now - base::seconds(9);
+  cr_assert(silent.orders.step(silent.state, silent.engines, 3, silent.now).empty());
+}
+
+Test(version_orders, lost_order_is_repeated) {
+  OrdersFixture fixture(1);
+  apply(fixture.state, directory::PublishVersion{"m", 5});
+  const auto orders = fixture.step();
+  cr_assert_eq(orders.size(), 1U);
+  fixture.orders.onOutcome(orders[0], directory::OrderOutcome::kUncertain, fixture.now);
+  fixture.now += base::seconds(2);
+  cr_assert(fixture.step().empty());
+  fixture.now += base::seconds(3);
+  cr_assert_eq(fixture.step().size(), 1U);
+}
--- /dev/null
+++ b/test/forwarding/forwarding_test.cpp
@@ -0,0 +1,162 @@
+/// Choice of instances, and what follows a send.
+#include <criterion/criterion.h>
+
+#include "forwarding/attempt_policy.h"
+#include "forwarding/instance_table.h"
+
+namespace base = tackpick::base;
+namespace directory = tackpick::directory;
+namespace forwarding = tackpick::forwarding;
+using forwarding::AttemptResult;
+using forwarding::SendOutcome;
+
+namespace {
+
+directory::InstanceView view(const std::string& id, std::uint64_t version = 1) {
+  directory::InstanceView made;
+  made.record = {id, "s", "10.0.0.1", 1, "z", 4, false};
+  made.versions["m"] = version;
+  return made;
+}
+
+struct Fixture {
+  explicit Fixture(const std::vector<directory::InstanceView>& views) {
+    now += base::seconds(100);
+    table.update(views, now);
+  }
+  /// Ids chosen in many draws.
+  std::set<std::string> chosen(const forwarding::InstanceNeed& need,
+                               const std::set<std::string>& tried = {}) {
+    std::set<std::string> ids;
+    for (int i = 0; i < 200; ++i) {
+      if (const auto* entry = table.select(need, tried, random, now)) {
+        ids.insert(entry->record.id);
+      }
+    }
+    return ids;
+  }
+
+  base::TimePoint now{};
+  base::SeededRandom random{1};
+  forwarding::InstanceTable table{{"z"}};
+};
+
+const forwarding::InstanceNeed kNeed{"s", "", 0};
+
+directory::Route route(directory::RouteKind kind) {
+  directory::Route made;
+  made.kind = kind;
+  made.timeout = base::seconds(1);
+  made.targetLatency = base::milliseconds(100);
+  made.attempts = 2;
+  return made;
+}
+
+}  // namespace
+
+Test(instance_table, leaving_gone_and_old_instances_are_never_chosen) {
+  auto leaving = view("leaving");
+  leaving.record.leaving = true;
+  Fixture fixture({view("a", 3), view("old", 2), leaving});
+  cr_assert(fixture.chosen({"s", "m", 3}) == std::set<std::string>{"a"});
+  fixture.table.onEnded("a", SendOutcome::kGone, {}, fixture.now);
+  cr_assert(fixture.chosen({"s", "m", 3}).empty());
+  cr_assert(fixture.chosen({"other", "", 0}).empty());
+}
+
+Test(instance_table, leaving_is_not_taken_back) {
+  auto leaving = view("a");
+  leaving.record.leaving = true;
+  Fixture fixture({leaving});
+  fixture.table.update({view("a")}, fixture.now);
+  cr_assert(fixture.chosen(kNeed).empty());
+}
+
+Test(instance_table, silence_alone_does_not_empty_the_fleet) {
+  auto silent = view("silent");
+  silent.silence = base::seconds(30);
+  Fixture fixture({silent});
+  cr_assert(fixture.chosen(kNeed) == std::set<std::string>{"silent"});
+  fixture.table.update({silent, view("heard")}, fixture.now);
+  cr_assert(fixture.chosen(kNeed) == std::set<std::string>{"heard"});
+}
+
+Test(instance_table, failing_full_and_loading_instances_are_avoided_for_a_while) {
+  Fixture fixture({view("a"), view("b")});
+  for (const SendOutcome outcome :
+       {SendOutcome::kFailed, SendOutcome::kUnreached, SendOutcome::kFull}) {
+    fixture.table.onEnded("a", outcome, {}, fixture.now);
+    cr_assert(fixture.chosen(kNeed) == std::set<std::string>{"b"});
+    fixture.now += base::seconds(5);
+    cr_assert_eq(fixture.chosen(kNeed).size(), 2U);
+  }
+  auto loading = view("a");
+  loading.loading = true;
+  fixture.table.update({loading, view("b")}, fixture.now);
+  cr_assert(fixture.chosen({"s", "m", 0}) == std::set<std::string>{"b"});
+}
+
+Test(instance_table, those_tried_come_last) {
+  Fixture fixture({view("a"), view("b")});
+  cr_assert(fixture.chosen(kNeed, {"a"}) == std::set<std::string>{"b"});
+  cr_assert_eq(fixture.chosen(kNeed, {"a", "b"}).size(), 2U);
+}
+
+Test(instance_table, versions_only_rise) {
+  Fixture fixture({view("a", 5)});
+  fixture.table.update({view("a", 4)}, fixture.now);
+  cr_assert_eq(fixture.table.find("a")->version("m"), 5U);
+}
+
+Test(instance_table, long_runs_find_the_faster_instance_with_room) {
+  Fixture fixture({view("slow"), view("fast")});
+  fixture.table.onPace("slow", base::milliseconds(80));
+  fixture.table.onPace("fast", base::milliseconds(40));
+  const forwarding::InstanceNeed need{"s", "m", 1, true};
+  const auto* faster = fixture.table.findFaster(need, "slow", 1.25, fixture.now);
+  cr_assert_not_null(faster);
+  cr_assert_eq(faster->record.id, "fast");
+  cr_assert_null(fixture.table.findFaster(need, "fast", 1.25, fixture.now));
+  fixture.table.onLoad("fast", {4, 0, 4}, fixture.now);
+  cr_assert_null(fixture.table.findFaster(need, "slow", 1.25, fixture.now), "it is full");
+}
+
+Test(attempt_policy, once_only_requests_are_repeated_only_when_not_run) {
+  const base::TimePoint start{};
+  forwarding::AttemptPolicy policy(route(directory::RouteKind::kOnce), start,
+                                   start + base::seconds(2));
+  cr_assert(policy.maySend(start));
+  policy.onSend();
+  cr_assert_not(policy.maySend(start));
+  cr_assert_not(policy.hedgeAt(start).has_value());
+  policy.onResult(AttemptResult::kNotRun);
+  cr_assert(policy.maySend(start));
+  policy.onSend();
+  cr_assert_eq(policy.onResult(AttemptResult::kBroken), base::Verdict::kMayHaveRun);
+  cr_assert_not(policy.maySend(start));
+}
+
+Test(attempt_policy, verdict_is_not_taken_back) {
+  const base::TimePoint start{};
+  forwarding::AttemptPolicy policy(route(directory::RouteKind::kRepeatable), start,
+                                   start + base::seconds(2));
+  policy.onSend();
+  policy.onResult(AttemptResult::kBroken);
+  policy.onSend();
+  cr_assert_eq(policy.onResult(AttemptResult::kNotRun), base::Verdict::kMayHaveRun);
+}
+
+Test(attempt_policy, sends_are_bounded_by_attempts_and_time) {
+  const base::TimePoint start{};
+  forwarding::AttemptPolicy policy(route(directory::RouteKind::kRepeatable), start,
+                                   start + base::seconds(2));
+  cr_assert_eq(policy.deadline().time_since_epoch().count(),
+               base::Duration(base::seconds(1)).count(), "the route's is earlier");
+  cr_assert_not(policy.maySend(start + base::seconds(1)));
+  policy.onSend();
+  cr_assert(policy.hedgeAt(start).has_value());
+  cr_assert(policy.maySend(start));
+  policy.onSend();
+  cr_assert_not(policy.maySend(start));
+  cr_assert_not(policy.hedgeAt(start).has_value());
+}
--- /dev/null
+++ b/test/http/exchange_server_test.cpp
@@ -0,0 +1,197 @@
+/// What a caller sees of the HTTP server, byte by byte.
+#include "http/exchange_server.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+#include "http/loopback.h"
+
+namespace base = tackpick::base;
+namespace http = tackpick::http;
+using tackpick::test::RawPeer;
+using tackpick::test::runUntil;
+
+namespace {
+
+/// A server whose requests wait in `open` until the test answers them.
+struct Fixture {
+  explicit Fixture(const http::ExchangeLimits& limits = {})
+      : server(context, "127.0.0.1", 0, limits,
+               [this](http::RawRequest request, std::shared_ptr<http::Exchange> exchange) {
+                 requests.push_back(std::move(request));
+                 open.push_back(std::move(exchange));
+               }) {}
+
+  bool waitRequests(std::size_t count) {
+    return runUntil(context, [&] { return requests.size() >= count; });
+  }
+
+  asio::io_context context;
+  std::vector<http::RawRequest> requests;
+  std::vector<std::shared_ptr<http::Exchange>> open;
+  http::ExchangeServer server;
+};
+
+const std::string kGet = "GET /a?b=1 HTTP/1.1\r\nHost: h\r\nX-Twice: 1\r\nx-twice: 2\r\n\r\n";
+
+}  // namespace
+
+// The users' measure: a caller that hung up while its request was handled went unnoticed.
+Test(exchange_server, hang_up_while_a_request_is_handled_is_noticed) {
+  for (const bool reset : {false, true}) {
+    Fixture fixture;
+    RawPeer peer(fixture.context, fixture.server.port());
+    peer.send(kGet);
+    cr_assert(fixture.waitRequests(1));
+    bool closed = false;
+    fixture.open[0]->onClosed([&] { closed = true; });
+    if (reset) {
+      peer.reset();
+    } else {
+      peer.close();
+    }
+    cr_assert(runUntil(fixture.context, [&] { return closed; }));
+    cr_assert_eq(fixture.server.openExchanges(), 0U);
+  }
+}
+
+Test(exchange_server, hang_up_during_a_stream_is_noticed) {
+  Fixture fixture;
+  RawPeer peer(fixture.context, fixture.server.port());
+  peer.send(kGet);
+  cr_assert(fixture.waitRequests(1));
+  bool closed = false;
+  fixture.open[0]->onClosed([&] { closed = true; });
+  fixture.open[0]->begin(200, {});
+  fixture.open[0]->write("piece");
+  peer.readUntil("piece");
+  peer.close();
+  cr_assert(runUntil(fixture.context, [&] { return closed; }));
+}
+
+Test(exchange_server, request_is_passed_on_unaltered) {
+  Fixture fixture;
+  RawPeer peer(fixture.context, fixture.server.port());
+  peer.send(kGet);
+  cr_assert(fixture.waitRequests(1));
+  const http::RawRequest& request = fixture.requests[0];
+  cr_assert_eq(request.target, "/a?b=1");
+  cr_assert_eq(request.path(), "/a");
+  cr_assert_eq(request.headers.fields().size(), 3U);
+  cr_assert_eq(request.headers.fields()[2].name, "x-twice");
+  cr_assert_eq(request.headers.fields()[2].value, "2");
+}
+
+Test(exchange_server, pipelined_requests_are_answered_in_order) {
+  Fixture fixture;
+  RawPeer peer(fixture.context, fixture.server.port());
+  peer.send(
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /2 HTTP/1.1\r\n"
+      "Host: h\r\n\r\n");
+  cr_assert(fixture.waitRequests(1));
+  cr_assert_eq(fixture.requests[0].body, "abc");
+  fixture.open[0]->respond(200, {}, "one");
+  cr_assert(fixture.waitRequests(2));
+  cr_assert_eq(fixture.requests[1].target, "/2");
+  fixture.open[1]->respond(200, {}, "two");
+  const std::string answers = peer.readUntil("two");
+  cr_assert_lt(answers.find("one"), answers.find("two"));
+}
+
+Test(exchange_server, chunked_body_arrives_whole) {
+  Fixture fixture;
+  RawPeer peer(fixture.context, fixture.server.port());
+  peer.send(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3\r\ncde"
+      "\r\n0\r\n\r\n");
+  cr_assert(fixture.waitRequests(1));
+  cr_assert_eq(fixture.requests[0].body, "abcde");
+}
+
+Test(exchange_server, bad_input_gets_a_clear_refusal) {
+  struct Case {
+    std::string bytes;
+    std::string status;
+  };
+  http::ExchangeLimits limits;
+  limits.headerBytes = 512;
+  limits.bodyBytes = 16;
+  const std::vector<Case> cases = {
+      {"nonsense\r\n\r\n", "400"},
+      {"GET / HTTP/1.1\r\nA: " + std::string(600, 'x') + "\r\n\r\n", "431"},
+      {"POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n", "413"},
+      {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n" + std::string(32, 'x'), "413"},
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+  };
+  for (const Case& bad : cases) {
+    Fixture fixture(limits);
+    RawPeer peer(fixture.context, fixture.server.port());
+    peer.send(bad.bytes);
+    cr_assert(peer.waitClosed());
+    cr_assert(peer.received().starts_with("HTTP/1.1 " + bad.status), "%s", peer.received().c_str());
+    cr_assert(fixture.requests.empty());
+  }
+}
+
+Test(exchange_server, slow_header_is_refused_and_idle_connection_closed) {
+  http::ExchangeLimits limits;
+  limits.headerTimeout = base::milliseconds(30);
+  limits.idleTimeout = base::milliseconds(30);
+  Fixture fixture(limits);
+  RawPeer slow(fixture.context, fixture.server.port());
+  slow.send("GET / HTTP/1.1\r\n");
+  cr_assert(slow.waitClosed());
+  cr_assert(slow.received().starts_with("HTTP/1.1 408"));
+  RawPeer idle(fixture.context, fixture.server.port());
+  cr_assert(idle.waitClosed());
+  cr_assert(idle.received().empty());
+}
+
+Test(exchange_server, limits_can_change_while_it_runs) {
+  Fixture fixture;
+  http::ExchangeLimits limits;
+  limits.bodyBytes = 2;
+  fixture.server.setLimits(limits);
+  RawPeer peer(fixture.context, fixture.server.port());
+  peer.send("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+  cr_assert(peer.waitClosed());
+  cr_assert(peer.received().starts_with("HTTP/1.1 413"));
+}
+
+Test(exchange_server, aborted_answer_does_not_look_complete) {
+  Fixture fixture;
+  RawPeer peer(fixture.context, fixture.server.port());
+  peer.send(kGet);
+  cr_assert(fixture.waitRequests(1));
+  fixture.open[0]->begin(200, {});
+  fixture.open[0]->write("half");
+  peer.readUntil("half");
+  fixture.open[0]->abort();
+  cr_assert(peer.waitClosed());
+  cr_assert_eq(peer.received().find("0\r\n\r\n"), std::string::npos);
+}
+
+Test(exchange_server, dropped_exchange_cuts_its_connection) {
+  Fixture fixture;
+  RawPeer peer(fixture.context, fixture.server.port());
+  peer.send(kGet);
+  cr_assert(fixture.waitRequests(1));
+  fixture.open.clear();
+  cr_assert(peer.waitClosed());
+  cr_assert(peer.received().empty());
+}
+
+Test(exchange_server, drain_ends_connections_with_their_answers) {
+  Fixture fixture;
+  RawPeer idle(fixture.context, fixture.server.port());
+  RawPeer busy(fixture.context, fixture.server.port());
+  busy.send(kGet);
+  cr_assert(fixture.waitRequests(1));
+  fixture.server.beginDrain();
+  cr_assert(idle.waitClosed());
+  fixture.open[0]->respond(200, {}, "done");
+  cr_assert(busy.waitClosed());
+  cr_assert_neq(busy.received().find("Connection: close"), std::string::npos);
+  cr_assert(busy.received().ends_with("done"));
+}
--- /dev/null
+++ b/test/http/loopback.h
@@ -0,0 +1,78 @@
+/// \file
+/// A raw TCP peer on loopback for tests of the HTTP modules.
+#pragma once
+
+#include <asio.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace tackpick::test {
+
+/// Runs the loop until `done` holds. The limit only ends a test that hangs.
+inline bool runUntil(asio::io_context& context, const std::function<bool()>& done) {
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!done() && std::chrono::steady_clock::now() < limit) {
+    context.restart();
+    context.run_for(std::chrono::milliseconds(5));
+  }
+  return done();
+}
+
+/// A blocking client socket whose reads are polled, so that server and client share a thread.
+class RawPeer {
+ public:
+  RawPeer(asio::io_context& context, std::uint16_t port) : context_(context), socket_(context) {
+    socket_.connect({asio::ip::make_address("127.0.0.1"), port});
+  }
+  explicit RawPeer(asio::io_context& context, asio::ip::tcp::socket socket)
+      : context_(context), socket_(std::move(socket)) {}
+
+  void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
+  /// Reads until `text` has arrived or the connection ended; returns all that was read so far.
+  std::string readUntil(const std::string& text) {
+    runUntil(context_, [&] {
+      poll();
+      return closed_ || received_.find(text) != std::string::npos;
+    });
+    return received_;
+  }
+  /// True once the other side has closed or reset.
+  bool waitClosed() {
+    return runUntil(context_, [&] {
+      poll();
+      return closed_;
+    });
+  }
+  [[nodiscard]] bool wasReset() const { return reset_; }
+  [[nodiscard]] const std::string& received() const { return received_; }
+  void clear() { received_.clear(); }
+  void close() { socket_.close(); }
+  /// Closes so that the other side sees a reset.
+  void reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
+
+ private:
+  void poll() {
+    asio::error_code error;
+    socket_.non_blocking(true);
+    std::array<char, 4096> buffer{};
+    const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
+    received_.append(buffer.data(), count);
+    if (error && error != asio::error::would_block) {
+      closed_ = true;
+      reset_ = error == asio::error::connection_reset;
+    }
+    socket_.non_blocking(false);
+  }
+
+  asio::io_context& context_;
+  asio::ip::tcp::socket socket_;
+  std::string received_;
+  bool closed_ = false;
+  bool reset_ = false;
+};
+
+}  // namespace tackpick::test
--- /dev/null
+++ b/test/http/upstream_client_test.cpp
@@ -0,0 +1,190 @@
+/// What the HTTP client makes of well and badly behaved servers.
+#include "http/upstream_client.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+
+#include "http/loopback.h"
+
+namespace base = tackpick::base;
+namespace http = tackpick::http;
+using tackpick::test::RawPeer;
+using tackpick::test::runUntil;
+
+namespace {
+
+/// A server whose connections the test drives by hand.
+struct Fixture {
+  Fixture() : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}), client(context, {}) {}
+
+  /// Starts a request named `id`; its outcome goes to the members below.
+  http::ExchangeId request(const std::string& id, const std::string& body = "") {
+    status = 0;
+    answer.clear();
+    end.reset();
+    http::UpstreamRequest wanted;
+    wanted.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+    wanted.method = "POST";
+    wanted.headers.add("Host", "h");
+    wanted.headers.add("Id", id);
+    wanted.body = body;
+    wanted.echoName = "Id";
+    wanted.echoValue = id;
+    http::UpstreamEvents events;
+    events.onHead = [this](int code, const http::HeaderList&) { status = code; };
+    events.onData = [this](std::string_view data) { answer.append(data); };
+    events.onEnd = [this](const http::UpstreamEnd& result) { end = result; };
+    return client.start(std::move(wanted), std::move(events));
+  }
+  RawPeer accept() {
+    std::optional<asio::ip::tcp::socket> accepted;
+    acceptor.async_accept([&](const asio::error_code& error, asio::ip::tcp::socket socket) {
+      if (!error) {
+        accepted.emplace(std::move(socket));
+      }
+    });
+    runUntil(context, [&] { return accepted.has_value(); });
+    return RawPeer(context, std::move(*accepted));
+  }
+  bool waitEnd() {
+    return runUntil(context, [&] { return end.has_value(); });
+  }
+
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor;
+  http::UpstreamClient client;
+  int status = 0;
+  std::string answer;
+  std::optional<http::UpstreamEnd> end;
+};
+
+std::string whole(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+Test(upstream_client, connection_is_used_again) {
+  Fixture fixture;
+  fixture.request("1");
+  RawPeer server = fixture.accept();
+  server.readUntil("\r\n\r\n");
+  server.send(whole("1", "one"));
+  cr_assert(fixture.waitEnd());
+  cr_assert(fixture.end->complete);
+  cr_assert_eq(fixture.answer, "one");
+  fixture.request("2");
+  server.clear();
+  server.readUntil("Id: 2");
+  server.send(whole("2", "two"));
+  cr_assert(fixture.waitEnd());
+  cr_assert_eq(fixture.answer, "two");
+  cr_assert_eq(fixture.client.counters().connectionsOpened, 1U);
+}
+
+Test(upstream_client, late_answer_to_an_earlier_request_is_passed_over) {
+  Fixture fixture;
+  fixture.request("2");
+  RawPeer server = fixture.accept();
+  server.readUntil("\r\n\r\n");
+  server.send(whole("1", "foreign") + whole("2", "own"));
+  cr_assert(fixture.waitEnd());
+  cr_assert(fixture.end->complete);
+  cr_assert_eq(fixture.answer, "own");
+  cr_assert_eq(fixture.client.counters().foreignAnswers, 1U);
+}
+
+Test(upstream_client, bytes_after_an_answer_end_the_connection) {
+  Fixture fixture;
+  fixture.request("1");
+  RawPeer server = fixture.accept();
+  server.readUntil("\r\n\r\n");
+  server.send(whole("1", "one") + whole("1", "one"));
+  cr_assert(fixture.waitEnd());
+  cr_assert_eq(fixture.answer, "one");
+  cr_assert(server.waitClosed());
+}
+
+Test(upstream_client, bytes_on_an_idle_connection_end_it) {
+  Fixture fixture;
+  fixture.request("1");
+  RawPeer server = fixture.accept();
+  server.readUntil("\r\n\r\n");
+  server.send(whole("1", "one"));
+  cr_assert(fixture.waitEnd());
+  server.send(whole("1", "again"));
+  cr_assert(server.waitClosed());
+}
+
+Test(upstream_client, unframed_answer_ends_with_its_connection_but_not_with_a_reset) {
+  for (const bool reset : {false, true}) {
+    Fixture fixture;
+    fixture.request("1");
+    RawPeer server = fixture.accept();
+    server.readUntil("\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody");
+    runUntil(fixture.context, [&] { return fixture.answer == "body"; });
+    if (reset) {
+      server.reset();
+    } else {
+      server.close();
+    }
+    cr_assert(fixture.waitEnd());
+    cr_assert_eq(fixture.end->complete, !reset);
+    cr_assert_eq(fixture.answer, "body");
+  }
+}
+
+Test(upstream_client, cut_and_malformed_answers_may_have_run) {
+  for (const std::string& bytes :
+       {std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+        std::string("this is no answer\r\n\r\n"), std::string()}) {
+    Fixture fixture;
+    fixture.request("1");
+    RawPeer server = fixture.accept();
+    server.readUntil("\r\n\r\n");
+    server.send(bytes);
+    server.close();
+    cr_assert(fixture.waitEnd());
+    cr_assert_not(fixture.end->complete);
+    cr_assert_eq(fixture.end->verdict, base::Verdict::kMayHaveRun);
+  }
+}
+
+Test(upstream_client, refused_connection_means_not_run) {
+  Fixture fixture;
+  const std::uint16_t port = fixture.acceptor.local_endpoint().port();
+  fixture.acceptor.close();
+  http::UpstreamRequest request;
+  request.address = {"127.0.0.1", port};
+  http::UpstreamEvents events;
+  events.onEnd = [&](const http::UpstreamEnd& result) { fixture.end = result; };
+  fixture.client.start(std::move(request), std::move(events));
+  cr_assert(fixture.waitEnd());
+  cr_assert_eq(fixture.end->verdict, base::Verdict::kNotRun);
+}
+
+// A server may answer early and read the rest of the body later: nothing else may stand there.
+Test(upstream_client, early_answer_to_a_long_body_ends_the_connection) {
+  Fixture fixture;
+  fixture.request("1", std::string(64U << 20U, 'x'));
+  RawPeer server = fixture.accept();
+  server.send("HTTP/1.1 413 Payload Too Large\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(fixture.waitEnd());
+  cr_assert_eq(fixture.status, 413);
+  cr_assert(server.waitClosed());
+}
+
+Test(upstream_client, cancelled_exchange_closes_its_connection_silently) {
+  Fixture fixture;
+  const http::ExchangeId exchange = fixture.request("1");
+  RawPeer server = fixture.accept();
+  server.readUntil("\r\n\r\n");
+  fixture.client.cancel(exchange);
+  cr_assert(server.waitClosed());
+  cr_assert_not(fixture.end.has_value());
+  cr_assert_eq(fixture.client.active(), 0U);
+}
--- /dev/null
+++ b/test/jobs/jobs_test.cpp
@@ -0,0 +1,208 @@
+/// Jobs: the replicated state, leases of items, and an item's text.
+#include <criterion/criterion.h>
+
+#include "jobs/item_leases.h"
+#include "jobs/item_run.h"
+#include "jobs/job_state.h"
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+
+namespace {
+
+constexpr base::NodeId kGateway = base::makeNodeId(1, 1);
+constexpr base::NodeId kOther = base::makeNodeId(2, 1);
+
+jobs::JobSubmission submission(const std::string& id, std::uint32_t items) {
+  jobs::JobSubmission job;
+  job.id = id;
+  for (std::uint32_t i = 0; i < items; ++i) {
+    job.items.push_back({"item" + std::to_string(i), "/p", {}, "body", "g", i * 10});
+  }
+  return job;
+}
+
+void apply(jobs::JobState& state, const jobs::JobCommand& command) {
+  (void)state.apply(1, base::encode(command));
+}
+
+jobs::ItemResult result(std::uint32_t item, const std::string& text) {
+  return {item, jobs::ItemState::kCompleted, text, {1}};
+}
+
+jobs::LeasedItem leasedItem(std::uint64_t minimumVersion = 2, bool singleVersion = false) {
+  jobs::LeasedItem leased;
+  leased.key = {"j", 0};
+  leased.minimumVersion = minimumVersion;
+  leased.singleVersion = singleVersion;
+  leased.attempts = 3;
+  leased.queueTimeout = base::seconds(40);
+  return leased;
+}
+
+}  // namespace
+
+Test(job_state, first_result_counts_and_positions_never_change) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 2)});
+  apply(state, jobs::CommitResults{{{"j", {result(1, "first")}}}});
+  apply(state, jobs::CommitResults{{{"j", {result(1, "second"), result(0, "other")}}}});
+  const jobs::Job& job = *state.find("j");
+  cr_assert_eq(job.results.size(), 2U);
+  cr_assert_eq(job.results[0].text, "first");
+  cr_assert_eq(job.results[1].text, "other");
+  cr_assert(job.complete());
+}
+
+Test(job_state, resubmission_changes_nothing) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 2)});
+  apply(state, jobs::CommitResults{{{"j", {result(1, "first")}}}});
+  apply(state, jobs::SubmitJob{submission("j", 5)});
+  cr_assert_eq(state.find("j")->submission.items.size(), 2U);
+  cr_assert_eq(state.find("j")->results.size(), 1U);
+}
+
+Test(job_state, results_for_unknown_jobs_and_items_are_ignored) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 1)});
+  apply(state, jobs::CommitResults{{{"k", {result(0, "x")}}, {"j", {result(7, "x")}}}});
+  cr_assert(state.find("j")->results.empty());
+}
+
+Test(job_state, snapshot_holds_everything) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 2)});
+  apply(state, jobs::CommitResults{{{"j", {result(1, "first")}}}});
+  apply(state, jobs::EndJob{"j"});
+  apply(state, jobs::SubmitJob{submission("k", 1)});
+  apply(state, jobs::ForgetJobs{{"k"}});
+  jobs::JobState loaded;
+  loaded.loadSnapshot(state.takeSnapshot());
+  cr_assert_eq(loaded.takeSnapshot(), state.takeSnapshot());
+  cr_assert(loaded.find("j")->ended);
+  cr_assert_null(loaded.find("k"));
+}
+
+namespace {
+
+struct LeaseFixture {
+  LeaseFixture() {
+    apply(state, jobs::SubmitJob{submission("j", 4)});
+    leases.reset(now, base::Duration{0});
+    leases.addJob("j", *state.find("j"), now);
+  }
+  jobs::JobState state;
+  base::TimePoint now{};
+  jobs::ItemLeases leases{base::seconds(2)};
+};
+
+}  // namespace
+
+Test(item_leases, longest_expected_first_and_each_once) {
+  LeaseFixture fixture;
+  auto leased = fixture.leases.lease(kGateway, 3, fixture.state, fixture.now);
+  cr_assert_eq(leased.size(), 3U);
+  cr_assert_eq(leased[0].item, 3U);
+  cr_assert_eq(leased[2].item, 1U);
+  leased = fixture.leases.lease(kOther, 3, fixture.state, fixture.now);
+  cr_assert_eq(leased.size(), 1U);
+}
+
+Test(item_leases, lease_that_is_not_renewed_goes_to_another) {
+  LeaseFixture fixture;
+  const auto leased = fixture.leases.lease(kGateway, 4, fixture.state, fixture.now);
+  fixture.now += base::milliseconds(1500);
+  (void)fixture.leases.renew(kGateway, {leased[0]}, fixture.state, fixture.now);
+  fixture.now += base::milliseconds(1500);
+  fixture.leases.refresh(fixture.state, fixture.now);
+  const auto again = fixture.leases.lease(kOther, 4, fixture.state, fixture.now);
+  cr_assert_eq(again.size(), 3U);
+  const auto revoked = fixture.leases.renew(kGateway, leased, fixture.state, fixture.now);
+  cr_assert_eq(revoked.size(), 3U, "others run them by now");
+}
+
+Test(item_leases, ended_jobs_revoke_and_lease_nothing) {
+  LeaseFixture fixture;
+  const auto leased = fixture.leases.lease(kGateway, 2, fixture.state, fixture.now);
+  apply(fixture.state, jobs::EndJob{"j"});
+  cr_assert_eq(fixture.leases.renew(kGateway, leased, fixture.state, fixture.now).size(), 2U);
+  cr_assert(fixture.leases.lease(kOther, 4, fixture.state, fixture.now).empty());
+}
+
+Test(item_leases, new_leader_first_hears_what_gateways_hold) {
+  LeaseFixture fixture;
+  fixture.leases.reset(fixture.now, base::milliseconds(500));
+  fixture.leases.addJob("j", *fixture.state.find("j"), fixture.now);
+  cr_assert(fixture.leases.lease(kOther, 4, fixture.state, fixture.now).empty());
+  (void)fixture.leases.renew(kGateway, {{"j", 3}, {"j", 2}}, fixture.state, fixture.now);
+  fixture.now += base::milliseconds(600);
+  cr_assert_eq(fixture.leases.lease(kOther, 4, fixture.state, fixture.now).size(), 2U);
+}
+
+Test(stream_events, any_split_of_the_bytes_gives_the_same_events) {
+  const std::string bytes = "id: 0\ndata: a\n\nweights: 7\nid: 1\ndata: b: c\n\nid:2\ndata:\n\n";
+  for (std::size_t split = 0; split <= bytes.size(); ++split) {
+    jobs::StreamEventParser parser("weights");
+    std::vector<jobs::StreamEvent> events;
+    for (const std::string& part : {bytes.substr(0, split), bytes.substr(split)}) {
+      parser.feed(part);
+      while (const auto event = parser.next()) {
+        events.push_back(*event);
+      }
+    }
+    cr_assert_eq(events.size(), 3U);
+    cr_assert_eq(events[0].data, "a");
+    cr_assert_not(events[0].version.has_value());
+    cr_assert_eq(*events[1].version, 7U);
+    cr_assert_eq(events[1].data, "b: c");
+    cr_assert_eq(*events[2].id, 2U);
+    cr_assert_not(parser.hasRest());
+  }
+}
+
+Test(item_run, text_goes_on_behind_the_last_event_and_names_every_version) {
+  jobs::ItemRun run(leasedItem());
+  cr_assert(run.onHead(2));
+  cr_assert(run.onEvent({0, "a", std::nullopt}));
+  cr_assert(run.onEvent({1, "b", 3}));
+  cr_assert_eq(*run.lastEvent(), 1U);
+  cr_assert(run.onHead(4), "another engine goes on");
+  cr_assert(run.onEvent({2, "c", std::nullopt}));
+  const jobs::ItemResult done = run.completed();
+  cr_assert_eq(done.text, "a\nb\nc");
+  cr_assert(done.versions == (std::set<std::uint64_t>{2, 3, 4}));
+}
+
+Test(item_run, gaps_repeats_and_old_weights_are_refused) {
+  jobs::ItemRun run(leasedItem());
+  cr_assert_not(run.onHead(1));
+  cr_assert(run.onHead(2));
+  cr_assert(run.onEvent({4, "a", std::nullopt}));
+  cr_assert_not(run.onEvent({4, "a", std::nullopt}));
+  cr_assert_not(run.onEvent({6, "c", std::nullopt}));
+  cr_assert_not(run.onEvent({std::nullopt, "c", std::nullopt}));
+  cr_assert_not(run.onEvent({5, "b", 1}));
+  cr_assert_eq(run.completed().text, "a");
+}
+
+Test(item_run, text_of_one_version_begins_anew_under_another) {
+  jobs::ItemRun run(leasedItem(2, true));
+  cr_assert(run.onHead(2));
+  cr_assert(run.onEvent({0, "a", std::nullopt}));
+  cr_assert_not(run.onEvent({1, "b", 3}), "the weights change under way");
+  cr_assert_not(run.onHead(3), "the text so far is version 2's");
+  cr_assert_not(run.lastEvent().has_value());
+  cr_assert(run.onHead(3));
+  cr_assert(run.onEvent({0, "x", std::nullopt}));
+  cr_assert(run.completed().versions == std::set<std::uint64_t>{3});
+}
+
+Test(item_run, given_up_only_after_all_attempts_or_out_of_time) {
+  jobs::ItemRun run(leasedItem());
+  cr_assert_not(run.onFailure());
+  cr_assert_not(run.onFailure());
+  cr_assert(run.onFailure());
+  cr_assert_not(run.outOfTime(base::seconds(40)));
+  cr_assert(run.outOfTime(base::seconds(41)));
+}
--- /dev/null
+++ b/test/platform/platform_test.cpp
@@ -0,0 +1,187 @@
+/// The platform's bytes as typed calls, and back.
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+
+#include "base/random.h"
+#include "configuration_json.h"
+#include "platform_dialect.h"
+
+namespace base = tackpick::base;
+namespace directory = tackpick::directory;
+namespace edge = tackpick::edge;
+namespace http = tackpick::http;
+namespace jobs = tackpick::jobs;
+namespace platform = tackpick::platform;
+using Json = nlohmann::json;
+
+namespace {
+
+const std::string kConfiguration = R"({"version":7,"routes":[
+ {"name":"b","host":"H.example","pathPrefix":"/p/","kind":"rollout","timeoutMs":10000,
+  "targetLatencyMs":400,"priority":1,"service":"e","attempts":3,"queueTimeoutS":40.5,
+  "resultDeadlineMs":7500,"singleVersion":true,"sticky":true,"resumable":true},
+ {"name":"s","host":"h.example","pathPrefix":"/q/","kind":"safe","timeoutMs":2000,
+  "targetLatencyMs":150,"priority":2,"trafficSplit":[{"service":"e","weight":90},
+  {"service":"w","weight":10}],"attempts":2},
+ {"name":"u","host":"h.example","pathPrefix":"/r/","kind":"unsafe","timeoutMs":2000,
+  "service":"w","attempts":1,"unknownField":[1]}],
+ "services":[{"name":"e","healthPath":"/health","connectionLimit":150,"engine":{"slots":12,
+  "models":[{"name":"m"}]}},{"name":"w","healthPath":"/health","connectionLimit":96}],
+ "limits":{"headerLimitBytes":16384,"bodyLimitBytes":1000,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000}})";
+
+const std::string kJob = R"({"step":7,"model":"m","minimumVersion":6,"desiredCount":12,"items":[
+ {"identifier":"i","path":"/p/3","headers":{"Model":"m","Length-Hint":"120"},"body":"q83vEjRWeJA=",
+  "tokens":940,"group":"g"}]})";
+
+http::RawRequest request(const std::string& method, const std::string& target,
+                         const std::string& body = "") {
+  http::RawRequest made;
+  made.method = method;
+  made.target = target;
+  made.headers.add("Host", "h.example");
+  made.headers.add("Request-Id", "r1");
+  made.body = body;
+  return made;
+}
+
+}  // namespace
+
+Test(platform_json, configuration_is_read_whole) {
+  const auto configuration = platform::parseConfiguration(kConfiguration);
+  cr_assert(configuration.has_value());
+  cr_assert_eq(configuration->version, 7U);
+  cr_assert_eq(configuration->document, kConfiguration);
+  const directory::Route& batch = configuration->routes[0];
+  cr_assert_eq(batch.host, "h.example");
+  cr_assert(batch.kind == directory::RouteKind::kBatch && batch.singleVersion);
+  cr_assert_eq(batch.queueTimeout.count(), base::Duration(base::milliseconds(40'500)).count());
+  cr_assert(configuration->routes[1].kind == directory::RouteKind::kRepeatable);
+  cr_assert_eq(configuration->routes[1].splits[0].weight, 90U);
+  cr_assert(configuration->routes[2].kind == directory::RouteKind::kOnce);
+  cr_assert_eq(configuration->services[0].models.at(0), "m");
+  cr_assert_eq(configuration->limits.bodyBytes, 1000U);
+}
+
+Test(platform_json, anything_cut_short_is_refused) {
+  for (std::size_t length = 0; length < kConfiguration.size(); ++length) {
+    cr_assert_not(platform::parseConfiguration(kConfiguration.substr(0, length)).has_value());
+  }
+  for (std::size_t length = 0; length < kJob.size(); ++length) {
+    cr_assert_not(platform::parseJob("j", "h", {}, kJob.substr(0, length)).has_value());
+  }
+}
+
+Test(platform_json, damage_never_crashes) {
+  base::SeededRandom random(1);
+  for (int round = 0; round < 4000; ++round) {
+    for (const std::string& good : {kConfiguration, kJob}) {
+      std::string bad = good;
+      bad[random.below(bad.size())] = static_cast<char>(random.below(256));
+      (void)platform::parseConfiguration(bad);
+      (void)platform::parseJob("j", "h", {}, bad);
+      (void)platform::parseBeat("i", bad);
+      (void)platform::parseVersion(bad);
+      (void)platform::parseReport(bad);
+    }
+  }
+}
+
+Test(platform_json, heartbeat_and_report) {
+  const auto beat = platform::parseBeat(
+      "i-1", R"({"service":"e","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,
+      "state":"draining","coldRemainingMs":0,"models":[{"name":"m","version":3}],"sequence":4})");
+  cr_assert(beat.has_value());
+  cr_assert_eq(beat->record.host, "10.0.0.9");
+  cr_assert_eq(beat->record.port, 8080);
+  cr_assert(beat->record.leaving);
+  cr_assert_eq(beat->versions.at("m"), 3U);
+  cr_assert_eq(beat->sequence, 4U);
+  cr_assert_not(platform::parseBeat("i", R"({"service":"e"})").has_value());
+  cr_assert_eq(platform::parseReport(R"({"models":[{"name":"m","version":5}]})")->at("m"), 5U);
+}
+
+Test(platform_json, job_and_its_results) {
+  const auto configuration = platform::parseConfiguration(kConfiguration);
+  const auto job = platform::parseJob("j", "h.example", configuration->routes[0], kJob);
+  cr_assert(job.has_value());
+  cr_assert_eq(job->items[0].body, "\xab\xcd\xef\x12\x34\x56\x78\x90");
+  cr_assert_eq(job->items[0].expectedTokens, 120U);
+  cr_assert_eq(job->attempts, 3U);
+  jobs::JobReply reply;
+  reply.total = 2;
+  reply.results.push_back({"i", {0, jobs::ItemState::kCompleted, "a\nb", {6, 7}}});
+  reply.results.push_back({"k", {1, jobs::ItemState::kTerminated, "", {}}});
+  const Json answer = Json::parse(platform::resultsJson(5, reply));
+  cr_assert_eq(answer["nextPageToken"].get<int>(), 7);
+  cr_assert_eq(answer["results"][0]["message"].get<std::string>(), "a\nb");
+  cr_assert_eq(answer["results"][0]["versions"].dump(), "[6,7]");
+  cr_assert_eq(answer["results"][1]["state"].get<std::string>(), "terminated");
+}
+
+Test(platform_dialect, calls_at_a_gateway) {
+  const platform::PlatformDialect dialect;
+  const auto configuration = platform::parseConfiguration(kConfiguration);
+  const directory::Route* batch = &configuration->routes[0];
+  const auto call = [&](const http::RawRequest& raw, const directory::Route* route) {
+    return dialect.gatewayCall(raw, route);
+  };
+  cr_assert(std::holds_alternative<edge::ForwardCall>(
+      call(request("GET", "/q/1"), &configuration->routes[1])));
+  const auto submit = call(request("POST", "/p/1", kJob), batch);
+  cr_assert(std::holds_alternative<jobs::SubmitJob>(std::get<edge::JobCall>(submit).request));
+  cr_assert(std::holds_alternative<edge::MalformedCall>(call(request("POST", "/p/1", "{"), batch)));
+  const auto read = call(request("GET", "/lots/j?afterRevision=12"), nullptr);
+  cr_assert_eq(std::get<jobs::ReadJob>(std::get<edge::JobCall>(read).request).after, 12U);
+  cr_assert(std::holds_alternative<edge::MalformedCall>(
+      call(request("GET", "/lots/j?afterRevision=x"), nullptr)));
+  const auto item = call(request("GET", "/items/j?identifier=i"), nullptr);
+  cr_assert_eq(std::get<jobs::ReadItem>(std::get<edge::JobCall>(item).request).item, "i");
+  const auto end = call(request("DELETE", "/lots/j"), nullptr);
+  cr_assert_eq(std::get<jobs::EndJob>(std::get<edge::JobCall>(end).request).id, "j");
+}
+
+Test(platform_dialect, answers_promise_no_more_than_is_known) {
+  const platform::PlatformDialect dialect;
+  cr_assert_eq(dialect.jobAnswer(jobs::SubmitJob{}, nullptr).status, 504, "it may have been taken");
+  cr_assert_eq(dialect.jobAnswer(jobs::ReadJob{}, nullptr).status, 503);
+  jobs::JobReply reply;
+  cr_assert_eq(dialect.jobAnswer(jobs::SubmitJob{}, &reply).status, 202);
+  reply.status = jobs::JobStatus::kNotFound;
+  cr_assert_eq(dialect.jobAnswer(jobs::ReadJob{}, &reply).status, 404);
+  cr_assert_eq(dialect.controlAnswer(directory::ReadConfiguration{}, nullptr).status, 503);
+  directory::DirectoryReply invalid{directory::DirectoryStatus::kInvalid, "why", std::nullopt};
+  cr_assert_eq(dialect.controlAnswer(directory::ReplaceConfiguration{}, &invalid).status, 400);
+}
+
+Test(platform_dialect, calls_at_a_controller) {
+  const platform::PlatformDialect dialect;
+  const auto typed = [&](const std::string& method, const std::string& target,
+                         const std::string& body = "") {
+    return std::get<directory::DirectoryRequest>(
+        dialect.controlCall(request(method, target, body)));
+  };
+  cr_assert(std::holds_alternative<directory::ReplaceConfiguration>(
+      typed("POST", "/Configuration.Replace", kConfiguration)));
+  cr_assert(
+      std::holds_alternative<directory::ReadConfiguration>(typed("GET", "/Configuration.Read")));
+  cr_assert_eq(std::get<directory::InstanceLeaves>(typed("POST", "/Instances.Leave/i-1")).id,
+               "i-1");
+  cr_assert_eq(std::get<directory::RetireNode>(typed("POST", "/Retire.Start/n", "{}")).name, "n");
+  cr_assert_eq(std::get<directory::ReadRetirement>(typed("GET", "/Retire.Read/n")).name, "n");
+  cr_assert(
+      std::holds_alternative<edge::UnknownCall>(dialect.controlCall(request("GET", "/elsewhere"))));
+  cr_assert(std::holds_alternative<edge::MalformedCall>(
+      dialect.controlCall(request("POST", "/Configuration.Replace", "{"))));
+}
+
+Test(platform_dialect, load_header) {
+  const platform::PlatformDialect dialect;
+  const auto load = dialect.load("3,1,8");
+  cr_assert(load.has_value());
+  cr_assert_eq(load->waiting, 1U);
+  for (const char* bad : {"", "3", "3,1", "3,1,x", "a,b,c"}) {
+    cr_assert_not(dialect.load(bad).has_value());
+  }
+}
