--- a/src/consensus/raft_consensus.h
+++ b/src/consensus/raft_consensus.h
@@ -24,6 +24,10 @@
   /// The clocks of two servers may differ in rate by at most this many percent.
   int clockDriftPercent = 2;
   std::size_t maximumEntriesPerMessage = 512;
+  /// A message carries no further entry once it holds this many bytes.
+  std::size_t maximumBytesPerMessage = 256U << 10U;
+  /// A snapshot without an answer is sent again after this time.
+  base::Duration snapshotResend = base::seconds(3);
   /// A learner is promoted when it lags by at most this many entries.
   LogIndex promotionLag = 16;
 
@@ -100,6 +104,7 @@
     base::TimePoint probedAt{};     ///< when entries were last sent
     bool awaitingSnapshot = false;  ///< a snapshot is under way; only heartbeats are sent
     bool outstanding = false;       ///< entries were sent and not yet answered
+    LogIndex sentIndex = 0;         ///< the last of them
   };
   struct Round {
     std::uint64_t number = 0;
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -76,14 +76,21 @@
   }
   Progress& progress = found->second;
   progress.acknowledgedRound = std::max(progress.acknowledgedRound, response.round);
-  progress.outstanding = false;
-  progress.awaitingSnapshot = false;
+  // Heartbeats are answered while entries or a snapshot are still on their way: only the answer to
+  // those ends the wait. Else each heartbeat would send them once more.
+  const bool movesBack = !response.success && response.lastIndex + 1 < progress.nextIndex;
+  if (movesBack || (response.success && response.lastIndex >= progress.sentIndex)) {
+    progress.outstanding = false;
+  }
+  if (response.success && response.lastIndex + 1 >= log_.firstIndex()) {
+    progress.awaitingSnapshot = false;
+  }
   if (response.success) {
     progress.matchIndex = std::max(progress.matchIndex, response.lastIndex);
     progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
     confirmRounds();
     advanceCommit();
-  } else if (response.lastIndex + 1 < progress.nextIndex) {
+  } else if (movesBack) {
     progress.nextIndex = std::max(response.lastIndex, progress.matchIndex) + 1;
   }
   if (progress.nextIndex <= log_.lastIndex()) {
@@ -146,9 +153,10 @@
 }
 
 void RaftConsensus::sendAppend(base::NodeId to, Progress& progress, base::TimePoint now) {
-  const bool resend = now - progress.probedAt >= settings_.electionTimeoutMinimum;
+  const base::Duration waited = now - progress.probedAt;
+  const bool resend = waited >= settings_.electionTimeoutMinimum;
   if (progress.nextIndex < log_.firstIndex()) {
-    if (!progress.awaitingSnapshot || resend) {
+    if (!progress.awaitingSnapshot || waited >= settings_.snapshotResend) {
       progress.awaitingSnapshot = true;
       progress.probedAt = now;
       send(to, InstallSnapshotRequest{currentTerm(), last_round_, log_.snapshot()});
@@ -167,10 +175,14 @@
   if (!progress.outstanding || resend) {
     const LogIndex last =
         std::min(log_.lastIndex(), progress.nextIndex + settings_.maximumEntriesPerMessage - 1);
-    for (LogIndex index = progress.nextIndex; index <= last; ++index) {
+    std::size_t bytes = 0;
+    for (LogIndex index = progress.nextIndex;
+         index <= last && bytes < settings_.maximumBytesPerMessage; ++index) {
       request.entries.push_back(log_.entry(index));
+      bytes += request.entries.back().payload.size();
     }
     if (!request.entries.empty()) {
+      progress.sentIndex = request.entries.back().index;
       progress.outstanding = true;
       progress.probedAt = now;
     }
--- a/test/consensus/replica_test.cpp
+++ b/test/consensus/replica_test.cpp
@@ -158,3 +158,87 @@
   run({&first, &second, &replaced}, now, base::seconds(1));
   cr_assert_eq(replaced.replica->raft().membership().voters.size(), 3U);
 }
+
+namespace {
+
+/// Bytes of the entries and snapshots that `leader` sends to a member that answers heartbeats at
+/// once and takes `delay` for everything else.
+std::size_t bytesSentToSlowMember(Server& leader, Server& slow, base::TimePoint& now,
+                                  base::Duration delay, base::Duration time) {
+  std::size_t bytes = 0;
+  std::vector<std::pair<base::TimePoint, transport::RaftEnvelope>> late;
+  for (const base::TimePoint end = now + time; now < end; now += base::milliseconds(10)) {
+    leader.replica->tick(now);
+    transport::Outbox outbox;
+    leader.replica->finish(now, outbox);
+    for (const transport::OutgoingMessage& outgoing : outbox) {
+      const auto& envelope = std::get<transport::RaftEnvelope>(outgoing.message);
+      const auto* append = std::get_if<consensus::AppendRequest>(&envelope.message);
+      const bool heartbeat = append != nullptr && append->entries.empty();
+      bytes += heartbeat ? 0 : base::encode(envelope).size();
+      late.emplace_back(now + (heartbeat ? base::Duration{0} : delay), envelope);
+    }
+    for (auto& [at, envelope] : std::exchange(late, {})) {
+      if (at > now) {
+        late.emplace_back(at, envelope);
+      } else if (envelope.to == slow.id) {
+        slow.replica->handle(leader.id, envelope, now);
+      }
+    }
+    outbox.clear();
+    slow.replica->finish(now, outbox);
+    for (const transport::OutgoingMessage& outgoing : outbox) {
+      const auto& envelope = std::get<transport::RaftEnvelope>(outgoing.message);
+      if (envelope.to == leader.id) {
+        leader.replica->handle(slow.id, envelope, now);
+      }
+    }
+  }
+  return bytes;
+}
+
+}  // namespace
+
+// Found on the bench (hunt, trouble-2): the answer to any heartbeat made the leader send the same
+// entries or snapshot once more; a wiped ledger took 14 s to catch up and buffers grew to 200 MB.
+Test(replica, entries_and_snapshots_on_their_way_are_not_sent_again_with_each_heartbeat) {
+  for (const bool compacted : {false, true}) {
+    const base::NodeId first = base::makeNodeId(1, 0);
+    Server leader(first, {first});
+    Server slow(base::makeNodeId(2, 7), {});
+    base::TimePoint now{};
+    run({&leader}, now, base::seconds(3));
+    constexpr std::size_t kCommandBytes = 50'000;
+    constexpr std::size_t kCommands = 4;
+    for (std::size_t i = 0; i < kCommands; ++i) {
+      leader.replica->propose(base::Bytes(kCommandBytes, 'x'), now, [](auto*, auto) {});
+    }
+    run({&leader}, now, base::milliseconds(100));
+    if (compacted) {
+      leader.replica->raft().compact(leader.replica->appliedIndex(), leader.machine.takeSnapshot());
+    }
+    cr_assert(leader.replica->raft().addMember(slow.id, now));
+    const std::size_t bytes =
+        bytesSentToSlowMember(leader, slow, now, base::milliseconds(300), base::milliseconds(1500));
+    cr_assert_eq(slow.machine.commands.size(), kCommands);
+    cr_assert_lt(bytes, 3 * kCommands * kCommandBytes / 2, "%zu, compacted %d", bytes,
+                 compacted ? 1 : 0);
+  }
+}
+
+Test(replica, message_is_bounded_by_bytes) {
+  const base::NodeId first = base::makeNodeId(1, 0);
+  Server leader(first, {first});
+  base::TimePoint now{};
+  run({&leader}, now, base::seconds(3));
+  constexpr std::size_t kCommandBytes = 100'000;
+  for (int i = 0; i < 20; ++i) {
+    leader.replica->propose(base::Bytes(kCommandBytes, 'x'), now, [](auto*, auto) {});
+  }
+  run({&leader}, now, base::milliseconds(100));
+  cr_assert(leader.replica->raft().addMember(base::makeNodeId(2, 7), now));
+  Server slow(base::makeNodeId(2, 7), {});
+  const std::size_t bytes =
+      bytesSentToSlowMember(leader, slow, now, base::milliseconds(300), base::milliseconds(200));
+  cr_assert_lt(bytes, 4 * kCommandBytes, "%zu", bytes);
+}
