Engines follow each model's demand; items are leased by model, those that can wait last

Change: homes in proportion to recent events by model, moved one engine at a time; room is told by model; of each job, as many of the groups with the longest items as its caller can do without come last, and groups that come again first.

--- a/src/cluster/cluster_member.cpp
+++ b/src/cluster/cluster_member.cpp
@@ -58,6 +58,9 @@
   if (ledger_membership_) {
     request.ledgerMembership = ledger_membership_();
   }
+  if (work_) {
+    request.workDone = work_();
+  }
   directory_.call(
       transport::CommandKind::kService, base::encode(directory::DirectoryRequest{request}), now,
       outbox_,
--- a/src/cluster/cluster_member.h
+++ b/src/cluster/cluster_member.h
@@ -38,6 +38,10 @@
   using MembershipSource = std::function<std::optional<consensus::Membership>()>;
   void reportLedgerMembership(MembershipSource source) { ledger_membership_ = std::move(source); }
 
+  /// What this gateway reports of the events it received, by model.
+  using WorkSource = std::function<std::map<std::string, std::uint64_t>()>;
+  void reportWork(WorkSource source) { work_ = std::move(source); }
+
   void onResponse(const transport::CommandResponse& response, base::TimePoint now);
   /// The connection to a node broke: calls sent there are sent again soon, to another.
   void onPeerLost(std::uint32_t number);
@@ -73,6 +77,7 @@
   std::optional<base::TimePoint> heard_at_;
   ViewHandler on_view_;
   MembershipSource ledger_membership_;
+  WorkSource work_;
   transport::Outbox outbox_;
 };
 
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -136,6 +136,7 @@
   if (added) {
     ++view_revision_;
   }
+  demand_.report(request.node.node, request.workDone, now);
   if (request.ledgerMembership) {
     completeRetirements(*request.ledgerMembership, now);
   }
@@ -355,7 +356,8 @@
       actions_.reportsWanted.push_back(record->second);
     }
   }
-  const auto orders = orders_.step(state_, reports_, replica_.raft().currentTerm(), now);
+  const auto orders =
+      orders_.step(state_, reports_, demand_.recent(), replica_.raft().currentTerm(), now);
   actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
   view_revision_ += orders.empty() ? 0 : 1;
 }
@@ -430,6 +432,7 @@
     beat_sequences_.clear();
     nodes_.clear();
     orders_.reset(now);
+    demand_.reset();
     view_revision_ = raft.currentTerm() << kTermShift;
   }
   was_leader_ = raft.isLeader();
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -11,6 +11,7 @@
 #include "consensus/replica.h"
 #include "directory/directory_messages.h"
 #include "directory/directory_state.h"
+#include "directory/model_demand.h"
 #include "directory/version_orders.h"
 
 namespace tackpick::directory {
@@ -120,6 +121,7 @@
   std::map<std::string, std::uint64_t> beat_sequences_;
   std::map<base::NodeId, HeardNode> nodes_;
   VersionOrders orders_;
+  ModelDemand demand_;
   std::vector<PendingWatch> watches_;
   std::uint64_t view_revision_ = 0;  ///< changes whenever a view would
   std::uint64_t observed_state_ = 0;
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -35,6 +35,39 @@
       });
 }
 
+/// Engines for each model: at least one while there are enough, the others in proportion to demand.
+std::map<std::string, std::size_t> engineShares(const std::vector<std::string>& models,
+                                                const std::map<std::string, double>& demand,
+                                                std::size_t engineCount) {
+  std::map<std::string, double> weights;
+  double total = 0;
+  for (const std::string& model : models) {
+    const auto found = demand.find(model);
+    weights[model] = found == demand.end() ? 0.0 : found->second;
+    total += weights[model];
+  }
+  const double equal = 1.0 / static_cast<double>(models.size());
+  const auto engines = static_cast<double>(engineCount);
+  std::map<std::string, std::size_t> shares;
+  for (std::size_t given = 0; given < engineCount; ++given) {
+    // The next engine goes to the model that is furthest below its share.
+    std::string neediest;
+    double worst = 0;
+    for (const auto& [model, weight] : weights) {
+      const double fraction = total > 0 ? weight / total : equal;
+      const double need = shares[model] == 0
+                              ? engines + fraction
+                              : fraction * engines - static_cast<double>(shares[model]);
+      if (neediest.empty() || need > worst) {
+        neediest = model;
+        worst = need;
+      }
+    }
+    ++shares[neediest];
+  }
+  return shares;
+}
+
 }  // namespace
 
 void VersionOrders::reset(base::TimePoint now) {
@@ -45,69 +78,84 @@
 }
 
 void VersionOrders::assignHomes(const DirectoryState& state,
-                                const std::map<std::string, ReportedEngine>& engines) {
+                                const std::map<std::string, ReportedEngine>& engines,
+                                const std::map<std::string, double>& demand, base::TimePoint now) {
   std::erase_if(homes_, [&](const auto& home) { return !state.instances().contains(home.first); });
   std::erase_if(given_,
                 [&](const auto& given) { return !state.instances().contains(given.first); });
   for (const Service& service : state.configuration().services) {
-    std::map<std::string, std::size_t> counts;
-    for (const std::string& model : service.models) {
-      counts[model] = 0;
+    if (!service.models.empty()) {
+      assignHomesOf(service, state, engines, demand, now);
     }
-    if (counts.empty()) {
+  }
+}
+
+void VersionOrders::assignHomesOf(const Service& service, const DirectoryState& state,
+                                  const std::map<std::string, ReportedEngine>& engines,
+                                  const std::map<std::string, double>& demand,
+                                  base::TimePoint now) {
+  std::map<std::string, std::size_t> counts;
+  for (const std::string& model : service.models) {
+    counts[model] = 0;
+  }
+  std::vector<const InstanceRecord*> homeless;
+  std::size_t engineCount = 0;
+  for (const auto& [id, record] : state.instances()) {
+    if (record.service != service.name || record.leaving) {
       continue;
     }
-    std::vector<const InstanceRecord*> homeless;
-    for (const auto& [id, record] : state.instances()) {
-      if (record.service != service.name || record.leaving) {
-        continue;
-      }
-      const auto home = homes_.find(id);
-      if (home != homes_.end() && counts.contains(home->second)) {
-        ++counts[home->second];
-      } else {
-        homeless.push_back(&record);
-      }
-    }
-    // A new leader finds each engine's home in what the engine holds: the model nearest to its
-    // published version, as long as that model has not had its share.
-    std::size_t engineCount = homeless.size();
-    for (const auto& [model, count] : counts) {
-      engineCount += count;
-    }
-    const std::size_t share = (engineCount + counts.size() - 1) / counts.size();
-    const auto backlog = [&](const InstanceRecord& record, const std::string& model) {
-      const auto published = state.versions().find(model);
-      const std::uint64_t wanted = published == state.versions().end() ? 1 : published->second;
-      const std::uint64_t held = versionOf(engines, record.id, model);
-      return wanted > held ? wanted - held : 0;
-    };
-    for (const InstanceRecord* record : homeless) {
-      const auto best =
-          std::min_element(counts.begin(), counts.end(), [&](const auto& left, const auto& right) {
-            const auto key = [&](const auto& entry) {
-              return std::tuple(entry.second >= share, backlog(*record, entry.first), entry.second);
-            };
-            return key(left) < key(right);
-          });
-      homes_[record->id] = best->first;
-      ++best->second;
+    ++engineCount;
+    const auto home = homes_.find(id);
+    if (home != homes_.end() && counts.contains(home->second)) {
+      ++counts[home->second];
+    } else {
+      homeless.push_back(&record);
     }
-    // An engine moves when one model has lost two more than another.
-    const auto byCount = [](const auto& left, const auto& right) {
-      return left.second < right.second;
+  }
+  std::map<std::string, std::size_t> shares = engineShares(service.models, demand, engineCount);
+  const auto backlog = [&](const InstanceRecord& record, const std::string& model) {
+    const auto published = state.versions().find(model);
+    const std::uint64_t wanted = published == state.versions().end() ? 1 : published->second;
+    const std::uint64_t held = versionOf(engines, record.id, model);
+    return wanted > held ? wanted - held : 0;
+  };
+  // A new leader finds each engine's home in what the engine holds: the model nearest to its
+  // published version, as long as that model has not had its share.
+  for (const InstanceRecord* record : homeless) {
+    const auto key = [&](const auto& entry) {
+      return std::tuple(entry.second >= shares[entry.first], backlog(*record, entry.first),
+                        entry.second);
     };
-    const auto least = std::min_element(counts.begin(), counts.end(), byCount);
-    const auto most = std::max_element(counts.begin(), counts.end(), byCount);
-    if (most->second > least->second + 1) {
-      for (auto& [id, model] : homes_) {
-        const auto record = state.instances().find(id);
-        if (model == most->first && record->second.service == service.name &&
-            !record->second.leaving) {
-          model = least->first;
-          break;
-        }
-      }
+    const auto best = std::min_element(
+        counts.begin(), counts.end(),
+        [&](const auto& left, const auto& right) { return key(left) < key(right); });
+    homes_[record->id] = best->first;
+    ++best->second;
+  }
+  moveOneHome(service, state, counts, shares, now);
+}
+
+void VersionOrders::moveOneHome(const Service& service, const DirectoryState& state,
+                                const std::map<std::string, std::size_t>& counts,
+                                const std::map<std::string, std::size_t>& shares,
+                                base::TimePoint now) {
+  std::string from;
+  std::string to;
+  for (const auto& [model, count] : counts) {
+    const auto share = shares.find(model);
+    const std::size_t wanted = share == shares.end() ? 0 : share->second;
+    from = count > wanted ? model : from;
+    to = count < wanted ? model : to;
+  }
+  if (from.empty() || to.empty() || now - moved_at_ < settings_.moveInterval) {
+    return;
+  }
+  for (auto& [id, model] : homes_) {
+    const auto record = state.instances().find(id);
+    if (model == from && record->second.service == service.name && !record->second.leaving) {
+      model = to;
+      moved_at_ = now;
+      return;
     }
   }
 }
@@ -190,13 +238,14 @@
 
 std::vector<VersionOrder> VersionOrders::step(const DirectoryState& state,
                                               const std::map<std::string, ReportedEngine>& engines,
+                                              const std::map<std::string, double>& demand,
                                               std::uint64_t term, base::TimePoint now) {
   std::vector<VersionOrder> orders;
   if (now - leader_since_ < settings_.quietAfterElection) {
     return orders;
   }
   notePublished(state, now);
-  assignHomes(state, engines);
+  assignHomes(state, engines, demand, now);
   std::map<std::string, ModelLoad> loads = loadByModel(engines, now);
   std::size_t running = 0;
   for (const auto& [model, load] : loads) {
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -36,6 +36,8 @@
   base::Duration reportInterval = base::milliseconds(150);
   /// An order without an answer no longer counts as a load after this time.
   base::Duration uncertainLoad = base::milliseconds(1500);
+  /// An engine changes its home at most this often.
+  base::Duration moveInterval = base::seconds(3);
   /// Engines silent for longer get no orders.
   base::Duration silenceLimit = base::seconds(4);
 };
@@ -68,7 +70,7 @@
 
 /// The leading controller's. Deterministic; owned by one thread. When engines hold several trained
 /// models, each engine follows one of them ("home"), so that a version costs as few loads as it
-/// can; the others keep the versions they have.
+/// can; the others keep the versions they have. Models get engines in proportion to demand.
 class VersionOrders {
  public:
   explicit VersionOrders(VersionOrderSettings settings) : settings_(settings) {}
@@ -78,6 +80,7 @@
   /// Orders to give now.
   [[nodiscard]] std::vector<VersionOrder> step(const DirectoryState& state,
                                                const std::map<std::string, ReportedEngine>& engines,
+                                               const std::map<std::string, double>& demand,
                                                std::uint64_t term, base::TimePoint now);
   /// Engines to be asked for their versions now.
   [[nodiscard]] std::vector<std::string> dueReports(
@@ -109,7 +112,14 @@
   [[nodiscard]] bool isDue(const std::string& model, std::uint64_t held, std::uint64_t published,
                            base::TimePoint now) const;
   void assignHomes(const DirectoryState& state,
-                   const std::map<std::string, ReportedEngine>& engines);
+                   const std::map<std::string, ReportedEngine>& engines,
+                   const std::map<std::string, double>& demand, base::TimePoint now);
+  void assignHomesOf(const Service& service, const DirectoryState& state,
+                     const std::map<std::string, ReportedEngine>& engines,
+                     const std::map<std::string, double>& demand, base::TimePoint now);
+  void moveOneHome(const Service& service, const DirectoryState& state,
+                   const std::map<std::string, std::size_t>& counts,
+                   const std::map<std::string, std::size_t>& shares, base::TimePoint now);
   /// All instances, those first whose model's version was published first.
   [[nodiscard]] std::vector<const InstanceRecord*> oldestVersionFirst(
       const DirectoryState& state) const;
@@ -120,6 +130,7 @@
   const VersionOrderSettings settings_;
   base::TimePoint leader_since_{};
   std::map<std::string, std::string> homes_;  ///< model by instance
+  base::TimePoint moved_at_{};                ///< when an engine last changed its home
   std::map<std::string, Given> given_;        ///< latest order by instance
   struct Published {
     std::uint64_t version = 0;
--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -219,14 +219,19 @@
       }));
 }
 
-std::uint32_t InstanceTable::slots(const std::string& service) const {
-  std::uint32_t total = 0;
+std::map<std::string, std::uint32_t> InstanceTable::placesByModel(
+    const PublishedModels& published) const {
+  std::map<std::string, std::uint32_t> places;
   for (const auto& [id, entry] : entries_) {
-    if (entry.record.service == service && !entry.record.leaving && !entry.gone) {
-      total += entry.record.slots;
+    const auto models = published.find(entry.record.service);
+    if (models == published.end() || entry.record.leaving || entry.gone) {
+      continue;
+    }
+    for (const auto& [model, version] : models->second) {
+      places[model] += entry.version(model) + 1 >= version ? entry.record.slots : 0;
     }
   }
-  return total;
+  return places;
 }
 
 double InstanceTable::occupancy(const std::string& service) const {
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -74,6 +74,9 @@
   [[nodiscard]] std::uint64_t version(const std::string& model) const;
 };
 
+/// By service, the newest published version of each model that its engines run.
+using PublishedModels = std::map<std::string, std::map<std::string, std::uint64_t>>;
+
 /// Deterministic; owned by one thread.
 class InstanceTable {
  public:
@@ -102,8 +105,9 @@
   [[nodiscard]] const InstanceEntry* find(const std::string& id) const;
   /// Instances of a service that do not leave.
   [[nodiscard]] std::size_t count(const std::string& service) const;
-  /// Places of all instances of a service that do not leave.
-  [[nodiscard]] std::uint32_t slots(const std::string& service) const;
+  /// Places at engines that hold the newest version of a model or the one before, by model.
+  [[nodiscard]] std::map<std::string, std::uint32_t> placesByModel(
+      const PublishedModels& published) const;
   /// Share of the places of a service that are taken, as last reported; requests of this gateway
   /// count at least.
   [[nodiscard]] double occupancy(const std::string& service) const;
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -2,13 +2,51 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace tackpick::jobs {
 
+std::vector<std::uint32_t> leaseOrder(const JobSubmission& job,
+                                      const std::set<std::string>& comesAgain) {
+  std::map<std::string, std::uint32_t> longest;  // item of each group
+  for (const Item& item : job.items) {
+    longest[item.group] = std::max(longest[item.group], item.expectedTokens);
+  }
+  std::vector<std::pair<std::uint32_t, std::string>> ranked;
+  for (const auto& [group, tokens] : longest) {
+    if (!comesAgain.contains(group)) {
+      ranked.emplace_back(tokens, group);
+    }
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  const std::size_t wanted = job.wantedGroups == 0 ? longest.size() : job.wantedGroups;
+  const std::size_t spare = longest.size() - std::min(longest.size(), wanted);
+  std::set<std::string> last;
+  for (std::size_t i = 0; i < std::min(spare, ranked.size()); ++i) {
+    last.insert(ranked[i].second);
+  }
+  const auto rank = [&](const Item& item) {
+    if (comesAgain.contains(item.group)) {
+      return 0;
+    }
+    return last.contains(item.group) ? 2 : 1;
+  };
+  std::vector<std::uint32_t> order(job.items.size());
+  std::iota(order.begin(), order.end(), 0U);
+  std::stable_sort(order.begin(), order.end(), [&](std::uint32_t left, std::uint32_t right) {
+    const Item& one = job.items[left];
+    const Item& other = job.items[right];
+    return std::tuple(rank(one), other.expectedTokens) <
+           std::tuple(rank(other), one.expectedTokens);
+  });
+  return order;
+}
+
 void ItemLeases::reset(base::TimePoint now, base::Duration grace) {
   queue_.clear();
   leases_.clear();
   first_seen_.clear();
+  seen_items_.clear();
   leasing_from_ = now + grace;
 }
 
@@ -16,12 +54,13 @@
   if (!first_seen_.try_emplace(id, now).second || job.settled()) {
     return;
   }
-  std::vector<std::uint32_t> order(job.submission.items.size());
-  std::iota(order.begin(), order.end(), 0U);
-  std::stable_sort(order.begin(), order.end(), [&](std::uint32_t left, std::uint32_t right) {
-    return job.submission.items[left].expectedTokens > job.submission.items[right].expectedTokens;
-  });
-  for (const std::uint32_t item : order) {
+  std::set<std::string> comesAgain;
+  for (const Item& item : job.submission.items) {
+    if (!seen_items_.insert(item.id).second) {
+      comesAgain.insert(item.group);
+    }
+  }
+  for (const std::uint32_t item : leaseOrder(job.submission, comesAgain)) {
     const ItemKey key{id, item};
     if (!job.listed[item] && !leases_.contains(key)) {
       queue_.push_back(key);
@@ -78,19 +117,27 @@
   return revoked;
 }
 
-std::vector<ItemKey> ItemLeases::lease(base::NodeId gateway, std::uint32_t wanted,
+std::vector<ItemKey> ItemLeases::lease(base::NodeId gateway,
+                                       std::map<std::string, std::uint32_t> wanted,
                                        const JobState& state, base::TimePoint now) {
   std::vector<ItemKey> leased;
   if (now < leasing_from_) {
     return leased;
   }
-  while (leased.size() < wanted && !queue_.empty()) {
-    const ItemKey key = queue_.front();
-    queue_.pop_front();
-    if (isOpen(state, key) && leases_.try_emplace(key, Lease{gateway, now + lease_time_}).second) {
-      leased.push_back(key);
+  std::deque<ItemKey> rest;
+  for (ItemKey& key : queue_) {
+    if (!isOpen(state, key)) {
+      continue;
+    }
+    std::uint32_t& room = wanted[state.find(key.job)->submission.model];
+    if (room == 0) {
+      rest.push_back(std::move(key));
+    } else if (leases_.try_emplace(key, Lease{gateway, now + lease_time_}).second) {
+      --room;
+      leased.push_back(std::move(key));
     }
   }
+  queue_ = std::move(rest);
   return leased;
 }
 
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,9 +14,16 @@
 
 namespace tackpick::jobs {
 
-/// Deterministic. Items are leased oldest job first and, within a job, longest expected first. A
-/// lease that its gateway stops renewing returns to the front of the queue. An item may run twice
-/// (the first result counts), so nothing here needs to be durable.
+/// The items of a job in the order in which they should start. First those of groups that
+/// `comesAgain` names, which the caller waits for in any case; then the others, longest expected
+/// first, since the longest decide when the job is whole. The caller does not wait for all groups:
+/// as many of those with the longest items as it can do without come last.
+[[nodiscard]] std::vector<std::uint32_t> leaseOrder(const JobSubmission& job,
+                                                    const std::set<std::string>& comesAgain);
+
+/// Deterministic. Items are leased oldest job first and, within a job, in the order of
+/// leaseOrder(). A lease that its gateway stops renewing returns to the front of the queue. An item
+/// may run twice (the first result counts), so nothing here needs to be durable.
 class ItemLeases {
  public:
   explicit ItemLeases(base::Duration leaseTime) : lease_time_(leaseTime) {}
@@ -30,8 +38,9 @@
   /// Renews what `gateway` holds. Returns the items it holds that need not run any more.
   [[nodiscard]] std::vector<ItemKey> renew(base::NodeId gateway, const std::vector<ItemKey>& held,
                                            const JobState& state, base::TimePoint now);
-  /// Leases up to `wanted` items to `gateway`.
-  [[nodiscard]] std::vector<ItemKey> lease(base::NodeId gateway, std::uint32_t wanted,
+  /// Leases up to `wanted` items of each model to `gateway`.
+  [[nodiscard]] std::vector<ItemKey> lease(base::NodeId gateway,
+                                           std::map<std::string, std::uint32_t> wanted,
                                            const JobState& state, base::TimePoint now);
   [[nodiscard]] bool hasQueued() const { return !queue_.empty(); }
   /// When the leader first saw the job; it was submitted no later.
@@ -54,6 +63,7 @@
   std::deque<ItemKey> queue_;
   std::map<ItemKey, Lease> leases_;
   std::map<std::string, base::TimePoint> first_seen_;
+  std::set<std::string> seen_items_;  ///< ids, to know those that come again
 };
 
 }  // namespace tackpick::jobs
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -120,7 +121,8 @@
 /// A gateway renews its leases and asks for more. Leases live in the leader's memory only.
 struct LeaseItems {
   std::vector<ItemKey> held;
-  std::uint32_t wanted = 0;  ///< further items that it can run
+  /// Further items that it can run, by model; items of other models are not leased to it.
+  std::map<std::string, std::uint32_t> wanted;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(held, wanted);
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -24,10 +24,11 @@
 
 ControlFront::ControlFront(Node& node)
     : node_(node),
-      server_(node.context(), node.settings().control.host, node.settings().control.port, limits(),
-              [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
-                onRequest(request, exchange);
-              }) {}
+      server_(
+          node.context(), node.settings().control.host, node.settings().control.port, limits(),
+          [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
+            onRequest(request, exchange);
+          }) {}
 
 void ControlFront::onRequest(const http::RawRequest& request,
                              const std::shared_ptr<http::Exchange>& exchange) {
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -48,7 +48,9 @@
       readiness_(node.context(), node.settings().readiness.host, node.settings().readiness.port, {},
                  [this](const http::RawRequest&, const std::shared_ptr<http::Exchange>& exchange) {
                    onReadiness(exchange);
-                 }) {}
+                 }) {
+  node_.member().reportWork([this] { return items_.workDone(); });
+}
 
 void GatewayFront::onView(const directory::DirectoryView& view) {
   instances_.update(view.instances, node_.now());
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -45,11 +45,13 @@
 }  // namespace
 
 void ItemRunner::onView(const directory::DirectoryView& view) {
-  gateways_ = view.gateways;
-  engine_services_.clear();
+  gateways_ = std::max(view.gateways, 1U);
+  engine_models_.clear();
   for (const directory::Service& service : node_.member().configuration().services) {
-    if (!service.models.empty()) {
-      engine_services_.insert(service.name);
+    for (const std::string& model : service.models) {
+      const auto published = view.publishedVersions.find(model);
+      engine_models_[service.name][model] =
+          published == view.publishedVersions.end() ? 0 : published->second;
     }
   }
 }
@@ -66,19 +68,21 @@
   }
 }
 
-std::uint32_t ItemRunner::wantedItems() const {
+std::map<std::string, std::uint32_t> ItemRunner::wantedItems() const {
+  std::map<std::string, std::uint32_t> wanted;
   if (stopping_) {
-    return 0;
+    return wanted;
   }
-  std::uint32_t places = 0;
-  for (const std::string& service : engine_services_) {
-    places += instances_.slots(service);
+  for (const auto& [model, places] : instances_.placesByModel(engine_models_)) {
+    wanted[model] = (places * kOvercommitPercent / kWholePercent + gateways_ - 1) / gateways_;
   }
-  const std::uint32_t share =
-      (places * kOvercommitPercent / kWholePercent + gateways_ - 1) / std::max(gateways_, 1U);
-  const auto running = static_cast<std::uint32_t>(std::count_if(
-      items_.begin(), items_.end(), [](const auto& entry) { return !entry.second->finished; }));
-  return share > running ? share - running : 0;
+  for (const auto& [key, item] : items_) {
+    const auto found = wanted.find(item->run.leased().model);
+    if (!item->finished && found != wanted.end() && found->second > 0) {
+      --found->second;
+    }
+  }
+  return wanted;
 }
 
 void ItemRunner::lease(base::TimePoint now) {
@@ -220,6 +224,7 @@
       item.unusable = true;
       return;
     }
+    ++work_done_[item.run.leased().model];
     notePace(item, item.lastByteAt);
   }
 }
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -23,6 +23,8 @@
 
   void onView(const directory::DirectoryView& view);
   void tick();
+  /// Events received since the start, by model.
+  [[nodiscard]] const std::map<std::string, std::uint64_t>& workDone() const { return work_done_; }
   /// Takes no further items; what runs may finish.
   void beginStop() { stopping_ = true; }
   /// Nothing runs and every result is handed in.
@@ -57,7 +59,7 @@
 
   void lease(base::TimePoint now);
   void onLeased(const jobs::JobReply& reply);
-  [[nodiscard]] std::uint32_t wantedItems() const;
+  [[nodiscard]] std::map<std::string, std::uint32_t> wantedItems() const;
   void startAttempts(base::TimePoint now);
   void startAttempt(const jobs::ItemKey& key, Running& item, base::TimePoint now);
   void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
@@ -80,12 +82,13 @@
   std::map<jobs::ItemKey, std::unique_ptr<Running>> items_;
   std::map<std::string, std::vector<jobs::ItemResult>> results_;  ///< to be committed, by job
   std::uint32_t gateways_ = 1;
-  std::set<std::string> engine_services_;
+  forwarding::PublishedModels engine_models_;
   bool leasing_ = false;
   bool committing_ = false;
   bool stopping_ = false;
   base::TimePoint lease_at_{};
   base::TimePoint renewed_at_{};
+  std::map<std::string, std::uint64_t> work_done_;
   double typical_tokens_ = 0;  ///< moving average of the expected length of an item
 };
 
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -3,6 +3,7 @@
 
 #include "directory/configuration.h"
 #include "directory/directory_state.h"
+#include "directory/model_demand.h"
 #include "directory/route_table.h"
 #include "directory/version_orders.h"
 
@@ -180,11 +181,12 @@
     for (auto& [id, engine] : engines) {
       engine.heardAt = now;
     }
-    return orders.step(state, engines, 3, now);
+    return orders.step(state, engines, demand, 3, now);
   }
 
   directory::DirectoryState state;
   std::map<std::string, directory::ReportedEngine> engines;
+  std::map<std::string, double> demand;
   base::TimePoint now{};
   directory::VersionOrders orders{directory::VersionOrderSettings{}};
 };
@@ -241,6 +243,39 @@
   cr_assert_eq(models["n"].size(), 3U);
 }
 
+// Found on the bench (scale-2): the model with the longer texts had three of seven engines.
+Test(version_orders, engines_follow_demand) {
+  OrdersFixture fixture(9, {"m", "n"});
+  fixture.demand = {{"m", 1.0}, {"n", 2.0}};
+  std::map<std::string, std::set<std::string>> models;
+  for (std::uint64_t version = 2; version < 12; ++version) {
+    models.clear();
+    apply(fixture.state, directory::PublishVersion{"m", version});
+    apply(fixture.state, directory::PublishVersion{"n", version});
+    for (int round = 0; round < 6; ++round) {
+      fixture.now += base::seconds(1);
+      for (const directory::VersionOrder& order : fixture.step()) {
+        models[order.model].insert(order.instance);
+        fixture.engines[order.instance].versions[order.model] = order.version;
+      }
+    }
+  }
+  cr_assert_eq(models["m"].size(), 3U);
+  cr_assert_eq(models["n"].size(), 6U);
+}
+
+Test(model_demand, recent_work_counts_most) {
+  directory::ModelDemand demand;
+  const base::NodeId gateway = base::makeNodeId(1, 1);
+  base::TimePoint now{};
+  demand.report(gateway, {{"m", 1'000'000}}, now);
+  cr_assert(demand.recent().empty(), "done before this leader's time");
+  demand.report(gateway, {{"m", 1'000'100}}, now);
+  now += base::seconds(60);
+  demand.report(gateway, {{"m", 1'000'100}, {"n", 50}}, now);
+  cr_assert_lt(demand.recent().at("m"), demand.recent().at("n"));
+}
+
 Test(version_orders, silent_and_leaving_engines_get_none) {
   OrdersFixture fixture(2);
   apply(fixture.state, directory::PublishVersion{"m", 5});
@@ -251,7 +286,7 @@
   OrdersFixture silent(1);
   apply(silent.state, directory::PublishVersion{"m", 5});
   silent.engines["e0"].heardAt = silent.now - base::seconds(9);
-  cr_assert(silent.orders.step(silent.state, silent.engines, 3, silent.now).empty());
+  cr_assert(silent.orders.step(silent.state, silent.engines, {}, 3, silent.now).empty());
 }
 
 Test(version_orders, lost_order_is_repeated) {
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -101,22 +101,52 @@
 
 Test(item_leases, longest_expected_first_and_each_once) {
   LeaseFixture fixture;
-  auto leased = fixture.leases.lease(kGateway, 3, fixture.state, fixture.now);
+  auto leased = fixture.leases.lease(kGateway, {{"", 3}}, fixture.state, fixture.now);
   cr_assert_eq(leased.size(), 3U);
   cr_assert_eq(leased[0].item, 3U);
   cr_assert_eq(leased[2].item, 1U);
-  leased = fixture.leases.lease(kOther, 3, fixture.state, fixture.now);
+  leased = fixture.leases.lease(kOther, {{"", 3}}, fixture.state, fixture.now);
   cr_assert_eq(leased.size(), 1U);
 }
 
+Test(item_leases, each_model_has_its_own_room) {
+  LeaseFixture fixture;
+  jobs::JobSubmission other = submission("k", 2);
+  other.model = "m";
+  apply(fixture.state, jobs::SubmitJob{other});
+  fixture.leases.addJob("k", *fixture.state.find("k"), fixture.now);
+  const auto leased =
+      fixture.leases.lease(kGateway, {{"", 1}, {"m", 5}}, fixture.state, fixture.now);
+  cr_assert_eq(leased.size(), 3U);
+  cr_assert_eq(fixture.leases.lease(kOther, {{"m", 5}}, fixture.state, fixture.now).size(), 0U);
+  cr_assert_eq(fixture.leases.lease(kOther, {{"", 5}}, fixture.state, fixture.now).size(), 3U);
+}
+
+Test(lease_order, what_the_caller_waits_for_comes_first) {
+  jobs::JobSubmission job;
+  const auto add = [&](const std::string& group, std::uint32_t tokens) {
+    job.items.push_back({group + std::to_string(job.items.size()), "/", {}, "", group, tokens});
+  };
+  add("a", 10);   // 0
+  add("a", 500);  // 1: the longest of all, in a group that the caller can do without
+  add("b", 300);  // 2
+  add("c", 20);   // 3
+  add("d", 5);    // 4: comes again
+  job.wantedGroups = 3;
+  const auto order = jobs::leaseOrder(job, {"d"});
+  cr_assert(order == (std::vector<std::uint32_t>{4, 2, 3, 1, 0}));
+  job.wantedGroups = 0;
+  cr_assert(jobs::leaseOrder(job, {}) == (std::vector<std::uint32_t>{1, 2, 3, 0, 4}));
+}
+
 Test(item_leases, lease_that_is_not_renewed_goes_to_another) {
   LeaseFixture fixture;
-  const auto leased = fixture.leases.lease(kGateway, 4, fixture.state, fixture.now);
+  const auto leased = fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
   (void)fixture.leases.renew(kGateway, {leased[0]}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
   fixture.leases.refresh(fixture.state, fixture.now);
-  const auto again = fixture.leases.lease(kOther, 4, fixture.state, fixture.now);
+  const auto again = fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
   const auto revoked = fixture.leases.renew(kGateway, leased, fixture.state, fixture.now);
   cr_assert_eq(revoked.size(), 3U, "others run them by now");
@@ -124,20 +154,20 @@
 
 Test(item_leases, ended_jobs_revoke_and_lease_nothing) {
   LeaseFixture fixture;
-  const auto leased = fixture.leases.lease(kGateway, 2, fixture.state, fixture.now);
+  const auto leased = fixture.leases.lease(kGateway, {{"", 2}}, fixture.state, fixture.now);
   apply(fixture.state, jobs::EndJob{"j"});
   cr_assert_eq(fixture.leases.renew(kGateway, leased, fixture.state, fixture.now).size(), 2U);
-  cr_assert(fixture.leases.lease(kOther, 4, fixture.state, fixture.now).empty());
+  cr_assert(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).empty());
 }
 
 Test(item_leases, new_leader_first_hears_what_gateways_hold) {
   LeaseFixture fixture;
   fixture.leases.reset(fixture.now, base::milliseconds(500));
   fixture.leases.addJob("j", *fixture.state.find("j"), fixture.now);
-  cr_assert(fixture.leases.lease(kOther, 4, fixture.state, fixture.now).empty());
+  cr_assert(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).empty());
   (void)fixture.leases.renew(kGateway, {{"j", 3}, {"j", 2}}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(600);
-  cr_assert_eq(fixture.leases.lease(kOther, 4, fixture.state, fixture.now).size(), 2U);
+  cr_assert_eq(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).size(), 2U);
 }
 
 Test(stream_events, any_split_of_the_bytes_gives_the_same_events) {
