--- a/src/cluster/cluster_member.cpp
+++ b/src/cluster/cluster_member.cpp
@@ -59,7 +59,7 @@
     request.ledgerMembership = ledger_membership_();
   }
   if (work_) {
-    request.workDone = work_();
+    request.recentWork = work_();
   }
   directory_.call(
       transport::CommandKind::kService, base::encode(directory::DirectoryRequest{request}), now,
--- a/src/cluster/cluster_member.h
+++ b/src/cluster/cluster_member.h
@@ -38,8 +38,8 @@
   using MembershipSource = std::function<std::optional<consensus::Membership>()>;
   void reportLedgerMembership(MembershipSource source) { ledger_membership_ = std::move(source); }
 
-  /// What this gateway reports of the events it received, by model.
-  using WorkSource = std::function<std::map<std::string, std::uint64_t>()>;
+  /// This gateway's recent work by model.
+  using WorkSource = std::function<std::map<std::string, double>()>;
   void reportWork(WorkSource source) { work_ = std::move(source); }
 
   void onResponse(const transport::CommandResponse& response, base::TimePoint now);
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -119,11 +119,11 @@
   base::Duration hold{0};
   /// From the ledgers' leader: who belongs to its group, once no change of that is under way.
   std::optional<consensus::Membership> ledgerMembership;
-  /// From gateways: events of streams received since the process started, by model.
-  std::map<std::string, std::uint64_t> workDone;
+  /// From gateways: recent work by model (see ModelDemand).
+  std::map<std::string, double> recentWork;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(node, configurationVersion, revision, hold, ledgerMembership, workDone);
+    archive(node, configurationVersion, revision, hold, ledgerMembership, recentWork);
   }
 };
 
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -132,11 +132,10 @@
 
 void DirectoryRole::onRequest(const Caller& caller, const Watch& request, base::TimePoint now) {
   const auto [heard, added] = nodes_.try_emplace(request.node.node);
-  heard->second = {request.node, now};
+  heard->second = {request.node, now, request.recentWork};
   if (added) {
     ++view_revision_;
   }
-  demand_.report(request.node.node, request.workDone, now);
   if (request.ledgerMembership) {
     completeRetirements(*request.ledgerMembership, now);
   }
@@ -357,11 +356,23 @@
     }
   }
   const auto orders =
-      orders_.step(state_, reports_, demand_.recent(), replica_.raft().currentTerm(), now);
+      orders_.step(state_, reports_, modelDemand(now), replica_.raft().currentTerm(), now);
   actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
   view_revision_ += orders.empty() ? 0 : 1;
 }
 
+std::map<std::string, double> DirectoryRole::modelDemand(base::TimePoint now) const {
+  std::map<std::string, double> demand;
+  for (const auto& [node, heard] : nodes_) {
+    if (now - heard.heardAt < settings_.repair.silenceLimit) {
+      for (const auto& [model, work] : heard.recentWork) {
+        demand[model] += work;
+      }
+    }
+  }
+  return demand;
+}
+
 void DirectoryRole::foundLedgers(base::TimePoint now) {
   if (!state_.ledgerFounders().empty()) {
     return;
@@ -432,7 +443,6 @@
     beat_sequences_.clear();
     nodes_.clear();
     orders_.reset(now);
-    demand_.reset();
     view_revision_ = raft.currentTerm() << kTermShift;
   }
   was_leader_ = raft.isLeader();
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -11,7 +11,6 @@
 #include "consensus/replica.h"
 #include "directory/directory_messages.h"
 #include "directory/directory_state.h"
-#include "directory/model_demand.h"
 #include "directory/version_orders.h"
 
 namespace tackpick::directory {
@@ -76,8 +75,10 @@
   struct HeardNode {
     NodeRecord record;
     base::TimePoint heardAt{};
+    std::map<std::string, double> recentWork;
   };
 
+  [[nodiscard]] std::map<std::string, double> modelDemand(base::TimePoint now) const;
   [[nodiscard]] bool leads(base::TimePoint now) const { return replica_.canRead(now); }
   void onRequest(const Caller& caller, const ReplaceConfiguration& request, base::TimePoint now);
   void onRequest(const Caller& caller, const ReadConfiguration& request, base::TimePoint now);
@@ -121,7 +122,6 @@
   std::map<std::string, std::uint64_t> beat_sequences_;
   std::map<base::NodeId, HeardNode> nodes_;
   VersionOrders orders_;
-  ModelDemand demand_;
   std::vector<PendingWatch> watches_;
   std::uint64_t view_revision_ = 0;  ///< changes whenever a view would
   std::uint64_t observed_state_ = 0;
--- a/src/directory/model_demand.cpp
+++ b/src/directory/model_demand.cpp
@@ -7,34 +7,33 @@
 
 /// Work counts half after this time.
 constexpr double kHalfLifeSeconds = 12.0;
+/// Work is aged in steps of this length.
+constexpr base::Duration kAgingStep = base::milliseconds(250);
 
 }  // namespace
 
-void ModelDemand::age(base::TimePoint now) {
-  const double factor = std::exp2(-base::toSeconds(now - aged_at_) / kHalfLifeSeconds);
-  for (auto& [model, work] : recent_) {
-    work *= factor;
-  }
-  aged_at_ = now;
+double ModelDemand::factor(base::TimePoint now) const {
+  return std::exp2(-base::toSeconds(now - aged_at_) / kHalfLifeSeconds);
 }
 
-void ModelDemand::report(base::NodeId gateway, const std::map<std::string, std::uint64_t>& workDone,
-                         base::TimePoint now) {
-  age(now);
-  const auto [known, added] = counters_.try_emplace(gateway, workDone);
-  if (added) {
-    return;  // what it did before this leader's time says nothing of when
-  }
-  for (const auto& [model, work] : workDone) {
-    const std::uint64_t before = known->second[model];
-    recent_[model] += work > before ? static_cast<double>(work - before) : 0.0;
+void ModelDemand::add(const std::string& model, double events, base::TimePoint now) {
+  if (now - aged_at_ >= kAgingStep) {
+    const double aged = factor(now);
+    for (auto& [known, work] : work_) {
+      work *= aged;
+    }
+    aged_at_ = now;
   }
-  known->second = workDone;
+  work_[model] += events;
 }
 
-void ModelDemand::reset() {
-  counters_.clear();
-  recent_.clear();
+std::map<std::string, double> ModelDemand::recent(base::TimePoint now) const {
+  std::map<std::string, double> recent = work_;
+  const double aged = factor(now);
+  for (auto& [model, work] : recent) {
+    work *= aged;
+  }
+  return recent;
 }
 
 }  // namespace tackpick::directory
--- a/src/directory/model_demand.h
+++ b/src/directory/model_demand.h
@@ -1,31 +1,25 @@
 /// \file
-/// How much each model is asked of the engines, from what gateways report.
+/// How much each model is asked of the engines.
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <string>
 
-#include "base/identifiers.h"
 #include "base/time.h"
 
 namespace tackpick::directory {
 
-/// The leading controller's. Deterministic. Old work counts less and less.
+/// A gateway's recent work by model, in events of streams received. Older work counts less and
+/// less. Gateways keep it, not the leading controller, so that it outlives a change of leader.
 class ModelDemand {
  public:
-  /// `workDone` are a gateway's counters since it started.
-  void report(base::NodeId gateway, const std::map<std::string, std::uint64_t>& workDone,
-              base::TimePoint now);
-  /// Recent work by model; any unit, since only ratios count.
-  [[nodiscard]] const std::map<std::string, double>& recent() const { return recent_; }
-  void reset();
+  void add(const std::string& model, double events, base::TimePoint now);
+  [[nodiscard]] std::map<std::string, double> recent(base::TimePoint now) const;
 
  private:
-  void age(base::TimePoint now);
+  [[nodiscard]] double factor(base::TimePoint now) const;
 
-  std::map<base::NodeId, std::map<std::string, std::uint64_t>> counters_;
-  std::map<std::string, double> recent_;
+  std::map<std::string, double> work_;
   base::TimePoint aged_at_{};
 };
 
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -112,7 +112,14 @@
       homeless.push_back(&record);
     }
   }
-  std::map<std::string, std::size_t> shares = engineShares(service.models, demand, engineCount);
+  double known = 0;
+  for (const std::string& model : service.models) {
+    const auto work = demand.find(model);
+    known += work == demand.end() ? 0.0 : work->second;
+  }
+  const bool unknown = known < settings_.leastDemand;
+  std::map<std::string, std::size_t> shares =
+      engineShares(service.models, unknown ? std::map<std::string, double>{} : demand, engineCount);
   const auto backlog = [&](const InstanceRecord& record, const std::string& model) {
     const auto published = state.versions().find(model);
     const std::uint64_t wanted = published == state.versions().end() ? 1 : published->second;
@@ -123,8 +130,8 @@
   // published version, as long as that model has not had its share.
   for (const InstanceRecord* record : homeless) {
     const auto key = [&](const auto& entry) {
-      return std::tuple(entry.second >= shares[entry.first], backlog(*record, entry.first),
-                        entry.second);
+      return std::tuple(!unknown && entry.second >= shares[entry.first],
+                        backlog(*record, entry.first), entry.second);
     };
     const auto best = std::min_element(
         counts.begin(), counts.end(),
@@ -132,7 +139,12 @@
     homes_[record->id] = best->first;
     ++best->second;
   }
-  moveOneHome(service, state, counts, shares, now);
+  // A model without any engine gets one in any case.
+  const bool empty = std::any_of(counts.begin(), counts.end(),
+                                 [](const auto& entry) { return entry.second == 0; });
+  if (!unknown || empty) {
+    moveOneHome(service, state, counts, shares, now);
+  }
 }
 
 void VersionOrders::moveOneHome(const Service& service, const DirectoryState& state,
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -36,6 +36,9 @@
   base::Duration reportInterval = base::milliseconds(150);
   /// An order without an answer no longer counts as a load after this time.
   base::Duration uncertainLoad = base::milliseconds(1500);
+  /// With less recent work than this (events of streams) demand is taken as unknown: engines keep
+  /// the homes that they have.
+  double leastDemand = 300;
   /// An engine changes its home at most this often.
   base::Duration moveInterval = base::seconds(3);
   /// Engines silent for longer get no orders.
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -49,7 +49,7 @@
                  [this](const http::RawRequest&, const std::shared_ptr<http::Exchange>& exchange) {
                    onReadiness(exchange);
                  }) {
-  node_.member().reportWork([this] { return items_.workDone(); });
+  node_.member().reportWork([this] { return items_.demand().recent(node_.now()); });
 }
 
 void GatewayFront::onView(const directory::DirectoryView& view) {
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -224,7 +224,7 @@
       item.unusable = true;
       return;
     }
-    ++work_done_[item.run.leased().model];
+    demand_.add(item.run.leased().model, 1.0, item.lastByteAt);
     notePace(item, item.lastByteAt);
   }
 }
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "directory/model_demand.h"
 #include "directory/route_table.h"
 #include "forwarding/instance_table.h"
 #include "http/upstream_client.h"
@@ -23,8 +24,8 @@
 
   void onView(const directory::DirectoryView& view);
   void tick();
-  /// Events received since the start, by model.
-  [[nodiscard]] const std::map<std::string, std::uint64_t>& workDone() const { return work_done_; }
+  /// Recent work by model.
+  [[nodiscard]] const directory::ModelDemand& demand() const { return demand_; }
   /// Takes no further items; what runs may finish.
   void beginStop() { stopping_ = true; }
   /// Nothing runs and every result is handed in.
@@ -88,7 +89,7 @@
   bool stopping_ = false;
   base::TimePoint lease_at_{};
   base::TimePoint renewed_at_{};
-  std::map<std::string, std::uint64_t> work_done_;
+  directory::ModelDemand demand_;
   double typical_tokens_ = 0;  ///< moving average of the expected length of an item
 };
 
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -246,7 +246,7 @@
 // Found on the bench (scale-2): the model with the longer texts had three of seven engines.
 Test(version_orders, engines_follow_demand) {
   OrdersFixture fixture(9, {"m", "n"});
-  fixture.demand = {{"m", 1.0}, {"n", 2.0}};
+  fixture.demand = {{"m", 1000.0}, {"n", 2000.0}};
   std::map<std::string, std::set<std::string>> models;
   for (std::uint64_t version = 2; version < 12; ++version) {
     models.clear();
@@ -264,16 +264,34 @@
   cr_assert_eq(models["n"].size(), 6U);
 }
 
+Test(version_orders, new_leader_keeps_the_homes_it_finds) {
+  OrdersFixture fixture(4, {"m", "n"});
+  apply(fixture.state, directory::PublishVersion{"m", 6});
+  apply(fixture.state, directory::PublishVersion{"n", 6});
+  for (const std::string id : {"e0", "e1", "e2"}) {
+    fixture.engines[id].versions["n"] = 5;
+  }
+  fixture.engines["e3"].versions["m"] = 5;
+  std::map<std::string, std::set<std::string>> models;
+  for (int round = 0; round < 4; ++round) {
+    fixture.now += base::seconds(1);
+    for (const directory::VersionOrder& order : fixture.step()) {
+      models[order.model].insert(order.instance);
+      fixture.engines[order.instance].versions[order.model] = order.version;
+    }
+  }
+  cr_assert(models["m"] == std::set<std::string>{"e3"});
+  cr_assert_eq(models["n"].size(), 3U);
+}
+
 Test(model_demand, recent_work_counts_most) {
   directory::ModelDemand demand;
-  const base::NodeId gateway = base::makeNodeId(1, 1);
   base::TimePoint now{};
-  demand.report(gateway, {{"m", 1'000'000}}, now);
-  cr_assert(demand.recent().empty(), "done before this leader's time");
-  demand.report(gateway, {{"m", 1'000'100}}, now);
+  demand.add("m", 100, now);
   now += base::seconds(60);
-  demand.report(gateway, {{"m", 1'000'100}, {"n", 50}}, now);
-  cr_assert_lt(demand.recent().at("m"), demand.recent().at("n"));
+  demand.add("n", 50, now);
+  cr_assert_lt(demand.recent(now).at("m"), 5.0);
+  cr_assert_eq(demand.recent(now).at("n"), 50.0);
 }
 
 Test(version_orders, silent_and_leaving_engines_get_none) {
