--- a/src/consensus/log_store.h
+++ b/src/consensus/log_store.h
@@ -17,7 +17,13 @@
   virtual ~LogStore() = default;
 
   [[nodiscard]] virtual const HardState& hardState() const = 0;
+  /// The snapshot without its state, which stays on disk: see readSnapshotState().
   [[nodiscard]] virtual const Snapshot& snapshot() const = 0;
+  /// The state of the snapshot; empty when none was ever taken.
+  [[nodiscard]] virtual base::Result<base::Bytes> readSnapshotState() const = 0;
+  /// Bytes of the snapshot's state, and of the entries kept beside it.
+  [[nodiscard]] virtual std::size_t snapshotBytes() const = 0;
+  [[nodiscard]] virtual std::size_t logBytes() const = 0;
   /// Index of the last entry, or of the snapshot when the log is empty.
   [[nodiscard]] virtual LogIndex lastIndex() const = 0;
   /// Index of the first entry kept; lastIndex() + 1 when there is none.
--- a/src/consensus/raft_consensus.cpp
+++ b/src/consensus/raft_consensus.cpp
@@ -115,6 +115,13 @@
   check(log_.saveSnapshot(snapshot));
 }
 
+bool RaftConsensus::needsCompaction(LogIndex entries, std::size_t bytes) const {
+  // The leader waits longer: taking a snapshot holds it up, and its followers take theirs earlier.
+  const std::size_t patience = state_ == RaftState::kLeader ? 2 : 1;
+  const std::size_t most = std::max(bytes, log_.snapshotBytes() / 2) * patience;
+  return logLength() > entries * patience || log_.logBytes() > most;
+}
+
 bool RaftConsensus::hasLease(base::TimePoint now) const {
   if (state_ != RaftState::kLeader || transferring_) {
     return false;
--- a/src/consensus/raft_consensus.h
+++ b/src/consensus/raft_consensus.h
@@ -84,6 +84,8 @@
   /// True while the latest membership is not yet committed.
   [[nodiscard]] bool membershipChangePending() const { return membership_index_ > commit_index_; }
   [[nodiscard]] bool failed() const { return failed_; }
+  /// Stops this server for good: what it depends on cannot be read.
+  void fail() { failed_ = true; }
   /// While this holds no other server can have become leader (section 6.4.1).
   [[nodiscard]] bool hasLease(base::TimePoint now) const;
   /// The latest own time at which a quorum is known to have followed this leader.
@@ -92,6 +94,9 @@
   [[nodiscard]] base::TimePoint leaderSince() const { return leader_since_; }
   /// True once an entry of the current term is committed, so that reads see all earlier commits.
   [[nodiscard]] bool hasCommittedInTerm() const;
+  /// True when the log should give way to a new snapshot: it has grown beyond `entries`, or beyond
+  /// `bytes` and half of the last snapshot.
+  [[nodiscard]] bool needsCompaction(LogIndex entries, std::size_t bytes) const;
   /// Entries in the log that a snapshot does not cover.
   [[nodiscard]] LogIndex logLength() const { return log_.lastIndex() + 1 - log_.firstIndex(); }
 
@@ -129,10 +134,12 @@
   void onMessage(base::NodeId from, const AppendRequest& request, base::TimePoint now);
   void onMessage(base::NodeId from, const AppendResponse& response, base::TimePoint now);
   void onMessage(base::NodeId from, const InstallSnapshotRequest& request, base::TimePoint now);
+  void refuseStaleLeader(base::NodeId from);
   void acceptLeader(base::NodeId from, Term term, base::TimePoint now);
   bool appendFollowing(const AppendRequest& request);
   void broadcast(base::TimePoint now);
   void sendAppend(base::NodeId to, Progress& progress, base::TimePoint now);
+  void sendSnapshot(base::NodeId to);
   void confirmRounds();
   void advanceCommit();
   void checkQuorum(base::TimePoint now);
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -9,7 +9,7 @@
 void RaftConsensus::onMessage(base::NodeId from, const AppendRequest& request,
                               base::TimePoint now) {
   if (request.term < currentTerm()) {
-    send(from, AppendResponse{currentTerm(), false, log_.lastIndex(), request.round});
+    refuseStaleLeader(from);
     return;
   }
   acceptLeader(from, request.term, now);
@@ -101,7 +101,7 @@
 void RaftConsensus::onMessage(base::NodeId from, const InstallSnapshotRequest& request,
                               base::TimePoint now) {
   if (request.term < currentTerm()) {
-    send(from, AppendResponse{currentTerm(), false, log_.lastIndex(), request.round});
+    refuseStaleLeader(from);
     return;
   }
   acceptLeader(from, request.term, now);
@@ -159,7 +159,7 @@
     if (!progress.awaitingSnapshot || waited >= settings_.snapshotResend) {
       progress.awaitingSnapshot = true;
       progress.probedAt = now;
-      send(to, InstallSnapshotRequest{currentTerm(), last_round_, log_.snapshot()});
+      sendSnapshot(to);
       return;
     }
     // A heartbeat that cannot match only keeps the follower from starting an election.
@@ -190,6 +190,23 @@
   send(to, std::move(request));
 }
 
+void RaftConsensus::refuseStaleLeader(base::NodeId from) {
+  // The request's round must not be echoed: when its sender leads again by now, the answer bears
+  // the new term, and an old round with a high number would confirm a lease nobody gave.
+  send(from, AppendResponse{currentTerm(), false, log_.lastIndex(), 0});
+}
+
+void RaftConsensus::sendSnapshot(base::NodeId to) {
+  Snapshot snapshot = log_.snapshot();
+  auto state = log_.readSnapshotState();
+  if (!state) {
+    failed_ = true;
+    return;
+  }
+  snapshot.state = std::move(*state);
+  send(to, InstallSnapshotRequest{currentTerm(), last_round_, std::move(snapshot)});
+}
+
 void RaftConsensus::confirmRounds() {
   while (!rounds_.empty()) {
     std::set<base::NodeId> confirming{self_};
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -15,8 +15,11 @@
       machine_(machine),
       raft_(self, settings.raft, log, random, now),
       applied_index_(log.snapshot().lastIndex) {
-  if (!log.snapshot().state.empty()) {
-    machine_.loadSnapshot(log.snapshot().state);
+  const auto state = log.readSnapshotState();
+  if (!state) {
+    raft_.fail();
+  } else if (!state->empty()) {
+    machine_.loadSnapshot(*state);
   }
 }
 
@@ -98,7 +101,7 @@
     applied_index_ = entry.index;
     completeApplied(entry, result);
   }
-  if (raft_.logLength() > settings_.compactionThreshold) {
+  if (raft_.needsCompaction(settings_.compactionThreshold, settings_.compactionBytes)) {
     raft_.compact(applied_index_, machine_.takeSnapshot());
   }
 }
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -55,9 +55,11 @@
 void JobRole::onRequest(const Caller& caller, const ReadItem& request, base::TimePoint /*now*/) {
   JobReply reply;
   reply.status = JobStatus::kNotFound;
-  if (const Job* job = state_.find(request.job)) {
-    for (const Item& item : job->submission.items) {
-      if (item.id == request.item) {
+  const Job* job = state_.find(request.job);
+  if (job != nullptr && !job->ended) {
+    for (std::size_t i = 0; i < job->listed.size(); ++i) {
+      const Item& item = job->submission.items[i];
+      if (item.id == request.item && !job->listed[i]) {
         reply.status = JobStatus::kDone;
         reply.body = item.body;
       }
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -2,6 +2,17 @@
 
 namespace tackpick::jobs {
 
+namespace {
+
+/// An item that needs not run any more keeps its id only.
+void forgetRequest(Item& item) {
+  item.path = {};
+  item.headers = {};
+  item.body = {};
+}
+
+}  // namespace
+
 base::Bytes JobState::apply(consensus::LogIndex /*index*/, const base::Bytes& command) {
   const auto decoded = base::decode<JobCommand>(command);
   if (decoded) {
@@ -23,6 +34,9 @@
   const auto found = jobs_.find(command.id);
   if (found != jobs_.end()) {
     found->second.ended = true;
+    for (Item& item : found->second.submission.items) {
+      forgetRequest(item);
+    }
   }
 }
 
@@ -37,6 +51,7 @@
       if (result.item < job.listed.size() && !job.listed[result.item]) {
         job.listed[result.item] = true;
         job.results.push_back(result);
+        forgetRequest(job.submission.items[result.item]);
       }
     }
   }
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -134,6 +134,8 @@
 
 base::Result<void> SegmentedLog::load() {
   BOOST_LEAF_ASSIGN(snapshot_, readChecked<consensus::Snapshot>(files_, kSnapshotFile));
+  snapshot_bytes_ = snapshot_.state.size();
+  snapshot_.state = base::Bytes();
   BOOST_LEAF_AUTO(names, files_.list());
   std::vector<std::string> segments;
   for (const std::string& name : names) {
@@ -148,9 +150,25 @@
     segment_number_ = std::stoull(segments.back().substr(kSegmentPrefix.size()));
   }
   dropEntriesCoveredBySnapshot();
+  countLogBytes();
   return rewrite();
 }
 
+void SegmentedLog::countLogBytes() {
+  log_bytes_ = 0;
+  for (const consensus::LogEntry& entry : entries_) {
+    log_bytes_ += entry.payload.size();
+  }
+}
+
+base::Result<base::Bytes> SegmentedLog::readSnapshotState() const {
+  if (snapshot_bytes_ == 0) {
+    return base::Bytes();
+  }
+  BOOST_LEAF_AUTO(snapshot, readChecked<consensus::Snapshot>(files_, kSnapshotFile));
+  return std::move(snapshot.state);
+}
+
 void SegmentedLog::dropEntriesCoveredBySnapshot() {
   bool continues = !entries_.empty() && entries_.front().index == snapshot_.lastIndex + 1;
   for (const consensus::LogEntry& entry : entries_) {
@@ -217,12 +235,14 @@
 base::Result<void> SegmentedLog::append(const consensus::LogEntry& entry) {
   BOOST_LEAF_CHECK(writeRecord(base::encode(Record{entry})));
   entries_.push_back(entry);
+  log_bytes_ += entry.payload.size();
   return {};
 }
 
 base::Result<void> SegmentedLog::truncateSuffix(consensus::LogIndex firstRemoved) {
   BOOST_LEAF_CHECK(writeRecord(base::encode(Record{TruncateRecord{firstRemoved}})));
   while (!entries_.empty() && entries_.back().index >= firstRemoved) {
+    log_bytes_ -= entries_.back().payload.size();
     entries_.pop_back();
   }
   return {};
@@ -244,7 +264,9 @@
   } else {
     entries_.clear();
   }
-  snapshot_ = snapshot;
+  snapshot_ = {snapshot.lastIndex, snapshot.lastTerm, snapshot.membership, {}};
+  snapshot_bytes_ = snapshot.state.size();
+  countLogBytes();
   return rewrite();
 }
 
--- a/src/storage/segmented_log.h
+++ b/src/storage/segmented_log.h
@@ -37,11 +37,11 @@
 ///
 /// Files: `identity`, `snapshot`, and segments `segment-NNNNNNNNNN` of records
 /// `[magic u32][length u32][checksum u64][payload]`, little endian. A new segment begins with the
-/// whole state, so only the newest one counts. The whole log after the
-/// snapshot is also kept in memory; compaction keeps it short. A torn record at the very end of
-/// the last segment is cut off on opening, because it was never synced and so never acknowledged.
-/// Damage anywhere before a readable record is reported as kCorrupt and the folder is refused.
-/// Owned by one thread.
+/// whole state, so only the newest one counts. The log after the snapshot is
+/// also kept in memory, the snapshot's state is not; compaction keeps the log short. A torn record
+/// at the very end of the last segment is cut off on opening, because it was never synced and so
+/// never acknowledged. Damage anywhere before a readable record is reported as kCorrupt and the
+/// folder is refused. Owned by one thread.
 class SegmentedLog final : public consensus::LogStore {
  public:
   /// Opens a folder; an empty one is initialised with `identity` and, for the first servers of a
@@ -51,6 +51,9 @@
 
   [[nodiscard]] const consensus::HardState& hardState() const override { return hard_state_; }
   [[nodiscard]] const consensus::Snapshot& snapshot() const override { return snapshot_; }
+  [[nodiscard]] base::Result<base::Bytes> readSnapshotState() const override;
+  [[nodiscard]] std::size_t snapshotBytes() const override { return snapshot_bytes_; }
+  [[nodiscard]] std::size_t logBytes() const override { return log_bytes_; }
   [[nodiscard]] consensus::LogIndex lastIndex() const override {
     return snapshot_.lastIndex + entries_.size();
   }
@@ -70,6 +73,7 @@
   [[nodiscard]] base::Result<void> load();
   [[nodiscard]] base::Result<void> replaySegment(const std::string& name);
   [[nodiscard]] bool applyRecord(const base::Bytes& payload);
+  void countLogBytes();
   /// After replay: keeps only the entries that continue from the snapshot.
   void dropEntriesCoveredBySnapshot();
   [[nodiscard]] base::Result<void> writeRecord(const base::Bytes& payload);
@@ -78,7 +82,9 @@
 
   FileSystem& files_;
   consensus::HardState hard_state_;
-  consensus::Snapshot snapshot_;
+  consensus::Snapshot snapshot_;  ///< without its state
+  std::size_t snapshot_bytes_ = 0;
+  std::size_t log_bytes_ = 0;  ///< payloads of entries_
   std::deque<consensus::LogEntry> entries_;
   std::uint64_t segment_number_ = 0;
   std::unique_ptr<AppendFile> segment_;
--- a/test/consensus/replica_test.cpp
+++ b/test/consensus/replica_test.cpp
@@ -226,6 +226,31 @@
   }
 }
 
+// Found by scenario everything, seed 2250: the answer to a late request of an earlier term bore the
+// new term and the old round. Its sender, restarted and leading again, took it for a confirmation
+// of its lease while the others elected another leader.
+Test(replica, answer_to_an_earlier_term_confirms_no_lease) {
+  const base::NodeId first = base::makeNodeId(1, 0);
+  const base::NodeId second = base::makeNodeId(2, 0);
+  Server follower(second, {first, second});
+  const auto answerTo = [&](consensus::Term term, std::uint64_t round) {
+    consensus::AppendRequest request;
+    request.term = term;
+    request.round = round;
+    follower.replica->handle(first, transport::RaftEnvelope{kGroup, second, request},
+                             base::TimePoint{});
+    transport::Outbox outbox;
+    follower.replica->finish(base::TimePoint{}, outbox);
+    return std::get<consensus::AppendResponse>(
+        std::get<transport::RaftEnvelope>(outbox.at(0).message).message);
+  };
+  cr_assert_eq(answerTo(4, 3).round, 3U);
+  const consensus::AppendResponse late = answerTo(3, 500);
+  cr_assert_eq(late.term, 4U);
+  cr_assert_not(late.success);
+  cr_assert_eq(late.round, 0U);
+}
+
 Test(replica, message_is_bounded_by_bytes) {
   const base::NodeId first = base::makeNodeId(1, 0);
   Server leader(first, {first});
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -70,6 +70,18 @@
   cr_assert(state.find("j")->results.empty());
 }
 
+Test(job_state, requests_are_kept_only_while_their_items_may_run) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 3)});
+  apply(state, jobs::CommitResults{{{"j", {result(1, "first")}}}});
+  const auto& items = state.find("j")->submission.items;
+  cr_assert_eq(items[0].body, "body");
+  cr_assert(items[1].body.empty());
+  cr_assert_eq(items[1].id, "item1");
+  apply(state, jobs::EndJob{"j"});
+  cr_assert(items[0].body.empty());
+}
+
 Test(job_state, snapshot_holds_everything) {
   jobs::JobState state;
   apply(state, jobs::SubmitJob{submission("j", 2)});
--- a/test/storage/segmented_log_test.cpp
+++ b/test/storage/segmented_log_test.cpp
@@ -128,7 +128,7 @@
   });
   withLog(folder.path(), kIdentity, [](storage::SegmentedLog& log) {
     cr_assert(log.firstIndex() == 6 && log.lastIndex() == 8);
-    cr_assert(log.snapshot().state == "state");
+    cr_assert(log.readSnapshotState().value() == "state");
     // A snapshot that the log does not lead up to replaces the log.
     cr_assert(static_cast<bool>(log.saveSnapshot({20, 2, {}, "newer"})));
     cr_assert(log.firstIndex() == 21 && log.lastIndex() == 20);
