--- /dev/null
+++ b/src/cluster/group_service.h
@@ -0,0 +1,43 @@
+/// \file
+/// What the leaders of both replication groups have in common: answers to calls, commands proposed
+/// on behalf of callers, repair of the group's membership.
+#pragma once
+
+#include <vector>
+
+#include "cluster/group_repair.h"
+#include "consensus/replica.h"
+
+namespace tackpick::cluster {
+
+/// Who made a call, so that it can be answered.
+struct ServiceCaller {
+  base::NodeId node;
+  base::CallId call;
+};
+
+/// Answers calls to a group at one of its replicas. Deterministic; owned by one thread.
+class GroupService {
+ public:
+  explicit GroupService(consensus::Replica& replica) : replica_(replica) {}
+
+  void reply(const ServiceCaller& caller, base::Bytes payload);
+  /// Refuses a call and names the leader where it is another.
+  void refuse(const ServiceCaller& caller, transport::CommandStatus status);
+  /// Answers `payload` once the command is applied, or refuses when it cannot be.
+  void proposeFor(const ServiceCaller& caller, base::Bytes command, const base::Bytes& payload,
+                  base::TimePoint now);
+  /// Proposes a command that nobody waits for.
+  void propose(base::Bytes command, base::TimePoint now);
+  /// Begins the next change of membership, when one is due and none is under way.
+  void repair(const std::vector<GroupNode>& nodes, const GroupRepairSettings& settings,
+              base::TimePoint now);
+  /// Answers to send.
+  [[nodiscard]] transport::Outbox& outbox() { return outbox_; }
+
+ private:
+  consensus::Replica& replica_;
+  transport::Outbox outbox_;
+};
+
+}  // namespace tackpick::cluster
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -1,6 +1,7 @@
 #include "directory/directory_role.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace tackpick::directory {
@@ -26,6 +27,7 @@
     : self_(std::move(self)),
       settings_(settings),
       replica_(self_.node, kDirectoryGroup, settings.replica, log, state_, random, now),
+      service_(replica_),
       orders_(settings.orders) {}
 
 void DirectoryRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
@@ -41,7 +43,7 @@
     return;
   }
   if (!leads(now)) {
-    refuse(caller, CommandStatus::kNotLeader);
+    service_.refuse(caller, CommandStatus::kNotLeader);
     return;
   }
   std::visit([&](const auto& typed) { onRequest(caller, typed, now); }, *request);
@@ -181,7 +183,7 @@
     // A new leader has not heard of all nodes yet.
     constexpr base::Duration kAcquaintance = base::seconds(2);
     if (now - leader_since_ < kAcquaintance) {
-      refuse(caller, CommandStatus::kUnavailable);
+      service_.refuse(caller, CommandStatus::kUnavailable);
     } else {
       reply(caller, DirectoryStatus::kNotFound);
     }
@@ -211,42 +213,18 @@
 }
 
 void DirectoryRole::replyWith(const Caller& caller, const DirectoryReply& reply) {
-  transport::CommandResponse response;
-  response.group = kDirectoryGroup;
-  response.call = caller.call;
-  response.status = CommandStatus::kOk;
-  response.payload = base::encode(reply);
-  actions_.messages.push_back({caller.node, std::move(response)});
-}
-
-void DirectoryRole::refuse(const Caller& caller, CommandStatus status) {
-  transport::CommandResponse response;
-  response.group = kDirectoryGroup;
-  response.call = caller.call;
-  response.status = status;
-  const base::NodeId leader = replica_.raft().leader();
-  response.leader = leader == self_.node ? base::NodeId{} : leader;
-  actions_.messages.push_back({caller.node, std::move(response)});
+  service_.reply(caller, base::encode(reply));
 }
 
 void DirectoryRole::proposeFor(const Caller& caller, const DirectoryCommand& command,
                                const std::string& text, base::TimePoint now) {
-  const bool proposed = replica_.propose(
-      base::encode(command), now,
-      [this, caller, text](const base::Bytes* result, consensus::LogIndex /*index*/) {
-        if (result == nullptr) {
-          refuse(caller, CommandStatus::kUnavailable);
-        } else {
-          reply(caller, DirectoryStatus::kDone, text);
-        }
-      });
-  if (!proposed) {
-    refuse(caller, CommandStatus::kNotLeader);
-  }
+  service_.proposeFor(caller, base::encode(command),
+                      base::encode(DirectoryReply{DirectoryStatus::kDone, text, std::nullopt}),
+                      now);
 }
 
 void DirectoryRole::proposeQuietly(const DirectoryCommand& command, base::TimePoint now) {
-  replica_.propose(base::encode(command), now, [](const base::Bytes*, consensus::LogIndex) {});
+  service_.propose(base::encode(command), now);
 }
 
 void DirectoryRole::onOrderOutcome(const VersionOrder& order, OrderOutcome outcome,
@@ -317,7 +295,7 @@
     const bool news = pending.watch.revision != view_revision_ ||
                       pending.watch.configurationVersion < state_.configuration().version;
     if (!leading) {
-      refuse(pending.caller, CommandStatus::kNotLeader);
+      service_.refuse(pending.caller, CommandStatus::kNotLeader);
     } else if (news || now >= pending.until) {
       replyWith(pending.caller, {DirectoryStatus::kDone, {}, viewFor(pending.watch, now)});
     } else {
@@ -391,20 +369,9 @@
 }
 
 void DirectoryRole::repairOwnGroup(base::TimePoint now) {
-  consensus::RaftConsensus& raft = replica_.raft();
   // Until every node had the time to report, silence means nothing.
-  if (raft.membershipChangePending() || now - leader_since_ < settings_.repair.silenceLimit) {
-    return;
-  }
-  const auto change = cluster::nextMembershipChange(
-      raft.membership(), nodesOf(NodeRole::kController, now), settings_.repair);
-  if (!change) {
-    return;
-  }
-  if (change->remove) {
-    raft.removeMember(change->node, now);
-  } else {
-    raft.addMember(change->node, now);
+  if (now - leader_since_ >= settings_.repair.silenceLimit) {
+    service_.repair(nodesOf(NodeRole::kController, now), settings_.repair, now);
   }
 }
 
@@ -431,6 +398,9 @@
   observeLeadership(now);
   observeState();
   answerWatches(now);
+  transport::Outbox answers = std::exchange(service_.outbox(), {});
+  actions_.messages.insert(actions_.messages.end(), std::make_move_iterator(answers.begin()),
+                           std::make_move_iterator(answers.end()));
   return std::exchange(actions_, {});
 }
 
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "cluster/group_repair.h"
+#include "cluster/group_service.h"
 #include "consensus/replica.h"
 #include "directory/directory_messages.h"
 #include "directory/directory_state.h"
@@ -63,10 +63,7 @@
   [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
 
  private:
-  struct Caller {
-    base::NodeId node;
-    base::CallId call;
-  };
+  using Caller = cluster::ServiceCaller;
   struct PendingWatch {
     Caller caller;
     Watch watch;
@@ -93,7 +90,6 @@
 
   void reply(const Caller& caller, DirectoryStatus status, std::string text = {});
   void replyWith(const Caller& caller, const DirectoryReply& reply);
-  void refuse(const Caller& caller, transport::CommandStatus status);
   /// Answers kDone with `text` once the command is committed.
   void proposeFor(const Caller& caller, const DirectoryCommand& command, const std::string& text,
                   base::TimePoint now);
@@ -113,6 +109,7 @@
   const DirectorySettings settings_;
   DirectoryState state_;
   consensus::Replica replica_;
+  cluster::GroupService service_;
 
   // The leader's memory; empty after an election.
   bool was_leader_ = false;
--- a/src/http/exchange_server.cpp
+++ b/src/http/exchange_server.cpp
@@ -7,19 +7,18 @@
 #include <set>
 #include <utility>
 
+#include "http/header_collector.h"
+#include "http/status.h"
+
 namespace tackpick::http {
 namespace {
 
 constexpr std::size_t kReadBytes = 16U << 10U;
 /// What a client may send ahead while its request is handled.
 constexpr std::size_t kReadAheadBytes = 64U << 10U;
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kPayloadTooLarge = 413;
-constexpr int kHeaderFieldsTooLarge = 431;
+using namespace status;
+
 constexpr int kFirstStatusWithBody = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 base::TimePoint steadyNow() { return base::SteadyTimeSource().now(); }
 
@@ -134,9 +133,7 @@
   bool reading_ = false;
 
   RawRequest request_;
-  std::string field_name_;
-  std::string field_value_;
-  bool in_value_ = false;
+  HeaderCollector fields_;
   std::size_t header_bytes_ = 0;
   bool request_begun_ = false;
   int refusal_ = 0;  ///< status that the parser's callbacks decided on
@@ -223,20 +220,12 @@
       return self.countHeaderBytes(length) ? 0 : -1;
     };
     settings.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
-      ServerConnection& self = of(parser);
-      if (self.in_value_) {
-        self.request_.headers.add(std::exchange(self.field_name_, {}),
-                                  std::exchange(self.field_value_, {}));
-        self.in_value_ = false;
-      }
-      self.field_name_.append(at, length);
-      return self.countHeaderBytes(length) ? 0 : -1;
+      of(parser).fields_.onName(at, length);
+      return of(parser).countHeaderBytes(length) ? 0 : -1;
     };
     settings.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
-      ServerConnection& self = of(parser);
-      self.in_value_ = true;
-      self.field_value_.append(at, length);
-      return self.countHeaderBytes(length) ? 0 : -1;
+      of(parser).fields_.onValue(at, length);
+      return of(parser).countHeaderBytes(length) ? 0 : -1;
     };
     settings.on_headers_complete = [](http_parser* parser) {
       return of(parser).onHeadersComplete();
@@ -273,10 +262,7 @@
 }
 
 int ServerConnection::onHeadersComplete() {
-  if (in_value_) {
-    request_.headers.add(std::exchange(field_name_, {}), std::exchange(field_value_, {}));
-    in_value_ = false;
-  }
+  request_.headers = fields_.take();
   parser_.upgrade = 0;  // offers to change the protocol are not taken
   const bool lengthKnown = parser_.content_length != static_cast<std::uint64_t>(-1);
   if (lengthKnown && parser_.content_length > shared_->limits.bodyBytes) {
--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "http/header_collector.h"
+
 namespace tackpick::http {
 namespace {
 
@@ -136,6 +138,11 @@
   void onBytes(std::size_t count);
   void onReadError(const asio::error_code& error);
   int onHeadersComplete();
+  /// Zero while the headers are not too long, as http_parser wants it.
+  int countHeaderBytes(std::size_t count) {
+    header_bytes_ += count;
+    return header_bytes_ > kMaximumHeaderBytes ? -1 : 0;
+  }
   void onMessageComplete();
   void resetParser();
   void fail(const std::string& error);
@@ -154,10 +161,7 @@
   std::string output_;
   std::array<char, kReadBytes> buffer_{};
   http_parser parser_{};
-  HeaderList headers_;
-  std::string field_name_;
-  std::string field_value_;
-  bool in_value_ = false;
+  HeaderCollector fields_;
   std::size_t header_bytes_ = 0;
   bool connected_ = false;
   bool reading_ = false;
@@ -208,22 +212,12 @@
     http_parser_settings settings;
     http_parser_settings_init(&settings);
     settings.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
-      UpstreamConnection& self = of(parser);
-      if (self.in_value_) {
-        self.headers_.add(std::exchange(self.field_name_, {}),
-                          std::exchange(self.field_value_, {}));
-        self.in_value_ = false;
-      }
-      self.field_name_.append(at, length);
-      self.header_bytes_ += length;
-      return self.header_bytes_ > kMaximumHeaderBytes ? -1 : 0;
+      of(parser).fields_.onName(at, length);
+      return of(parser).countHeaderBytes(length);
     };
     settings.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
-      UpstreamConnection& self = of(parser);
-      self.in_value_ = true;
-      self.field_value_.append(at, length);
-      self.header_bytes_ += length;
-      return self.header_bytes_ > kMaximumHeaderBytes ? -1 : 0;
+      of(parser).fields_.onValue(at, length);
+      return of(parser).countHeaderBytes(length);
     };
     settings.on_headers_complete = [](http_parser* parser) {
       return of(parser).onHeadersComplete();
@@ -248,10 +242,7 @@
 void UpstreamConnection::resetParser() {
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
-  headers_ = {};
-  field_name_.clear();
-  field_value_.clear();
-  in_value_ = false;
+  fields_ = {};
   header_bytes_ = 0;
   foreign_ = false;
 }
@@ -388,15 +379,12 @@
 }
 
 int UpstreamConnection::onHeadersComplete() {
-  if (in_value_) {
-    headers_.add(std::exchange(field_name_, {}), std::exchange(field_value_, {}));
-    in_value_ = false;
-  }
+  const HeaderList headers = fields_.take();
   if (parser_.status_code < kFirstFinalStatus) {
     return 0;
   }
   if (!request_.echoName.empty()) {
-    const std::string echoed = headers_.value(request_.echoName);
+    const std::string echoed = headers.value(request_.echoName);
     foreign_ = !echoed.empty() && echoed != request_.echoValue;
   }
   if (foreign_) {
@@ -407,14 +395,14 @@
   keep_ = keep_ && http_should_keep_alive(&parser_) != 0;
   constexpr int kFifths = 5;
   constexpr int kUsedFifths = 4;
-  const auto told = keepAliveSeconds(headers_);
+  const auto told = keepAliveSeconds(headers);
   idle_timeout_ = client_->settings.idleTimeout;
   if (told) {
     idle_timeout_ =
         std::min<base::Duration>(idle_timeout_, base::seconds(*told) * kUsedFifths / kFifths);
   }
   if (events_.onHead) {
-    events_.onHead(parser_.status_code, headers_);
+    events_.onHead(parser_.status_code, headers);
   }
   return request_.method == "HEAD" ? 1 : 0;
 }
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_role.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace tackpick::jobs {
@@ -15,10 +16,9 @@
 
 JobRole::JobRole(base::NodeId self, base::GroupId group, JobRoleSettings settings,
                  consensus::LogStore& log, base::Random& random, base::TimePoint now)
-    : self_(self),
-      group_(group),
-      settings_(settings),
+    : settings_(settings),
       replica_(self, group, settings.replica, log, state_, random, now),
+      service_(replica_),
       leases_(settings.leaseTime) {}
 
 void JobRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
@@ -34,7 +34,7 @@
     return;
   }
   if (!replica_.canRead(now)) {
-    refuse(caller, CommandStatus::kNotLeader);
+    service_.refuse(caller, CommandStatus::kNotLeader);
     return;
   }
   std::visit([&](const auto& typed) { onRequest(caller, typed, now); }, *request);
@@ -106,37 +106,11 @@
 }
 
 void JobRole::replyWith(const Caller& caller, const JobReply& reply) {
-  transport::CommandResponse response;
-  response.group = group_;
-  response.call = caller.call;
-  response.status = CommandStatus::kOk;
-  response.payload = base::encode(reply);
-  outbox_.push_back({caller.node, std::move(response)});
-}
-
-void JobRole::refuse(const Caller& caller, CommandStatus status) {
-  transport::CommandResponse response;
-  response.group = group_;
-  response.call = caller.call;
-  response.status = status;
-  const base::NodeId leader = replica_.raft().leader();
-  response.leader = leader == self_ ? base::NodeId{} : leader;
-  outbox_.push_back({caller.node, std::move(response)});
+  service_.reply(caller, base::encode(reply));
 }
 
 void JobRole::proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now) {
-  const bool proposed =
-      replica_.propose(base::encode(command), now,
-                       [this, caller](const base::Bytes* result, consensus::LogIndex /*index*/) {
-                         if (result == nullptr) {
-                           refuse(caller, CommandStatus::kUnavailable);
-                         } else {
-                           replyWith(caller, {});
-                         }
-                       });
-  if (!proposed) {
-    refuse(caller, CommandStatus::kNotLeader);
-  }
+  service_.proposeFor(caller, base::encode(command), base::encode(JobReply{}), now);
 }
 
 void JobRole::tick(base::TimePoint now) {
@@ -147,7 +121,7 @@
   slow_work_at_ = now;
   leases_.refresh(state_, now);
   expireJobs(now);
-  repairGroup(now);
+  service_.repair(nodes_, settings_.repair, now);
 }
 
 void JobRole::expireJobs(base::TimePoint now) {
@@ -164,29 +138,13 @@
     leases_.forgetJob(id);
   }
   if (!forget.ids.empty()) {
-    replica_.propose(base::encode(JobCommand{forget}), now,
-                     [](const base::Bytes*, consensus::LogIndex) {});
-  }
-}
-
-void JobRole::repairGroup(base::TimePoint now) {
-  consensus::RaftConsensus& raft = replica_.raft();
-  if (raft.membershipChangePending()) {
-    return;
-  }
-  const auto change = cluster::nextMembershipChange(raft.membership(), nodes_, settings_.repair);
-  if (!change) {
-    return;
-  }
-  if (change->remove) {
-    raft.removeMember(change->node, now);
-  } else {
-    raft.addMember(change->node, now);
+    service_.propose(base::encode(JobCommand{forget}), now);
   }
 }
 
 transport::Outbox JobRole::finish(base::TimePoint now) {
-  replica_.finish(now, outbox_);
+  transport::Outbox messages;
+  replica_.finish(now, messages);
   observeLeadership(now);
   if (replica_.canRead(now)) {
     for (const auto& [id, job] : state_.jobs()) {
@@ -194,7 +152,10 @@
     }
   }
   answerReads(now);
-  return std::exchange(outbox_, {});
+  transport::Outbox answers = std::exchange(service_.outbox(), {});
+  messages.insert(messages.end(), std::make_move_iterator(answers.begin()),
+                  std::make_move_iterator(answers.end()));
+  return messages;
 }
 
 void JobRole::observeLeadership(base::TimePoint now) {
@@ -212,7 +173,7 @@
   for (PendingRead& pending : std::exchange(reads_, {})) {
     const Job* job = state_.find(pending.read.id);
     if (!readable) {
-      refuse(pending.caller, CommandStatus::kNotLeader);
+      service_.refuse(pending.caller, CommandStatus::kNotLeader);
       continue;
     }
     JobReply reply;
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "cluster/group_repair.h"
+#include "cluster/group_service.h"
 #include "consensus/replica.h"
 #include "jobs/item_leases.h"
 #include "jobs/job_state.h"
@@ -47,10 +47,7 @@
   [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
 
  private:
-  struct Caller {
-    base::NodeId node;
-    base::CallId call;
-  };
+  using Caller = cluster::ServiceCaller;
   struct PendingRead {
     Caller caller;
     ReadJob read;
@@ -65,19 +62,16 @@
   void onRequest(const Caller& caller, const CommitResults& request, base::TimePoint now);
 
   void replyWith(const Caller& caller, const JobReply& reply);
-  void refuse(const Caller& caller, transport::CommandStatus status);
   void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
   [[nodiscard]] LeasedItem describe(const ItemKey& key, base::TimePoint now) const;
   void observeLeadership(base::TimePoint now);
   void answerReads(base::TimePoint now);
   void expireJobs(base::TimePoint now);
-  void repairGroup(base::TimePoint now);
 
-  const base::NodeId self_;
-  const base::GroupId group_;
   const JobRoleSettings settings_;
   JobState state_;
   consensus::Replica replica_;
+  cluster::GroupService service_;
   ItemLeases leases_;
   std::vector<cluster::GroupNode> nodes_;
   bool was_leader_ = false;
@@ -85,7 +79,6 @@
   base::TimePoint leader_since_{};
   base::TimePoint slow_work_at_{};
   std::vector<PendingRead> reads_;
-  transport::Outbox outbox_;
 };
 
 }  // namespace tackpick::jobs
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -2,14 +2,15 @@
 
 #include <utility>
 
+#include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
+using namespace http::status;
+
 constexpr std::size_t kBodyBytes = 40U << 20U;
 /// Callers try another controller after about a second.
 constexpr base::Duration kCallDeadline = base::milliseconds(1500);
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -8,21 +8,20 @@
 
 #include "directory/route_table.h"
 #include "forwarding/attempt_policy.h"
+#include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
 namespace {
 
+using namespace http::status;
+
 using forwarding::AttemptResult;
 using forwarding::SendOutcome;
 
 constexpr int kFirstError = 400;
-constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 /// What a caller is told to wait when nothing could take its request.
 constexpr const char* kRetryAfterSeconds = "0.1";
 
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -3,16 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
+using namespace http::status;
+
 /// For calls to the ledgers, beyond the time that the caller wants to be held.
 constexpr base::Duration kLedgerDeadline = base::milliseconds(2500);
 /// New connections come for so long after this gateway said that it is not ready.
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -4,18 +4,16 @@
 #include <charconv>
 #include <utility>
 
+#include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
 namespace {
 
-using forwarding::SendOutcome;
+using namespace http::status;
 
-constexpr int kOk = 200;
-constexpr int kMisdirected = 421;
-constexpr int kUnprocessable = 422;
-constexpr int kServerError = 500;
+using forwarding::SendOutcome;
 
 constexpr base::Duration kLeaseInterval = base::milliseconds(80);
 constexpr base::Duration kIdleLeaseInterval = base::milliseconds(160);
