--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -56,7 +56,8 @@
   putInteger(framed, kRecordMagic);
   putInteger(framed, static_cast<std::uint32_t>(payload.size()));
   putInteger(framed, base::hashBytes(payload));
-  return framed + payload;
+  framed += payload;
+  return framed;
 }
 
 /// The payload of the record at `offset`, when one stands there undamaged.
--- /dev/null
+++ b/test/integration/cluster_test.cpp
@@ -0,0 +1,321 @@
+/// A cluster that forms itself, as real processes on loopback addresses of their own: founding from
+/// seeds, a configuration, a batch on a stand-in engine, lost leaders and lost disks.
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <thread>
+
+#include "http/exchange_server.h"
+#include "integration/process.h"
+#include "runtime/json.h"
+
+namespace http = tackpick::http;
+using tackpick::runtime::Json;
+using tackpick::test::call;
+using tackpick::test::HttpAnswer;
+using tackpick::test::Process;
+using tackpick::test::waitUntil;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kEvents = 5;
+
+/// An engine in this process: answers each request with a stream of events.
+class StandInEngine {
+ public:
+  explicit StandInEngine(std::string id)
+      : id_(std::move(id)),
+        server_(
+            context_, "127.0.0.1", 0, {},
+            [this](const http::RawRequest& request,
+                   const std::shared_ptr<http::Exchange>& exchange) { answer(request, exchange); }),
+        thread_([this] { context_.run(); }) {}
+  ~StandInEngine() {
+    context_.stop();
+    thread_.join();
+  }
+  StandInEngine(const StandInEngine&) = delete;
+  StandInEngine& operator=(const StandInEngine&) = delete;
+
+  [[nodiscard]] Json heartbeat(std::uint64_t sequence) const {
+    return {{"service", "engines"},
+            {"address", "127.0.0.1:" + std::to_string(server_.port())},
+            {"zone", "a"},
+            {"slots", 4},
+            {"state", "ready"},
+            {"sequence", sequence},
+            {"models", {{{"name", "m"}, {"version", 1}}}}};
+  }
+  [[nodiscard]] const std::string& id() const { return id_; }
+
+ private:
+  void answer(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
+    http::HeaderList headers;
+    headers.add("Request-Id", request.headers.value("Request-Id"));
+    headers.add("Weight-Versions", "1");
+    if (request.headers.value("Expected-Instance") != id_) {
+      exchange->respond(421, headers, {});
+      return;
+    }
+    exchange->begin(kOk, headers);
+    for (int event = 0; event < kEvents; ++event) {
+      exchange->write("id: " + std::to_string(event) + "\ndata: " + request.body +
+                      std::to_string(event) + "\n\n");
+    }
+    exchange->finish();
+  }
+
+  const std::string id_;
+  asio::io_context context_;
+  http::ExchangeServer server_;
+  std::thread thread_;
+};
+
+struct Machine {
+  std::string address;
+  std::string role;
+  std::unique_ptr<Process> process;
+};
+
+/// Three controllers, three ledgers, a gateway; every process has a loopback address of its own.
+class Cluster {
+ public:
+  Cluster()
+      : folder_(std::filesystem::temp_directory_path() /
+                ("tackpick-cluster-" + std::to_string(getpid()))),
+        internal_port_(tackpick::test::reservePort()),
+        http_port_(tackpick::test::reservePort()),
+        readiness_port_(tackpick::test::reservePort()) {
+    std::filesystem::create_directories(folder_);
+    for (int i = 1; i <= 3; ++i) {
+      machines_.push_back({"127.0.1." + std::to_string(i), "controller", nullptr});
+      machines_.push_back({"127.0.2." + std::to_string(i), "ledger", nullptr});
+    }
+    machines_.push_back({"127.0.3.1", "gateway", nullptr});
+    for (Machine& machine : machines_) {
+      start(machine, true);
+    }
+  }
+  ~Cluster() {
+    machines_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  void start(Machine& machine, bool bootstrap) {
+    const std::string name = folder_ / machine.address;
+    std::ofstream settings(name + ".yaml");
+    settings << "formation: self\ncluster: test\nname: node-" << machine.address
+             << "\nrole: " << machine.role << "\naddress: " << machine.address
+             << "\nzone: a\ninternal_port: " << internal_port_
+             << "\nbootstrap: " << (bootstrap ? "true" : "false")
+             << "\nseeds: [127.0.1.1:" << http_port_ << ", 127.0.1.2:" << http_port_
+             << ", 127.0.1.3:" << http_port_ << "]\n";
+    if (machine.role == "gateway") {
+      settings << "traffic: " << machine.address << ":" << http_port_
+               << "\nreadiness: " << machine.address << ":" << readiness_port_ << "\n";
+    } else {
+      settings << "data_folder: " << name << "\n";
+    }
+    if (machine.role == "controller") {
+      settings << "control: " << machine.address << ":" << http_port_ << "\n";
+    }
+    settings.close();
+    machine.process = std::make_unique<Process>(
+        "tackpickd", std::vector<std::string>{"--settings", name + ".yaml"}, name + ".log");
+  }
+  /// The machine loses its disk and comes back at its address.
+  void wipe(Machine& machine) {
+    machine.process->kill();
+    std::filesystem::remove_all(folder_ / machine.address);
+    start(machine, false);
+  }
+  Machine& machine(const std::string& address) {
+    for (Machine& machine : machines_) {
+      if (machine.address == address) {
+        return machine;
+      }
+    }
+    cr_assert_fail("no machine %s", address.c_str());
+    return machines_.front();
+  }
+  /// Calls a controller until one gives a clear answer.
+  HttpAnswer control(const std::string& method, const std::string& path, const Json& body) {
+    HttpAnswer answer;
+    waitUntil(
+        [&] {
+          turn_ = turn_ % 3 + 1;
+          const std::string address = "127.0.1." + std::to_string(turn_);
+          answer = call({method,
+                         "http://" + address + ":" + std::to_string(http_port_) + path,
+                         body.is_null() ? "" : body.dump(),
+                         {},
+                         {},
+                         3});
+          return answer.status != 0 && answer.status != 503;
+        },
+        "a controller answers " + path);
+    return answer;
+  }
+  HttpAnswer gateway(const std::string& method, const std::string& path,
+                     const std::string& body = "", const std::string& id = "") {
+    return call({method,
+                 "http://127.0.3.1:" + std::to_string(http_port_) + path,
+                 body,
+                 {},
+                 {{"Host", "batches.example"}, {"Request-Id", id}},
+                 10});
+  }
+  [[nodiscard]] int readiness() const {
+    return call({"GET",
+                 "http://127.0.3.1:" + std::to_string(readiness_port_) + "/ready",
+                 "",
+                 {},
+                 {},
+                 3})
+        .status;
+  }
+  /// Lines of a machine's log that hold `text`.
+  [[nodiscard]] std::size_t logged(const std::string& address, const std::string& text) const {
+    std::ifstream log(folder_ / (address + ".log"));
+    std::size_t count = 0;
+    for (std::string line; std::getline(log, line);) {
+      count += line.find(text) != std::string::npos ? 1 : 0;
+    }
+    return count;
+  }
+  /// The address of the machine of that net (`127.0.1.` or `127.0.2.`) that leads its group.
+  std::string leader(const std::string& net) {
+    std::string found;
+    waitUntil(
+        [&] {
+          for (int i = 1; i <= 3; ++i) {
+            const std::string address = net + std::to_string(i);
+            if (logged(address, "became_leader") > logged(address, "lost_leadership")) {
+              found = address;
+            }
+          }
+          return !found.empty();
+        },
+        "a leader in " + net);
+    return found;
+  }
+
+ private:
+  const std::filesystem::path folder_;
+  const std::uint16_t internal_port_;
+  const std::uint16_t http_port_;
+  const std::uint16_t readiness_port_;
+  std::vector<Machine> machines_;
+  int turn_ = 0;
+};
+
+Json configuration(std::uint64_t version) {
+  return {{"version", version},
+          {"routes",
+           {{{"name", "batches"},
+             {"host", "batches.example"},
+             {"pathPrefix", "/b/"},
+             {"kind", "rollout"},
+             {"timeoutMs", 10000},
+             {"targetLatencyMs", 400},
+             {"service", "engines"},
+             {"attempts", 3},
+             {"queueTimeoutS", 60}}}},
+          {"services",
+           {{{"name", "engines"},
+             {"healthPath", "/health"},
+             {"engine", {{"slots", 4}, {"models", {{{"name", "m"}}}}}}}}},
+          {"limits",
+           {{"headerLimitBytes", 16384},
+            {"bodyLimitBytes", 1000000},
+            {"headerTimeoutMs", 3000},
+            {"idleTimeoutMs", 15000}}}};
+}
+
+std::string batch(int items) {
+  Json list = Json::array();
+  for (int i = 0; i < items; ++i) {
+    list.push_back({{"identifier", "item" + std::to_string(i)},
+                    {"path", "/b/run"},
+                    {"headers", {{"Model", "m"}}},
+                    {"body", "YWI="},
+                    {"tokens", 10},
+                    {"group", "g"}});
+  }
+  return Json{{"step", 0}, {"model", "m"}, {"minimumVersion", 1}, {"items", list}}.dump();
+}
+
+/// Results of a batch once all are there.
+Json wholeBatch(Cluster& cluster, const std::string& id, std::size_t items) {
+  Json results;
+  waitUntil(
+      [&] {
+        const HttpAnswer answer = cluster.gateway("GET", "/lots/" + id);
+        if (answer.status != kOk) {
+          return false;
+        }
+        results = Json::parse(answer.body)["results"];
+        return results.size() == items;
+      },
+      "batch " + id + " is whole");
+  return results;
+}
+
+}  // namespace
+
+Test(cluster, forms_itself_and_keeps_what_it_acknowledged) {
+  Cluster cluster;
+  waitUntil([&] { return cluster.readiness() == 503; }, "a gateway without a configuration");
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", {{"version", 3}}).status, 400);
+  waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
+  const StandInEngine engine("i-1");
+  cr_assert_eq(
+      cluster.control("POST", "/Instances.Heartbeat/" + engine.id(), engine.heartbeat(1)).status,
+      kOk);
+  waitUntil([&] { return cluster.gateway("POST", "/b/x", batch(6), "one").status == kAccepted; },
+            "a batch is accepted");
+  const Json results = wholeBatch(cluster, "one", 6);
+  for (const Json& result : results) {
+    cr_assert_eq(result["message"].get<std::string>(), "ab0\nab1\nab2\nab3\nab4");
+    cr_assert_eq(result["versions"].dump(), "[1]");
+  }
+
+  // Both leaders die; the others take over, with everything.
+  const std::string controller = cluster.leader("127.0.1.");
+  const std::string ledger = cluster.leader("127.0.2.");
+  cluster.machine(controller).process->kill();
+  cluster.machine(ledger).process->kill();
+  const HttpAnswer read = cluster.control("GET", "/Configuration.Read", nullptr);
+  cr_assert(Json::parse(read.body) == configuration(2));
+  cr_assert(wholeBatch(cluster, "one", 6) == results, "positions never change");
+  cluster.start(cluster.machine(controller), false);
+  cluster.start(cluster.machine(ledger), false);
+
+  // Ledgers lose their disks, one after the other: each is a voter again before the next.
+  for (int i = 1; i <= 3; ++i) {
+    const std::string address = "127.0.2." + std::to_string(i);
+    const std::string voter = "voters=3 learners=0";
+    const std::size_t before = cluster.logged(address, voter);
+    cluster.wipe(cluster.machine(address));
+    waitUntil([&] { return cluster.logged(address, voter) > before; }, address + " votes again");
+  }
+  cr_assert(wholeBatch(cluster, "one", 6) == results);
+  cr_assert_eq(cluster.gateway("DELETE", "/lots/one").status, kOk);
+}
+
+Test(cluster, gateway_stops_as_planned) {
+  Cluster cluster;
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
+  cluster.machine("127.0.3.1").process->signal(SIGTERM);
+  waitUntil([&] { return cluster.readiness() == 503; }, "it says that it is not ready");
+  cr_assert_eq(cluster.machine("127.0.3.1").process->wait(), 0);
+}
