--- /dev/null
+++ b/test/cluster/cluster_world.cpp
@@ -0,0 +1,232 @@
+#include "cluster/cluster_world.h"
+
+namespace tackpick::test {
+namespace {
+
+constexpr base::Duration kStep = base::milliseconds(20);
+constexpr std::uint32_t kLosses = 1;
+
+std::set<base::NodeId> foundingControllers() {
+  return {base::makeNodeId(1, 0), base::makeNodeId(2, 0), base::makeNodeId(3, 0)};
+}
+
+}  // namespace
+
+const consensus::RaftConsensus* WorldNode::raft() const {
+  if (running && controller) {
+    return &controller->replica().raft();
+  }
+  return running && ledger ? &ledger->replica().raft() : nullptr;
+}
+
+ClusterWorld::ClusterWorld(std::uint64_t seed) : random_(seed) {
+  const std::map<directory::NodeRole, std::vector<std::uint32_t>> machines = {
+      {directory::NodeRole::kController, {1, 2, 3}},
+      {directory::NodeRole::kLedger, {11, 12, 13, 14}},
+      {directory::NodeRole::kGateway, {21, 22}}};
+  for (const auto& [role, numbers] : machines) {
+    for (const std::uint32_t number : numbers) {
+      WorldNode& node = nodes_[number];
+      node.number = number;
+      node.role = role;
+      node.disk = std::make_unique<simulation::SimulatedDisk>();
+      const bool founder = role == directory::NodeRole::kController;
+      node.instance = founder ? 0 : static_cast<std::uint32_t>(random_.next() >> 33U) | 1U;
+      start(node);
+    }
+  }
+}
+
+void ClusterWorld::start(WorldNode& node) {
+  node.running = true;
+  ++node.epoch;
+  if (node.role == directory::NodeRole::kGateway) {
+    node.instance = static_cast<std::uint32_t>(random_.next() >> 33U) | 1U;
+  }
+  directory::NodeRecord record;
+  record.node = node.id();
+  record.role = node.role;
+  record.name = "node-" + std::to_string(node.number);
+  record.controlAddress = record.name;
+  cluster::ClusterMemberSettings member;
+  member.directoryGroup = directory::kDirectoryGroup;
+  member.ledgerGroup = directory::kLedgerGroup;
+  const auto seeds = foundingControllers();
+  member.seeds.assign(seeds.begin(), seeds.end());
+  node.member =
+      std::make_unique<cluster::ClusterMember>(record, member, base::CallId{random_.next()});
+  node.member->onView([this, &node](const directory::DirectoryView& view) { onView(node, view); });
+  node.member->reportLedgerMembership([this, &node]() -> std::optional<consensus::Membership> {
+    return node.ledger ? node.ledger->settledMembership(now_) : std::nullopt;
+  });
+  if (node.role == directory::NodeRole::kController) {
+    openLog(node, directory::kDirectoryGroup, foundingControllers());
+    directory::DirectorySettings settings;
+    settings.repair.targetSize = 2 * kLosses + 1;
+    node.controller =
+        std::make_unique<directory::DirectoryRole>(record, settings, *node.log, random_, now_);
+  } else if (node.role == directory::NodeRole::kLedger && !node.disk->list().value().empty()) {
+    openLedger(node, {});
+  }
+}
+
+void ClusterWorld::openLog(WorldNode& node, base::GroupId group,
+                           const std::set<base::NodeId>& founders) {
+  consensus::Membership initial;
+  if (founders.contains(node.id())) {
+    initial.voters = founders;
+  }
+  node.log = base::recover(
+      [&] {
+        return storage::SegmentedLog::open(*node.disk, {"world", node.id(), group}, initial);
+      },
+      [](const base::Error&) { return std::unique_ptr<storage::SegmentedLog>(); });
+}
+
+void ClusterWorld::openLedger(WorldNode& node, const std::set<base::NodeId>& founders) {
+  openLog(node, directory::kLedgerGroup, founders);
+  jobs::JobRoleSettings settings;
+  settings.repair.targetSize = 2 * kLosses + 1;
+  node.ledger = std::make_unique<jobs::JobRole>(node.id(), directory::kLedgerGroup, settings,
+                                                *node.log, random_, now_);
+}
+
+void ClusterWorld::onView(WorldNode& node, const directory::DirectoryView& view) {
+  if (node.role != directory::NodeRole::kLedger) {
+    return;
+  }
+  if (!node.ledger && !view.ledgerFounders.empty()) {
+    openLedger(node, view.ledgerFounders);
+  }
+  if (!node.ledger || !view.nodesSettled) {
+    return;
+  }
+  std::vector<cluster::GroupNode> nodes;
+  for (const directory::LedgerSight& sight : view.ledgers) {
+    nodes.push_back({sight.node, sight.silence, sight.retiring});
+  }
+  node.ledger->setNodes(std::move(nodes));
+}
+
+void ClusterWorld::kill(WorldNode& node) {
+  node.running = false;
+  node.controller.reset();
+  node.ledger.reset();
+  node.member.reset();
+  node.log.reset();
+  node.disk->crash(random_);
+  for (auto& [number, other] : nodes_) {
+    if (other.running) {
+      other.member->onPeerLost(node.number);
+    }
+  }
+}
+
+void ClusterWorld::wipe(WorldNode& node) {
+  kill(node);
+  node.disk->wipe();
+  node.instance = static_cast<std::uint32_t>(random_.next() >> 33U) | 1U;
+}
+
+void ClusterWorld::setCut(const WorldNode& one, const WorldNode& other, bool cut) {
+  for (const auto& link :
+       {std::pair(one.number, other.number), std::pair(other.number, one.number)}) {
+    if (cut) {
+      cuts_.insert(link);
+    } else {
+      cuts_.erase(link);
+    }
+  }
+}
+
+bool ClusterWorld::isWhole(directory::NodeRole role) const {
+  for (const auto& [number, node] : nodes_) {
+    const consensus::RaftConsensus* raft = node.raft();
+    if (node.role != role || raft == nullptr || !raft->isLeader() || !raft->hasLease(now_) ||
+        raft->membershipChangePending()) {
+      continue;
+    }
+    const auto& voters = raft->membership().voters;
+    bool sound = voters.size() == 2 * kLosses + 1 && raft->membership().learners.empty();
+    for (const base::NodeId voter : voters) {
+      const WorldNode& member = nodes_.at(base::nodeNumber(voter));
+      sound = sound && member.running && member.id() == voter;
+    }
+    return sound;
+  }
+  return false;
+}
+
+void ClusterWorld::send(const WorldNode& from, const transport::Outbox& outbox) {
+  for (const transport::OutgoingMessage& outgoing : outbox) {
+    if (random_.chance(lossProbability)) {
+      continue;
+    }
+    const auto micros = 300 + random_.below(random_.chance(0.02) ? 300'000 : 3'000);
+    network_.push({now_ + base::Duration(static_cast<base::Duration::rep>(micros)),
+                   next_delivery_++, from.id(), outgoing.to, outgoing.message});
+  }
+}
+
+void ClusterWorld::turn(WorldNode& node) {
+  if (node.controller) {
+    send(node, node.controller->finish(now_).messages);
+  }
+  if (node.ledger) {
+    send(node, node.ledger->finish(now_));
+  }
+  send(node, node.member->takeMessages());
+}
+
+void ClusterWorld::deliver(const Delivery& delivery) {
+  const auto found = nodes_.find(base::nodeNumber(delivery.to));
+  const std::pair link(base::nodeNumber(delivery.from), base::nodeNumber(delivery.to));
+  if (found == nodes_.end() || !found->second.running || cuts_.contains(link)) {
+    return;
+  }
+  WorldNode& node = found->second;
+  const auto give = [&](const auto& message) {
+    if (node.controller && message.group == directory::kDirectoryGroup) {
+      node.controller->handle(delivery.from, message, now_);
+    } else if (node.ledger && message.group == directory::kLedgerGroup) {
+      node.ledger->handle(delivery.from, message, now_);
+    }
+  };
+  if (const auto* raft = std::get_if<transport::RaftEnvelope>(&delivery.message)) {
+    give(*raft);
+  } else if (const auto* request = std::get_if<transport::CommandRequest>(&delivery.message)) {
+    give(*request);
+  } else if (const auto* response = std::get_if<transport::CommandResponse>(&delivery.message)) {
+    node.member->onResponse(*response, now_);
+  }
+  turn(node);
+}
+
+void ClusterWorld::run(base::Duration time, const std::function<void()>& onStep) {
+  for (const base::TimePoint end = now_ + time; now_ < end;) {
+    const base::TimePoint next = now_ + kStep;
+    while (!network_.empty() && network_.top().at <= next) {
+      const Delivery delivery = network_.top();
+      network_.pop();
+      now_ = std::max(now_, delivery.at);
+      deliver(delivery);
+    }
+    now_ = next;
+    onStep();
+    for (auto& [number, node] : nodes_) {
+      if (!node.running) {
+        continue;
+      }
+      if (node.controller) {
+        node.controller->tick(now_);
+      }
+      if (node.ledger) {
+        node.ledger->tick(now_);
+      }
+      node.member->tick(now_);
+      turn(node);
+    }
+  }
+}
+
+}  // namespace tackpick::test
--- /dev/null
+++ b/test/cluster/cluster_world_test.cpp
@@ -0,0 +1,288 @@
+/// What a self-formed cluster has acknowledged survives kills, lost disks, cuts and lost messages.
+#include "cluster/cluster_world.h"
+
+#include <criterion/criterion.h>
+
+namespace base = tackpick::base;
+namespace directory = tackpick::directory;
+namespace jobs = tackpick::jobs;
+using tackpick::test::ClusterWorld;
+using tackpick::test::WorldNode;
+
+namespace {
+
+constexpr std::uint32_t kFirstGateway = 21;
+constexpr std::uint32_t kItems = 4;
+
+/// Operators, submitters, readers and gateways that run items; they check what they are told.
+class Clients {
+ public:
+  explicit Clients(ClusterWorld& world) : world_(world) {}
+
+  void step() {
+    const auto every = [this](std::uint64_t steps) { return steps_ % steps == 0; };
+    ++steps_;
+    for (const std::uint32_t number : {kFirstGateway, kFirstGateway + 1}) {
+      WorldNode& gateway = world_.node(number);
+      if (!gateway.running) {
+        continue;
+      }
+      if (every(25)) {
+        changeConfiguration(gateway);
+        submit(gateway);
+      }
+      if (every(10)) {
+        readConfiguration(gateway);
+        readJob(gateway);
+      }
+      if (every(8)) {
+        runItems(gateway);
+      }
+    }
+  }
+  /// Asks for everything that was acknowledged.
+  void checkEverything() {
+    for (const std::string& id : accepted_) {
+      found_.erase(id);
+    }
+    for (int round = 0; round < 40 && found_.size() < accepted_.size(); ++round) {
+      for (const std::string& id : accepted_) {
+        read(world_.node(kFirstGateway), id);
+      }
+      readConfiguration(world_.node(kFirstGateway));
+      world_.run(base::milliseconds(500), [] {});
+    }
+    if (found_.size() < accepted_.size()) {
+      problem_ = "accepted jobs are gone or cannot be read";
+    }
+    if (last_read_ < acknowledged_) {
+      problem_ = "the acknowledged configuration cannot be read";
+    }
+  }
+  [[nodiscard]] const std::string& problem() const { return problem_; }
+  [[nodiscard]] std::uint64_t acknowledged() const { return acknowledged_; }
+  [[nodiscard]] std::size_t accepted() const { return accepted_.size(); }
+  [[nodiscard]] std::size_t resultsSeen() const { return results_seen_; }
+
+ private:
+  void changeConfiguration(WorldNode& gateway) {
+    directory::Configuration configuration;
+    configuration.version = ++version_;
+    configuration.document = std::to_string(configuration.version);
+    gateway.member->call(
+        directory::DirectoryRequest{directory::ReplaceConfiguration{configuration}},
+        base::seconds(3), world_.now(),
+        [this, version = version_](const directory::DirectoryReply* reply) {
+          if (reply != nullptr && reply->status == directory::DirectoryStatus::kDone) {
+            acknowledged_ = std::max(acknowledged_, version);
+          }
+        });
+  }
+  void readConfiguration(WorldNode& gateway) {
+    gateway.member->call(directory::DirectoryRequest{directory::ReadConfiguration{}},
+                         base::seconds(2), world_.now(),
+                         [this, least = acknowledged_](const directory::DirectoryReply* reply) {
+                           if (reply == nullptr || (least == 0 && reply->text.empty())) {
+                             return;
+                           }
+                           last_read_ = reply->text.empty() ? 0 : std::stoull(reply->text);
+                           if (last_read_ < least) {
+                             problem_ = "a read is older than what was acknowledged before it";
+                           }
+                         });
+  }
+  void submit(WorldNode& gateway) {
+    jobs::SubmitJob request;
+    request.job.id = "job" + std::to_string(++jobs_);
+    request.job.queueTimeout = base::seconds(1000);
+    for (std::uint32_t i = 0; i < kItems; ++i) {
+      request.job.items.push_back({"i" + std::to_string(i), "/", {}, "body", "g", i});
+    }
+    gateway.member->call(jobs::JobRequest{request}, base::seconds(3), world_.now(),
+                         [this, id = request.job.id](const jobs::JobReply* reply) {
+                           if (reply != nullptr) {
+                             accepted_.insert(id);
+                           }
+                         });
+  }
+  void readJob(WorldNode& gateway) {
+    if (accepted_.empty()) {
+      return;
+    }
+    auto chosen = accepted_.begin();
+    std::advance(chosen, static_cast<std::ptrdiff_t>(world_.random().below(accepted_.size())));
+    read(gateway, *chosen);
+  }
+  void read(WorldNode& gateway, const std::string& id) {
+    gateway.member->call(jobs::JobRequest{jobs::ReadJob{id, 0, base::Duration{0}}},
+                         base::seconds(2), world_.now(), [this, id](const jobs::JobReply* reply) {
+                           if (reply == nullptr) {
+                             return;
+                           }
+                           if (reply->status == jobs::JobStatus::kNotFound) {
+                             problem_ = "an accepted job is not found";
+                             return;
+                           }
+                           found_.insert(id);
+                           std::vector<std::string>& seen = positions_[id];
+                           for (std::size_t at = 0; at < reply->results.size(); ++at) {
+                             const std::string text =
+                                 reply->results[at].itemId + " " + reply->results[at].result.text;
+                             if (at >= seen.size()) {
+                               seen.push_back(text);
+                               ++results_seen_;
+                             } else if (seen[at] != text) {
+                               problem_ = "a position holds another result than before";
+                             }
+                           }
+                         });
+  }
+  void runItems(WorldNode& gateway) {
+    jobs::LeaseItems lease;
+    lease.wanted[""] = 3;
+    gateway.member->call(
+        jobs::JobRequest{lease}, base::seconds(2), world_.now(),
+        [this, &gateway](const jobs::JobReply* reply) {
+          if (reply == nullptr || reply->leased.empty() || !gateway.running) {
+            return;
+          }
+          jobs::CommitResults commit;
+          for (const jobs::LeasedItem& leased : reply->leased) {
+            const std::string text = "run" + std::to_string(++runs_);
+            commit.jobs.push_back(
+                {leased.key.job, {{leased.key.item, jobs::ItemState::kCompleted, text, {1}}}});
+          }
+          gateway.member->call(jobs::JobRequest{commit}, base::seconds(4), world_.now(),
+                               [](const jobs::JobReply*) {});
+        });
+  }
+
+  ClusterWorld& world_;
+  std::uint64_t steps_ = 0;
+  std::uint64_t version_ = 0;
+  std::uint64_t jobs_ = 0;
+  std::uint64_t runs_ = 0;
+  std::uint64_t acknowledged_ = 0;
+  std::uint64_t last_read_ = 0;
+  std::size_t results_seen_ = 0;
+  std::set<std::string> accepted_;
+  std::set<std::string> found_;
+  std::map<std::string, std::vector<std::string>> positions_;
+  std::string problem_;
+};
+
+/// Kills, wipes and cuts for a while. A disk is taken only while both groups are whole, and never a
+/// second one before: more than one loss at once is beyond what the cluster is built for.
+void disturb(ClusterWorld& world, Clients& clients) {
+  std::map<std::uint32_t, base::TimePoint> downUntil;
+  for (int round = 0; round < 40 && clients.problem().empty(); ++round) {
+    const std::uint64_t kind = world.random().below(4);
+    std::vector<std::uint32_t> running;
+    for (const auto& [number, node] : world.nodes()) {
+      if (node.running) {
+        running.push_back(number);
+      }
+    }
+    WorldNode& victim = world.node(running.at(world.random().below(running.size())));
+    WorldNode& other = world.node(running.at(world.random().below(running.size())));
+    const auto back =
+        world.now() + base::milliseconds(static_cast<int>(200 + world.random().below(2000)));
+    const bool whole = world.isWhole(directory::NodeRole::kController) &&
+                       world.isWhole(directory::NodeRole::kLedger);
+    if (kind == 0 && whole && victim.role != directory::NodeRole::kGateway) {
+      world.wipe(victim);
+      downUntil[victim.number] = back;
+    } else if (kind == 1) {
+      world.kill(victim);
+      downUntil[victim.number] = back;
+    } else if (kind == 2) {
+      world.setCut(victim, other, true);
+    } else {
+      world.healAll();
+    }
+    world.run(base::milliseconds(static_cast<int>(300 + world.random().below(1200))), [&] {
+      for (auto it = downUntil.begin(); it != downUntil.end();) {
+        if (world.now() < it->second) {
+          ++it;
+          continue;
+        }
+        world.start(world.node(it->first));
+        it = downUntil.erase(it);
+      }
+      clients.step();
+    });
+  }
+  world.healAll();
+  for (const auto& [number, until] : downUntil) {
+    world.start(world.node(number));
+  }
+}
+
+}  // namespace
+
+Test(cluster_world, forms_itself) {
+  ClusterWorld world(1);
+  Clients clients(world);
+  world.run(base::seconds(6), [&] { clients.step(); });
+  cr_assert(world.isWhole(directory::NodeRole::kController));
+  cr_assert(world.isWhole(directory::NodeRole::kLedger));
+  cr_assert_gt(clients.acknowledged(), 0U);
+  cr_assert_gt(clients.accepted(), 0U);
+  cr_assert_gt(clients.resultsSeen(), 0U);
+}
+
+Test(cluster_world, keeps_what_it_acknowledged) {
+  constexpr std::uint64_t kSeeds = 60;
+  std::uint64_t acknowledged = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ClusterWorld world(seed);
+    Clients clients(world);
+    world.run(base::seconds(5), [&] { clients.step(); });
+    disturb(world, clients);
+    world.run(base::seconds(12), [&] { clients.step(); });
+    clients.checkEverything();
+    cr_assert(clients.problem().empty(), "seed %lu: %s", static_cast<unsigned long>(seed),
+              clients.problem().c_str());
+    cr_assert(world.isWhole(directory::NodeRole::kController), "seed %lu: controllers",
+              static_cast<unsigned long>(seed));
+    cr_assert(world.isWhole(directory::NodeRole::kLedger), "seed %lu: ledgers",
+              static_cast<unsigned long>(seed));
+    acknowledged += clients.acknowledged();
+  }
+  cr_assert_gt(acknowledged, kSeeds);
+}
+
+Test(cluster_world, retired_ledger_leaves_its_group) {
+  ClusterWorld world(3);
+  Clients clients(world);
+  world.run(base::seconds(6), [&] { clients.step(); });
+  std::uint32_t retiring = 0;
+  for (const auto& [number, node] : world.nodes()) {
+    if (node.role == directory::NodeRole::kLedger && node.raft()->isLeader()) {
+      retiring = number;
+    }
+  }
+  const std::string name = "node-" + std::to_string(retiring);
+  directory::DirectoryStatus begun = directory::DirectoryStatus::kNotFound;
+  directory::DirectoryStatus state = directory::DirectoryStatus::kNotFound;
+  WorldNode& gateway = world.node(kFirstGateway);
+  const auto ask = [&](const directory::DirectoryRequest& request,
+                       directory::DirectoryStatus& status) {
+    gateway.member->call(request, base::seconds(3), world.now(),
+                         [&](const directory::DirectoryReply* reply) {
+                           status = reply == nullptr ? status : reply->status;
+                         });
+    world.run(base::seconds(4), [&] { clients.step(); });
+  };
+  ask(directory::RetireNode{"nobody"}, begun);
+  cr_assert(begun == directory::DirectoryStatus::kNotFound);
+  ask(directory::RetireNode{name}, begun);
+  cr_assert(begun == directory::DirectoryStatus::kDone);
+  ask(directory::ReadRetirement{name}, state);
+  cr_assert(state == directory::DirectoryStatus::kDone, "it is emptied");
+  world.wipe(world.node(retiring));
+  clients.checkEverything();
+  cr_assert(clients.problem().empty(), "%s", clients.problem().c_str());
+  ask(directory::RetireNode{"node-14"}, begun);
+  cr_assert(begun != directory::DirectoryStatus::kDone || retiring == 14, "too few would remain");
+}
