Texts of long items are kept by the ledgers while they run; engines' weights outlive the leader

The step under way began anew after the loss of power (texts died with their gateways, also on a planned stop of a gateway older than 6.3 s), and its items waited 2 s for a lease: gateways want items only for engines whose weights they know, and a new leader knew none before heartbeats came. Ruled out: elections (0.6 s after the start), capacity of engines (a third used), loads (runs go on under them). Change: gateways hand texts under way to the ledgers every 0.7 s (8 events or more) and whole at a planned stop; the next lease continues behind them. A kept text is extended only by what follows it under the same or a later lease, so that two runs never join. Versions that engines report are written to the controllers' log when they change. Leases last 1.5 s instead of 2.5 s, end 0.35 s after the gateway's connection broke, and at once when another process reports from its address.

--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -221,6 +221,16 @@
   }
 };
 
+/// The weights that an instance holds, by model, so that a new leader need not wait for heartbeats.
+struct RecordVersions {
+  std::string id;
+  std::map<std::string, std::uint64_t> versions;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, versions);
+  }
+};
+
 struct FoundLedgers {
   std::set<base::NodeId> founders;
   template <class Archive>
@@ -247,6 +257,6 @@
 
 using DirectoryCommand =
     std::variant<ReplaceConfiguration, RegisterInstance, RemoveInstance, PublishVersion,
-                 FoundLedgers, BeginRetirement, CompleteRetirement>;
+                 FoundLedgers, BeginRetirement, CompleteRetirement, RecordVersions>;
 
 }  // namespace tackpick::directory
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -327,6 +327,7 @@
   foundLedgers(now);
   repairOwnGroup(now);
   forgetSilent(now);
+  recordVersions(now);
   for (const std::string& id : orders_.dueReports(reports_, now)) {
     const auto record = state_.instances().find(id);
     if (record != state_.instances().end()) {
@@ -393,9 +394,30 @@
   });
 }
 
+void DirectoryRole::recordVersions(base::TimePoint now) {
+  for (const auto& [id, report] : reports_) {
+    const auto held = state_.heldVersions().find(id);
+    const bool written = held != state_.heldVersions().end() && held->second == report.versions;
+    if (!written && !report.versions.empty() && state_.instances().contains(id)) {
+      proposeQuietly(RecordVersions{id, report.versions}, now);
+    }
+  }
+}
+
+void DirectoryRole::recallVersions() {
+  for (const auto& [id, versions] : state_.heldVersions()) {
+    reports_.try_emplace(id, ReportedEngine{leader_since_, versions});
+  }
+  versions_recalled_ = true;
+  ++view_revision_;
+}
+
 DirectoryActions DirectoryRole::finish(base::TimePoint now) {
   replica_.finish(now, actions_.messages);
   observeLeadership(now);
+  if (!versions_recalled_ && leads(now)) {
+    recallVersions();
+  }
   observeState();
   answerWatches(now);
   transport::Outbox answers = std::exchange(service_.outbox(), {});
@@ -410,6 +432,7 @@
   if (newTerm) {
     leader_since_ = now;
     reports_.clear();
+    versions_recalled_ = false;
     beat_sequences_.clear();
     nodes_.clear();
     orders_.reset(now);
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -104,6 +104,10 @@
   void foundLedgers(base::TimePoint now);
   void repairOwnGroup(base::TimePoint now);
   void forgetSilent(base::TimePoint now);
+  /// Writes the weights that instances report into the log where they changed.
+  void recordVersions(base::TimePoint now);
+  /// A new leader starts with the weights that the log tells.
+  void recallVersions();
 
   const NodeRecord self_;
   const DirectorySettings settings_;
@@ -113,6 +117,7 @@
 
   // The leader's memory; empty after an election.
   bool was_leader_ = false;
+  bool versions_recalled_ = false;
   consensus::Term observed_term_ = 0;
   base::TimePoint leader_since_{};
   std::map<std::string, ReportedEngine> reports_;
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -35,6 +35,8 @@
     return entry.first != record.id && entry.second.host == record.host &&
            entry.second.port == record.port;
   });
+  std::erase_if(data_.heldVersions,
+                [&](const auto& entry) { return !data_.instances.contains(entry.first); });
   const auto known = data_.instances.find(record.id);
   const bool leaving = record.leaving || (known != data_.instances.end() && known->second.leaving);
   InstanceRecord& stored = data_.instances[record.id];
@@ -45,6 +47,7 @@
 
 void DirectoryState::applyTyped(const RemoveInstance& command) {
   data_.instances.erase(command.id);
+  data_.heldVersions.erase(command.id);
   ++data_.revision;
   if (!command.final || !left_.insert(command.id).second) {
     return;
@@ -82,6 +85,12 @@
   ++data_.revision;
 }
 
+void DirectoryState::applyTyped(const RecordVersions& command) {
+  if (data_.instances.contains(command.id)) {
+    data_.heldVersions[command.id] = command.versions;
+  }
+}
+
 base::Bytes DirectoryState::takeSnapshot() const { return base::encode(data_); }
 
 void DirectoryState::loadSnapshot(const base::Bytes& snapshot) {
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -27,6 +27,11 @@
   [[nodiscard]] const std::map<std::string, InstanceRecord>& instances() const {
     return data_.instances;
   }
+  /// The weights that instances held when that was last written, by instance and model.
+  [[nodiscard]] const std::map<std::string, std::map<std::string, std::uint64_t>>& heldVersions()
+      const {
+    return data_.heldVersions;
+  }
   /// True when that instance has said that it leaves for good.
   [[nodiscard]] bool hasLeft(const std::string& id) const { return left_.contains(id); }
   [[nodiscard]] const std::map<std::string, std::uint64_t>& versions() const {
@@ -46,6 +51,7 @@
     std::uint64_t revision = 0;
     Configuration configuration;
     std::map<std::string, InstanceRecord> instances;
+    std::map<std::string, std::map<std::string, std::uint64_t>> heldVersions;
     std::deque<std::string> leftInOrder;
     std::map<std::string, std::uint64_t> versions;
     std::set<base::NodeId> ledgerFounders;
@@ -53,8 +59,8 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(revision, configuration, instances, leftInOrder, versions, ledgerFounders,
-              retirements);
+      archive(revision, configuration, instances, heldVersions, leftInOrder, versions,
+              ledgerFounders, retirements);
     }
   };
 
@@ -65,6 +71,7 @@
   void applyTyped(const FoundLedgers& command);
   void applyTyped(const BeginRetirement& command);
   void applyTyped(const CompleteRetirement& command);
+  void applyTyped(const RecordVersions& command);
 
   Data data_;
   std::set<std::string> left_;
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -42,7 +42,9 @@
   return order;
 }
 
-void ItemLeases::reset(base::TimePoint now, base::Duration grace) {
+void ItemLeases::reset(std::uint64_t term, base::TimePoint now, base::Duration grace) {
+  constexpr unsigned kTermShift = 32;
+  last_number_ = term << kTermShift;
   queue_.clear();
   leases_.clear();
   first_seen_.clear();
@@ -91,6 +93,7 @@
 
 std::vector<ItemKey> ItemLeases::renew(base::NodeId gateway, const std::vector<ItemKey>& held,
                                        const JobState& state, base::TimePoint now) {
+  endLeasesOfFormerRuns(gateway, now);
   std::vector<ItemKey> revoked;
   for (const ItemKey& key : held) {
     if (!isOpen(state, key)) {
@@ -117,6 +120,23 @@
   return revoked;
 }
 
+void ItemLeases::endLeasesOfFormerRuns(base::NodeId gateway, base::TimePoint now) {
+  for (auto& [key, lease] : leases_) {
+    if (lease.gateway != gateway && base::nodeNumber(lease.gateway) == base::nodeNumber(gateway)) {
+      lease.until = now;
+    }
+  }
+}
+
+void ItemLeases::onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace,
+                               base::TimePoint now) {
+  for (auto& [key, lease] : leases_) {
+    if (base::nodeNumber(lease.gateway) == gatewayNumber) {
+      lease.until = std::min(lease.until, now + grace);
+    }
+  }
+}
+
 void ItemLeases::giveBack(base::NodeId gateway, const std::vector<ItemKey>& held) {
   for (auto it = leases_.begin(); it != leases_.end();) {
     const bool kept = it->second.gateway != gateway ||
@@ -130,10 +150,10 @@
   }
 }
 
-std::vector<ItemKey> ItemLeases::lease(base::NodeId gateway,
-                                       std::map<std::string, std::uint32_t> wanted,
-                                       const JobState& state, base::TimePoint now) {
-  std::vector<ItemKey> leased;
+std::vector<GrantedItem> ItemLeases::lease(base::NodeId gateway,
+                                           std::map<std::string, std::uint32_t> wanted,
+                                           const JobState& state, base::TimePoint now) {
+  std::vector<GrantedItem> leased;
   if (now < leasing_from_) {
     return leased;
   }
@@ -147,7 +167,7 @@
       rest.push_back(std::move(key));
     } else if (leases_.try_emplace(key, Lease{gateway, now + lease_time_}).second) {
       --room;
-      leased.push_back(std::move(key));
+      leased.push_back({std::move(key), ++last_number_});
     }
   }
   queue_ = std::move(rest);
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -21,6 +21,12 @@
 [[nodiscard]] std::vector<std::uint32_t> leaseOrder(const JobSubmission& job,
                                                     const std::set<std::string>& comesAgain);
 
+/// An item with the number of its lease, which is higher than that of every earlier lease.
+struct GrantedItem {
+  ItemKey key;
+  std::uint64_t lease = 0;
+};
+
 /// Deterministic. Items are leased oldest job first and, within a job, in the order of
 /// leaseOrder(). A lease that its gateway stops renewing returns to the front of the queue. An item
 /// may run twice (the first result counts), so nothing here needs to be durable.
@@ -28,9 +34,9 @@
  public:
   explicit ItemLeases(base::Duration leaseTime) : lease_time_(leaseTime) {}
 
-  /// Forgets everything; call when this ledger becomes leader. Every open item can be leased again
-  /// after `grace`, in which gateways tell what they hold.
-  void reset(base::TimePoint now, base::Duration grace);
+  /// Forgets everything; call when this ledger becomes leader in `term`. Every open item can be
+  /// leased again after `grace`, in which gateways tell what they hold.
+  void reset(std::uint64_t term, base::TimePoint now, base::Duration grace);
   /// Takes up the items of a job that is new to the leader.
   void addJob(const std::string& id, const Job& job, base::TimePoint now);
   /// Ends leases of jobs that are settled or gone, and returns expired ones to the queue.
@@ -38,12 +44,14 @@
   /// Renews what `gateway` holds. Returns the items it holds that need not run any more.
   [[nodiscard]] std::vector<ItemKey> renew(base::NodeId gateway, const std::vector<ItemKey>& held,
                                            const JobState& state, base::TimePoint now);
+  /// The connection to a gateway broke: its leases end after `grace` unless it renews them.
+  void onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace, base::TimePoint now);
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
   void giveBack(base::NodeId gateway, const std::vector<ItemKey>& held);
   /// Leases up to `wanted` items of each model to `gateway`.
-  [[nodiscard]] std::vector<ItemKey> lease(base::NodeId gateway,
-                                           std::map<std::string, std::uint32_t> wanted,
-                                           const JobState& state, base::TimePoint now);
+  [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway,
+                                               std::map<std::string, std::uint32_t> wanted,
+                                               const JobState& state, base::TimePoint now);
   [[nodiscard]] bool hasQueued() const { return !queue_.empty(); }
   /// When the leader first saw the job; it was submitted no later.
   [[nodiscard]] base::TimePoint firstSeen(const std::string& job, base::TimePoint now) const;
@@ -58,10 +66,13 @@
     base::TimePoint until{};
   };
 
+  /// Another process runs at the gateway's address by now: what the former held is free.
+  void endLeasesOfFormerRuns(base::NodeId gateway, base::TimePoint now);
   [[nodiscard]] static bool isOpen(const JobState& state, const ItemKey& key);
 
   const base::Duration lease_time_;
   base::TimePoint leasing_from_{};
+  std::uint64_t last_number_ = 0;  ///< of a lease
   std::deque<ItemKey> queue_;
   std::map<ItemKey, Lease> leases_;
   std::map<std::string, base::TimePoint> first_seen_;
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -54,6 +54,39 @@
   return event;
 }
 
+ItemRun::ItemRun(LeasedItem leased) : leased_(std::move(leased)) {
+  if (!leased_.progress) {
+    return;
+  }
+  text_ = std::move(leased_.progress->text);
+  versions_ = std::move(leased_.progress->versions);
+  last_event_ = leased_.progress->point.event;
+  kept_ = Kept{leased_.progress->point, text_.size()};
+  leased_.progress.reset();
+}
+
+std::optional<ItemProgress> ItemRun::offerProgress(std::uint64_t leastEvents) {
+  if (!last_event_ || begun_anew_) {
+    return std::nullopt;
+  }
+  const std::uint64_t events = *last_event_ - (kept_ ? kept_->point.event : 0);
+  if (events < leastEvents) {
+    return std::nullopt;
+  }
+  ItemProgress progress;
+  progress.item = leased_.key.item;
+  progress.added.point = {leased_.lease, *last_event_};
+  progress.added.versions = versions_;
+  progress.added.text = text_.substr(kept_ ? kept_->bytes : 0);
+  if (kept_) {
+    progress.after = kept_->point;
+  }
+  offered_ = Kept{progress.added.point, text_.size()};
+  return progress;
+}
+
+void ItemRun::onProgressSaved(bool known) { kept_ = known ? offered_ : std::nullopt; }
+
 bool ItemRun::accepts(std::uint64_t version) const {
   if (version < leased_.minimumVersion) {
     return false;
@@ -68,6 +101,7 @@
       text_.clear();
       last_event_.reset();
       versions_.clear();
+      begun_anew_ = true;
     }
     return false;
   }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -40,7 +40,7 @@
 /// whole event.
 class ItemRun {
  public:
-  explicit ItemRun(LeasedItem leased) : leased_(std::move(leased)) {}
+  explicit ItemRun(LeasedItem leased);
 
   [[nodiscard]] const LeasedItem& leased() const { return leased_; }
   /// The event after which the next run is to continue; nothing before the first.
@@ -53,6 +53,11 @@
   /// The run ended whole: the item's result.
   [[nodiscard]] ItemResult completed() const;
   [[nodiscard]] ItemResult terminated() const;
+  /// What the ledgers do not keep of the text yet; nothing with fewer than `leastEvents` of them.
+  /// onProgressSaved() is to follow before the next offer.
+  [[nodiscard]] std::optional<ItemProgress> offerProgress(std::uint64_t leastEvents);
+  /// The ledgers have taken what was offered, or it is not known whether they have.
+  void onProgressSaved(bool known);
   /// The engine answered with a failure. True when the item is to be given up.
   [[nodiscard]] bool onFailure();
   /// True when the item is too old to be tried again.
@@ -63,6 +68,14 @@
 
   LeasedItem leased_;
   std::string text_;
+  /// How far the ledgers keep the text, and what was offered to them last.
+  struct Kept {
+    ProgressPoint point;
+    std::size_t bytes = 0;
+  };
+  std::optional<Kept> kept_;
+  std::optional<Kept> offered_;
+  bool begun_anew_ = false;  ///< the text no longer begins as the kept one does
   std::optional<std::uint64_t> last_event_;
   std::set<std::uint64_t> versions_;
   std::uint64_t run_version_ = 0;
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -67,6 +67,44 @@
   }
 };
 
+/// How far a kept text reaches: the lease under which it was last extended, and its last event.
+struct ProgressPoint {
+  std::uint64_t lease = 0;
+  std::uint64_t event = 0;
+
+  bool operator==(const ProgressPoint&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(lease, event);
+  }
+};
+
+/// The text that an unfinished item has so far, kept by the ledgers so that another gateway can
+/// continue it behind its last event.
+struct PartialText {
+  ProgressPoint point;
+  std::string text;
+  std::set<std::uint64_t> versions;  ///< that made the text
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(point, text, versions);
+  }
+};
+
+/// What a gateway adds to the kept text of an item.
+struct ItemProgress {
+  std::uint32_t item = 0;              ///< its index in the job
+  std::optional<ProgressPoint> after;  ///< what `added` follows; nothing: it is the whole text
+  PartialText added;                   ///< its point is the one reached
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(item, after, added);
+  }
+};
+
 /// Names an item in the cluster.
 struct ItemKey {
   std::string job;
@@ -147,7 +185,26 @@
   }
 };
 
-using JobRequest = std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults>;
+struct JobProgress {
+  std::string job;
+  std::vector<ItemProgress> items;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(job, items);
+  }
+};
+
+/// Keeps texts under way. What does not follow the text that is kept changes nothing.
+struct SaveProgress {
+  std::vector<JobProgress> jobs;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(jobs);
+  }
+};
+
+using JobRequest =
+    std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults, SaveProgress>;
 
 // Answers.
 
@@ -165,6 +222,8 @@
 /// An item to run, with what its job says about it.
 struct LeasedItem {
   ItemKey key;
+  std::uint64_t lease = 0;              ///< rises with each lease that a ledger gives
+  std::optional<PartialText> progress;  ///< of earlier leases
   Item item;
   std::string host;
   std::string model;
@@ -176,7 +235,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, item, host, model, minimumVersion, singleVersion, attempts, age, queueTimeout);
+    archive(key, lease, progress, item, host, model, minimumVersion, singleVersion, attempts, age,
+            queueTimeout);
   }
 };
 
@@ -205,6 +265,6 @@
   }
 };
 
-using JobCommand = std::variant<SubmitJob, EndJob, CommitResults, ForgetJobs>;
+using JobCommand = std::variant<SubmitJob, EndJob, CommitResults, ForgetJobs, SaveProgress>;
 
 }  // namespace tackpick::jobs
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -83,16 +83,23 @@
   if (request.leaving) {
     leases_.giveBack(caller.node, request.held);
   }
-  for (const ItemKey& key : leases_.lease(caller.node, request.wanted, state_, now)) {
-    reply.leased.push_back(describe(key, now));
+  for (const GrantedItem& granted : leases_.lease(caller.node, request.wanted, state_, now)) {
+    reply.leased.push_back(describe(granted, now));
   }
   replyWith(caller, reply);
 }
 
-LeasedItem JobRole::describe(const ItemKey& key, base::TimePoint now) const {
-  const JobSubmission& job = state_.find(key.job)->submission;
+LeasedItem JobRole::describe(const GrantedItem& granted, base::TimePoint now) const {
+  const ItemKey& key = granted.key;
+  const Job& owner = *state_.find(key.job);
+  const JobSubmission& job = owner.submission;
   LeasedItem leased;
   leased.key = key;
+  leased.lease = granted.lease;
+  const auto partial = owner.partial.find(key.item);
+  if (partial != owner.partial.end()) {
+    leased.progress = partial->second;
+  }
   leased.item = job.items[key.item];
   leased.host = job.host;
   leased.model = job.model;
@@ -108,6 +115,14 @@
   proposeFor(caller, request, now);
 }
 
+void JobRole::onRequest(const Caller& caller, const SaveProgress& request, base::TimePoint now) {
+  proposeFor(caller, request, now);
+}
+
+void JobRole::onPeerLost(std::uint32_t number, base::TimePoint now) {
+  leases_.onGatewayLost(number, settings_.lostGatewayGrace, now);
+}
+
 void JobRole::replyWith(const Caller& caller, const JobReply& reply) {
   service_.reply(caller, base::encode(reply));
 }
@@ -165,7 +180,7 @@
   const consensus::RaftConsensus& raft = replica_.raft();
   if (raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm())) {
     leader_since_ = now;
-    leases_.reset(now, settings_.leaseGrace);
+    leases_.reset(raft.currentTerm(), now, settings_.leaseGrace);
   }
   was_leader_ = raft.isLeader();
   observed_term_ = raft.currentTerm();
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -19,7 +19,10 @@
   cluster::GroupRepairSettings repair;
   /// Results stay readable so long after the submission, and while the job is open.
   base::Duration retention = base::seconds(120);
-  base::Duration leaseTime = base::milliseconds(2500);
+  /// Gateways renew their leases several times within this time.
+  base::Duration leaseTime = base::milliseconds(1500);
+  /// Of a gateway whose connection broke: a sound one connects and renews within this time.
+  base::Duration lostGatewayGrace = base::milliseconds(350);
   /// Of a new leader: gateways tell what they hold before anything is leased again.
   base::Duration leaseGrace = base::milliseconds(600);
   /// Results in one answer.
@@ -36,6 +39,8 @@
   void handle(base::NodeId from, const transport::CommandRequest& message, base::TimePoint now);
   /// The ledgers as the controllers hear them.
   void setNodes(std::vector<cluster::GroupNode> nodes) { nodes_ = std::move(nodes); }
+  /// The connection to a node broke.
+  void onPeerLost(std::uint32_t number, base::TimePoint now);
   void tick(base::TimePoint now);
   /// Ends a turn: syncs, applies, and returns what to send.
   [[nodiscard]] transport::Outbox finish(base::TimePoint now);
@@ -60,10 +65,11 @@
   void onRequest(const Caller& caller, const EndJob& request, base::TimePoint now);
   void onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now);
   void onRequest(const Caller& caller, const CommitResults& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const SaveProgress& request, base::TimePoint now);
 
   void replyWith(const Caller& caller, const JobReply& reply);
   void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
-  [[nodiscard]] LeasedItem describe(const ItemKey& key, base::TimePoint now) const;
+  [[nodiscard]] LeasedItem describe(const GrantedItem& granted, base::TimePoint now) const;
   void observeLeadership(base::TimePoint now);
   void answerReads(base::TimePoint now);
   void expireJobs(base::TimePoint now);
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -11,6 +11,33 @@
   item.body = {};
 }
 
+/// True when `progress` continues what is kept or stands for itself. A text is made of the runs of
+/// one gateway after the other, each asked to continue behind the last event of the one before; a
+/// piece that follows anything else would join two runs.
+bool mayKeep(const PartialText* kept, const ItemProgress& progress) {
+  const ProgressPoint& reached = progress.added.point;
+  if (progress.after) {
+    return kept != nullptr && kept->point == *progress.after && reached.lease >= kept->point.lease;
+  }
+  return kept == nullptr || reached.lease > kept->point.lease ||
+         (reached.lease == kept->point.lease && reached.event > kept->point.event);
+}
+
+void keepProgress(Job& job, const ItemProgress& progress) {
+  const auto found = job.partial.find(progress.item);
+  if (!mayKeep(found == job.partial.end() ? nullptr : &found->second, progress)) {
+    return;
+  }
+  PartialText& kept = job.partial[progress.item];
+  if (!progress.after) {
+    kept = progress.added;
+    return;
+  }
+  kept.point = progress.added.point;
+  kept.text += progress.added.text;
+  kept.versions.insert(progress.added.versions.begin(), progress.added.versions.end());
+}
+
 }  // namespace
 
 base::Bytes JobState::apply(consensus::LogIndex /*index*/, const base::Bytes& command) {
@@ -34,6 +61,7 @@
   const auto found = jobs_.find(command.id);
   if (found != jobs_.end()) {
     found->second.ended = true;
+    found->second.partial.clear();
     for (Item& item : found->second.submission.items) {
       forgetRequest(item);
     }
@@ -51,6 +79,7 @@
       if (result.item < job.listed.size() && !job.listed[result.item]) {
         job.listed[result.item] = true;
         job.results.push_back(result);
+        job.partial.erase(result.item);
         forgetRequest(job.submission.items[result.item]);
       }
     }
@@ -63,6 +92,20 @@
   }
 }
 
+void JobState::applyTyped(const SaveProgress& command) {
+  for (const JobProgress& progress : command.jobs) {
+    const auto found = jobs_.find(progress.job);
+    if (found == jobs_.end() || found->second.settled()) {
+      continue;
+    }
+    for (const ItemProgress& item : progress.items) {
+      if (item.item < found->second.listed.size() && !found->second.listed[item.item]) {
+        keepProgress(found->second, item);
+      }
+    }
+  }
+}
+
 const Job* JobState::find(const std::string& id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -13,8 +13,9 @@
 
 struct Job {
   JobSubmission submission;
-  std::vector<ItemResult> results;  ///< by position; never changes once listed
-  std::vector<bool> listed;         ///< by item: it has a result
+  std::vector<ItemResult> results;               ///< by position; never changes once listed
+  std::vector<bool> listed;                      ///< by item: it has a result
+  std::map<std::uint32_t, PartialText> partial;  ///< texts under way, by item
   bool ended = false;
 
   [[nodiscard]] bool complete() const { return results.size() == submission.items.size(); }
@@ -23,7 +24,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(submission, results, listed, ended);
+    archive(submission, results, listed, partial, ended);
   }
 };
 
@@ -46,6 +47,7 @@
   void applyTyped(const EndJob& command);
   void applyTyped(const CommitResults& command);
   void applyTyped(const ForgetJobs& command);
+  void applyTyped(const SaveProgress& command);
 
   std::map<std::string, Job> jobs_;
   std::uint64_t revision_ = 0;
--- /dev/null
+++ b/src/jobs/ledger_client.h
@@ -0,0 +1,22 @@
+/// \file
+/// How a gateway's modules reach the ledgers.
+#pragma once
+
+#include <functional>
+
+#include "base/time.h"
+#include "jobs/job_messages.h"
+
+namespace tackpick::jobs {
+
+class LedgerClient {
+ public:
+  virtual ~LedgerClient() = default;
+
+  /// Gets the reply, or null when there was none by the deadline; it may then still take effect.
+  using Callback = std::function<void(const JobReply* reply)>;
+  virtual void call(const JobRequest& request, base::Duration deadline, base::TimePoint now,
+                    Callback callback) = 0;
+};
+
+}  // namespace tackpick::jobs
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -16,8 +16,9 @@
 constexpr base::Duration kLedgerDeadline = base::milliseconds(2500);
 /// New connections come for so long after this gateway said that it is not ready.
 constexpr base::Duration kUnreadyNotice = base::milliseconds(2500);
-/// Before the end of a stop, items still running are given back, so that others run them at once.
-constexpr base::Duration kReleaseTime = base::milliseconds(400);
+/// Before the end of a stop, items still running are given back with the texts they have, so that
+/// others continue them at once.
+constexpr base::Duration kReleaseTime = base::milliseconds(700);
 
 forwarding::InstanceTableSettings instanceSettings(const Node& node) {
   forwarding::InstanceTableSettings settings;
@@ -41,7 +42,8 @@
       configuration_(std::make_unique<directory::Configuration>()),
       instances_(instanceSettings(node)),
       forwarder_(node, instances_),
-      items_(node, instances_, routes_),
+      ledgers_(node),
+      items_(node, instances_, routes_, ledgers_),
       traffic_(node.context(), node.settings().traffic.host, node.settings().traffic.port, {},
                [this](http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange) {
                  onRequest(std::move(request), exchange);
@@ -99,12 +101,11 @@
   if (const auto* read = std::get_if<jobs::ReadJob>(&request)) {
     deadline += read->hold;
   }
-  node_.member().call(request, deadline, node_.now(),
-                      [this, request, exchange](const jobs::JobReply* reply) {
-                        const edge::Answer answer = node_.dialect().jobAnswer(request, reply);
-                        exchange->respond(answer.status, answer.headers, answer.body);
-                      });
-  node_.wake();
+  ledgers_.call(request, deadline, node_.now(),
+                [this, request, exchange](const jobs::JobReply* reply) {
+                  const edge::Answer answer = node_.dialect().jobAnswer(request, reply);
+                  exchange->respond(answer.status, answer.headers, answer.body);
+                });
 }
 
 void GatewayFront::beginStop() {
--- a/src/node/gateway_front.h
+++ b/src/node/gateway_front.h
@@ -10,6 +10,7 @@
 #include "http/exchange_server.h"
 #include "node/forwarder.h"
 #include "node/item_runner.h"
+#include "node/member_ledger_client.h"
 
 namespace tackpick::node {
 
@@ -38,6 +39,7 @@
   directory::RouteTable routes_;
   forwarding::InstanceTable instances_;
   Forwarder forwarder_;
+  MemberLedgerClient ledgers_;
   ItemRunner items_;
   http::ExchangeServer traffic_;
   http::ExchangeServer readiness_;
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -60,6 +60,9 @@
   moveFromSlow(now);
   startAttempts(now);
   commit(now);
+  if (!released_) {
+    progress_.tick(now);
+  }
   const bool idleNow = items_.empty();
   if (!released_ && !leasing_ &&
       now - lease_at_ >= (idleNow ? kIdleLeaseInterval : kLeaseInterval)) {
@@ -96,15 +99,24 @@
   }
   leasing_ = true;
   lease_at_ = now;
-  node_.member().call(jobs::JobRequest{request}, kCallDeadline, now,
-                      [this, now](const jobs::JobReply* reply) {
-                        leasing_ = false;
-                        if (reply != nullptr) {
-                          renewed_at_ = now;
-                          onLeased(*reply);
-                        }
-                      });
-  node_.wake();
+  ledgers_.call(jobs::JobRequest{request}, kCallDeadline, now,
+                [this, now](const jobs::JobReply* reply) {
+                  leasing_ = false;
+                  if (reply != nullptr) {
+                    renewed_at_ = now;
+                    onLeased(*reply);
+                  }
+                });
+}
+
+jobs::ProgressSaver::Runs ItemRunner::unfinishedRuns() const {
+  jobs::ProgressSaver::Runs runs;
+  for (const auto& [key, item] : items_) {
+    if (!item->finished) {
+      runs.emplace(key, &item->run);
+    }
+  }
+  return runs;
 }
 
 void ItemRunner::release() {
@@ -113,6 +125,10 @@
   for (const auto& [key, item] : items_) {
     cancelAttempt(*item);
   }
+  progress_.saveAll(node_.now(), [this] { giveBack(); });
+}
+
+void ItemRunner::giveBack() {
   std::erase_if(items_, [](const auto& entry) { return !entry.second->finished; });
   lease(node_.now());
 }
@@ -140,7 +156,7 @@
 }
 
 void ItemRunner::startAttempts(base::TimePoint now) {
-  if (now - renewed_at_ > kLeaseTrust) {
+  if (released_ || now - renewed_at_ > kLeaseTrust) {
     return;
   }
   for (const auto& [key, item] : items_) {
@@ -378,20 +394,19 @@
     request.jobs.push_back({job, std::move(results)});
   }
   committing_ = true;
-  node_.member().call(jobs::JobRequest{request}, kCommitDeadline, now,
-                      [this, request](const jobs::JobReply* reply) {
-                        committing_ = false;
-                        for (const jobs::JobResults& job : request.jobs) {
-                          for (const jobs::ItemResult& result : job.results) {
-                            if (reply != nullptr) {
-                              items_.erase({job.job, result.item});
-                            } else {
-                              results_[job.job].push_back(result);
-                            }
-                          }
-                        }
-                      });
-  node_.wake();
+  ledgers_.call(jobs::JobRequest{request}, kCommitDeadline, now,
+                [this, request](const jobs::JobReply* reply) {
+                  committing_ = false;
+                  for (const jobs::JobResults& job : request.jobs) {
+                    for (const jobs::ItemResult& result : job.results) {
+                      if (reply != nullptr) {
+                        items_.erase({job.job, result.item});
+                      } else {
+                        results_[job.job].push_back(result);
+                      }
+                    }
+                  }
+                });
 }
 
 }  // namespace tackpick::node
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -12,6 +12,7 @@
 #include "forwarding/instance_table.h"
 #include "http/upstream_client.h"
 #include "jobs/item_run.h"
+#include "jobs/progress_saver.h"
 
 namespace tackpick::node {
 
@@ -19,8 +20,13 @@
 
 class ItemRunner {
  public:
-  ItemRunner(Node& node, forwarding::InstanceTable& instances, const directory::RouteTable& routes)
-      : node_(node), instances_(instances), routes_(routes) {}
+  ItemRunner(Node& node, forwarding::InstanceTable& instances, const directory::RouteTable& routes,
+             jobs::LedgerClient& ledgers)
+      : node_(node),
+        instances_(instances),
+        routes_(routes),
+        ledgers_(ledgers),
+        progress_(ledgers, [this] { return unfinishedRuns(); }, {}) {}
 
   void onView(const directory::DirectoryView& view);
   void tick();
@@ -28,8 +34,9 @@
   [[nodiscard]] const directory::ModelDemand& demand() const { return demand_; }
   /// Takes no further items; what runs may finish.
   void beginStop() { stopping_ = true; }
-  /// Breaks off what runs and gives all leases back.
+  /// Breaks off what runs, hands its texts to the ledgers and gives all leases back.
   void release();
+  [[nodiscard]] const jobs::ProgressSaver& progress() const { return progress_; }
   /// Nothing runs and every result is handed in.
   [[nodiscard]] bool idle() const { return items_.empty() && results_.empty() && !committing_; }
 
@@ -60,6 +67,8 @@
     bool finished = false;  ///< its result waits to be committed
   };
 
+  [[nodiscard]] jobs::ProgressSaver::Runs unfinishedRuns() const;
+  void giveBack();
   void lease(base::TimePoint now);
   void onLeased(const jobs::JobReply& reply);
   [[nodiscard]] std::map<std::string, std::uint32_t> wantedItems() const;
@@ -82,6 +91,8 @@
   Node& node_;
   forwarding::InstanceTable& instances_;
   const directory::RouteTable& routes_;
+  jobs::LedgerClient& ledgers_;
+  jobs::ProgressSaver progress_;
   std::map<jobs::ItemKey, std::unique_ptr<Running>> items_;
   std::map<std::string, std::vector<jobs::ItemResult>> results_;  ///< to be committed, by job
   std::uint32_t gateways_ = 1;
--- /dev/null
+++ b/src/node/member_ledger_client.h
@@ -0,0 +1,26 @@
+/// \file
+/// Calls to the ledgers through this process's cluster membership.
+#pragma once
+
+#include <utility>
+
+#include "jobs/ledger_client.h"
+#include "node/node.h"
+
+namespace tackpick::node {
+
+class MemberLedgerClient final : public jobs::LedgerClient {
+ public:
+  explicit MemberLedgerClient(Node& node) : m_node(node) {}
+
+  void call(const jobs::JobRequest& request, base::Duration deadline, base::TimePoint now,
+            Callback callback) override {
+    m_node.member().call(request, deadline, now, std::move(callback));
+    m_node.wake();
+  }
+
+ private:
+  Node& m_node;
+};
+
+}  // namespace tackpick::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -187,7 +187,7 @@
   network.key = "self-formed cluster " + settings_.cluster;
   network.listen = {settings_.address, settings_.internalPort};
   network.addressedPort = settings_.internalPort;
-  network.onLost = [this](std::uint32_t number) { member_->onPeerLost(number); };
+  network.onLost = [this](std::uint32_t number) { onPeerLost(number); };
   try {
     network_ = std::make_unique<transport::PeerNetwork>(
         context_, network, [this](base::NodeId from, const transport::InternalMessage& message) {
@@ -330,6 +330,13 @@
   wake();
 }
 
+void Node::onPeerLost(std::uint32_t number) {
+  member_->onPeerLost(number);
+  if (ledger_) {
+    ledger_->onPeerLost(number, now());
+  }
+}
+
 void Node::onView(const directory::DirectoryView& view) {
   if (gateway_front_) {
     gateway_front_->onView(view);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -63,6 +63,7 @@
   [[nodiscard]] directory::NodeRecord ownRecord() const;
   void openMember();
   void onMessage(base::NodeId from, const transport::InternalMessage& message);
+  void onPeerLost(std::uint32_t number);
   void onView(const directory::DirectoryView& view);
   void sendOrder(const directory::VersionOrder& order);
   void askForReport(const directory::InstanceRecord& engine);
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -101,7 +101,7 @@
 struct LeaseFixture {
   LeaseFixture() {
     apply(state, jobs::SubmitJob{submission("j", 4)});
-    leases.reset(now, base::Duration{0});
+    leases.reset(1, now, base::Duration{0});
     leases.addJob("j", *state.find("j"), now);
   }
   jobs::JobState state;
@@ -109,14 +109,22 @@
   jobs::ItemLeases leases{base::seconds(2)};
 };
 
+std::vector<jobs::ItemKey> keysOf(const std::vector<jobs::GrantedItem>& granted) {
+  std::vector<jobs::ItemKey> keys;
+  for (const jobs::GrantedItem& item : granted) {
+    keys.push_back(item.key);
+  }
+  return keys;
+}
+
 }  // namespace
 
 Test(item_leases, longest_expected_first_and_each_once) {
   LeaseFixture fixture;
   auto leased = fixture.leases.lease(kGateway, {{"", 3}}, fixture.state, fixture.now);
   cr_assert_eq(leased.size(), 3U);
-  cr_assert_eq(leased[0].item, 3U);
-  cr_assert_eq(leased[2].item, 1U);
+  cr_assert_eq(leased[0].key.item, 3U);
+  cr_assert_eq(leased[2].key.item, 1U);
   leased = fixture.leases.lease(kOther, {{"", 3}}, fixture.state, fixture.now);
   cr_assert_eq(leased.size(), 1U);
 }
@@ -155,19 +163,19 @@
   LeaseFixture fixture;
   const auto leased = fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
-  (void)fixture.leases.renew(kGateway, {leased[0]}, fixture.state, fixture.now);
+  (void)fixture.leases.renew(kGateway, {leased[0].key}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
   fixture.leases.refresh(fixture.state, fixture.now);
   const auto again = fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
-  const auto revoked = fixture.leases.renew(kGateway, leased, fixture.state, fixture.now);
+  const auto revoked = fixture.leases.renew(kGateway, keysOf(leased), fixture.state, fixture.now);
   cr_assert_eq(revoked.size(), 3U, "others run them by now");
 }
 
 Test(item_leases, leaving_gateway_gives_back_what_it_does_not_hold) {
   LeaseFixture fixture;
   const auto leased = fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
-  fixture.leases.giveBack(kGateway, {leased[0]});
+  fixture.leases.giveBack(kGateway, {leased[0].key});
   const auto again = fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
 }
@@ -176,13 +184,14 @@
   LeaseFixture fixture;
   const auto leased = fixture.leases.lease(kGateway, {{"", 2}}, fixture.state, fixture.now);
   apply(fixture.state, jobs::EndJob{"j"});
-  cr_assert_eq(fixture.leases.renew(kGateway, leased, fixture.state, fixture.now).size(), 2U);
+  cr_assert_eq(fixture.leases.renew(kGateway, keysOf(leased), fixture.state, fixture.now).size(),
+               2U);
   cr_assert(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).empty());
 }
 
 Test(item_leases, new_leader_first_hears_what_gateways_hold) {
   LeaseFixture fixture;
-  fixture.leases.reset(fixture.now, base::milliseconds(500));
+  fixture.leases.reset(2, fixture.now, base::milliseconds(500));
   fixture.leases.addJob("j", *fixture.state.find("j"), fixture.now);
   cr_assert(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).empty());
   (void)fixture.leases.renew(kGateway, {{"j", 3}, {"j", 2}}, fixture.state, fixture.now);
@@ -190,6 +199,36 @@
   cr_assert_eq(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).size(), 2U);
 }
 
+Test(item_leases, restarted_gateway_frees_what_its_former_run_held) {
+  LeaseFixture fixture;
+  (void)fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
+  const base::NodeId again = base::makeNodeId(1, 2);
+  (void)fixture.leases.renew(again, {}, fixture.state, fixture.now);
+  fixture.leases.refresh(fixture.state, fixture.now);
+  cr_assert_eq(fixture.leases.lease(again, {{"", 4}}, fixture.state, fixture.now).size(), 4U);
+}
+
+Test(item_leases, broken_connection_ends_leases_that_are_not_renewed_soon) {
+  LeaseFixture fixture;
+  const auto leased = fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
+  fixture.leases.onGatewayLost(1, base::milliseconds(300), fixture.now);
+  fixture.now += base::milliseconds(200);
+  (void)fixture.leases.renew(kGateway, {leased[0].key}, fixture.state, fixture.now);
+  fixture.now += base::milliseconds(200);
+  fixture.leases.refresh(fixture.state, fixture.now);
+  cr_assert_eq(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).size(), 3U);
+}
+
+Test(item_leases, numbers_rise_also_across_leaders) {
+  LeaseFixture fixture;
+  const auto leased = fixture.leases.lease(kGateway, {{"", 2}}, fixture.state, fixture.now);
+  cr_assert_gt(leased[1].lease, leased[0].lease);
+  fixture.leases.reset(2, fixture.now, base::Duration{0});
+  fixture.leases.addJob("j", *fixture.state.find("j"), fixture.now);
+  const auto later = fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now);
+  cr_assert_gt(later[0].lease, leased[1].lease);
+}
+
 Test(stream_events, any_split_of_the_bytes_gives_the_same_events) {
   const std::string bytes = "id: 0\ndata: a\n\nweights: 7\nid: 1\ndata: b: c\n\nid:2\ndata:\n\n";
   for (std::size_t split = 0; split <= bytes.size(); ++split) {
--- /dev/null
+++ b/test/jobs/progress_test.cpp
@@ -0,0 +1,246 @@
+/// Texts of unfinished items: what the ledgers keep of them, and how gateways hand them in.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "base/random.h"
+#include "jobs/item_run.h"
+#include "jobs/job_state.h"
+#include "jobs/progress_saver.h"
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+
+namespace {
+
+void apply(jobs::JobState& state, const jobs::JobCommand& command) {
+  (void)state.apply(1, base::encode(command));
+}
+
+jobs::JobState stateWithJob(std::uint32_t items = 2) {
+  jobs::JobSubmission job;
+  job.id = "j";
+  for (std::uint32_t i = 0; i < items; ++i) {
+    job.items.push_back({"item" + std::to_string(i), "/p", {}, "body", "g", 10});
+  }
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{job});
+  return state;
+}
+
+jobs::ItemProgress piece(std::optional<jobs::ProgressPoint> after, jobs::ProgressPoint reached,
+                         const std::string& text, std::uint64_t version = 2) {
+  return {0, after, {reached, text, {version}}};
+}
+
+void save(jobs::JobState& state, const jobs::ItemProgress& progress) {
+  apply(state, jobs::SaveProgress{{{"j", {progress}}}});
+}
+
+const jobs::PartialText* kept(const jobs::JobState& state) {
+  const auto& partial = state.find("j")->partial;
+  const auto found = partial.find(0);
+  return found == partial.end() ? nullptr : &found->second;
+}
+
+jobs::LeasedItem leased(std::uint64_t lease, const jobs::JobState& state) {
+  jobs::LeasedItem item;
+  item.key = {"j", 0};
+  item.lease = lease;
+  item.minimumVersion = 2;
+  item.attempts = 3;
+  item.queueTimeout = base::seconds(40);
+  if (const jobs::PartialText* partial = kept(state)) {
+    item.progress = *partial;
+  }
+  return item;
+}
+
+void addEvents(jobs::ItemRun& run, std::uint64_t count, const std::string& mark) {
+  cr_assert(run.onHead(2));
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const std::uint64_t id = run.lastEvent() ? *run.lastEvent() + 1 : 0;
+    cr_assert(run.onEvent({id, mark, std::nullopt}));
+  }
+}
+
+/// Keeps what it is asked; the test answers.
+class RecordingLedgers final : public jobs::LedgerClient {
+ public:
+  void call(const jobs::JobRequest& request, base::Duration /*deadline*/, base::TimePoint /*now*/,
+            Callback callback) override {
+    requests.push_back(std::get<jobs::SaveProgress>(request));
+    callbacks.push_back(std::move(callback));
+  }
+  void answer(bool known) {
+    const jobs::JobReply reply;
+    std::exchange(callbacks, {}).back()(known ? &reply : nullptr);
+  }
+
+  std::vector<jobs::SaveProgress> requests;
+  std::vector<Callback> callbacks;
+};
+
+}  // namespace
+
+Test(job_state, progress_is_kept_where_it_follows) {
+  jobs::JobState state = stateWithJob();
+  save(state, piece(std::nullopt, {1, 4}, "a"));
+  save(state, piece(jobs::ProgressPoint{1, 4}, {1, 7}, "\nb", 3));
+  save(state, piece(jobs::ProgressPoint{1, 4}, {1, 9}, "\nlate"));
+  cr_assert_eq(kept(state)->text, "a\nb");
+  cr_assert(kept(state)->point == (jobs::ProgressPoint{1, 7}));
+  cr_assert(kept(state)->versions == (std::set<std::uint64_t>{2, 3}));
+}
+
+Test(job_state, progress_of_an_earlier_lease_never_joins_that_of_a_later_one) {
+  jobs::JobState state = stateWithJob();
+  save(state, piece(std::nullopt, {1, 4}, "a"));
+  save(state, piece(jobs::ProgressPoint{1, 4}, {2, 6}, "\nb"));
+  save(state, piece(jobs::ProgressPoint{1, 4}, {1, 8}, "\nold"));
+  save(state, piece(std::nullopt, {1, 9}, "old"));
+  cr_assert_eq(kept(state)->text, "a\nb");
+  save(state, piece(std::nullopt, {3, 2}, "anew"));
+  cr_assert_eq(kept(state)->text, "anew");
+}
+
+Test(job_state, finished_items_and_ended_jobs_keep_no_progress) {
+  jobs::JobState state = stateWithJob();
+  save(state, piece(std::nullopt, {1, 4}, "a"));
+  apply(state, jobs::CommitResults{{{"j", {{0, jobs::ItemState::kCompleted, "whole", {2}}}}}});
+  cr_assert_null(kept(state));
+  save(state, piece(std::nullopt, {2, 4}, "a"));
+  cr_assert_null(kept(state));
+  apply(state, jobs::SaveProgress{{{"j", {{1, std::nullopt, {{1, 4}, "a", {2}}}, {7, {}, {}}}}}});
+  cr_assert_eq(state.find("j")->partial.size(), 1U);
+  apply(state, jobs::EndJob{"j"});
+  cr_assert(state.find("j")->partial.empty());
+}
+
+Test(job_state, snapshot_holds_progress) {
+  jobs::JobState state = stateWithJob();
+  save(state, piece(std::nullopt, {1, 4}, "a"));
+  jobs::JobState loaded;
+  loaded.loadSnapshot(state.takeSnapshot());
+  cr_assert_eq(kept(loaded)->text, "a");
+  cr_assert(kept(loaded)->point == (jobs::ProgressPoint{1, 4}));
+}
+
+Test(item_run, goes_on_behind_the_kept_text_and_offers_only_what_is_new) {
+  jobs::JobState state = stateWithJob();
+  jobs::ItemRun first(leased(1, state));
+  addEvents(first, 5, "a");
+  cr_assert_not(first.offerProgress(8).has_value());
+  save(state, *first.offerProgress(1));
+  first.onProgressSaved(true);
+  addEvents(first, 3, "a");
+  const auto more = first.offerProgress(1);
+  cr_assert_eq(more->added.text, "\na\na\na");
+  save(state, *more);
+
+  jobs::ItemRun second(leased(2, state));
+  cr_assert_eq(*second.lastEvent(), 7U);
+  cr_assert_not(second.offerProgress(1).has_value());
+  addEvents(second, 2, "b");
+  save(state, *second.offerProgress(1));
+  cr_assert_eq(kept(state)->text, "a\na\na\na\na\na\na\na\nb\nb");
+  cr_assert_eq(second.completed().text, kept(state)->text);
+}
+
+Test(item_run, text_begun_anew_is_not_offered) {
+  jobs::LeasedItem item = leased(1, stateWithJob());
+  item.singleVersion = true;
+  item.progress = jobs::PartialText{{0, 6}, "old", {2}};
+  jobs::ItemRun run(item);
+  cr_assert_not(run.onHead(3), "the text so far is version 2's");
+  cr_assert(run.onHead(3));
+  cr_assert(run.onEvent({0, "x", std::nullopt}));
+  cr_assert_eq(run.completed().text, "x");
+  cr_assert_not(run.offerProgress(1).has_value());
+}
+
+Test(progress_saver, one_call_at_a_time_and_only_for_long_texts) {
+  RecordingLedgers ledgers;
+  jobs::ItemRun run(leased(1, stateWithJob()));
+  jobs::ProgressSaver saver(ledgers,
+                            [&] {
+                              return jobs::ProgressSaver::Runs{{{"j", 0}, &run}};
+                            },
+                            {});
+  base::TimePoint now{base::seconds(10)};
+  addEvents(run, 4, "a");
+  saver.tick(now);
+  cr_assert(ledgers.requests.empty());
+  addEvents(run, 8, "a");
+  now += base::seconds(1);
+  saver.tick(now);
+  now += base::seconds(1);
+  saver.tick(now);
+  cr_assert_eq(ledgers.requests.size(), 1U);
+  ledgers.answer(true);
+  addEvents(run, 8, "b");
+  saver.tick(now);
+  const jobs::ItemProgress& second = ledgers.requests.at(1).jobs.at(0).items.at(0);
+  cr_assert(second.after.has_value());
+  cr_assert_eq(second.added.point.event, 19U);
+}
+
+Test(progress_saver, whole_text_follows_a_call_without_answer) {
+  RecordingLedgers ledgers;
+  jobs::ItemRun run(leased(1, stateWithJob()));
+  jobs::ProgressSaver saver(ledgers,
+                            [&] {
+                              return jobs::ProgressSaver::Runs{{{"j", 0}, &run}};
+                            },
+                            {});
+  addEvents(run, 12, "a");
+  saver.tick(base::TimePoint{base::seconds(10)});
+  ledgers.answer(false);
+  addEvents(run, 12, "b");
+  bool done = false;
+  saver.saveAll(base::TimePoint{base::seconds(11)}, [&] { done = true; });
+  const jobs::ItemProgress& again = ledgers.requests.at(1).jobs.at(0).items.at(0);
+  cr_assert_not(again.after.has_value());
+  cr_assert_eq(again.added.text, run.completed().text);
+  ledgers.answer(false);
+  cr_assert(done, "also when nothing was saved");
+}
+
+/// Gateways that lose and get leases, save late, twice or not at all: the kept text is always one
+/// chain, in which each run begins behind the last event of the run before.
+Test(job_state, any_order_of_saves_keeps_one_chain) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    base::SeededRandom random(seed);
+    jobs::JobState state = stateWithJob();
+    std::vector<std::unique_ptr<jobs::ItemRun>> runs;
+    std::vector<jobs::ItemProgress> underWay;
+    for (int step = 0; step < 60; ++step) {
+      if (runs.empty() || random.below(8) == 0) {
+        runs.push_back(std::make_unique<jobs::ItemRun>(leased(runs.size() + 1, state)));
+      }
+      const std::size_t at = random.below(runs.size());
+      addEvents(*runs[at], 1 + random.below(3), std::to_string(at));
+      if (const auto offered = runs[at]->offerProgress(1)) {
+        underWay.push_back(*offered);
+        runs[at]->onProgressSaved(random.below(3) != 0);
+      }
+      while (!underWay.empty() && random.below(2) == 0) {
+        const std::size_t which = random.below(underWay.size());
+        save(state, underWay[which]);
+        if (random.below(4) != 0) {
+          underWay.erase(underWay.begin() + static_cast<std::ptrdiff_t>(which));
+        }
+      }
+      if (const jobs::PartialText* partial = kept(state)) {
+        // Events are counted by line; the text must also be some gateway's own text so far.
+        const auto lines = std::count(partial->text.begin(), partial->text.end(), '\n') + 1;
+        cr_assert_eq(static_cast<std::uint64_t>(lines), partial->point.event + 1);
+        const bool own = std::any_of(runs.begin(), runs.end(), [&](const auto& run) {
+          return run->completed().text.starts_with(partial->text);
+        });
+        cr_assert(own, "seed %lu step %d", static_cast<unsigned long>(seed), step);
+      }
+    }
+  }
+}
