A new leader of the controllers waits only for the rest of the former one's order lease

Ruled out: the lease of items (0.6 s), capacity. Change: a leader notes in the log that it gives orders, and gives them once the note is committed; who follows waits 3.1 s from the note, not from its election. Notes older than the process bind only where engines do not check fences (setting engines_check_fences, from the platform's settings).

--- a/src/config/cluster_settings.cpp
+++ b/src/config/cluster_settings.cpp
@@ -120,6 +120,7 @@
       readDuration(reader, "grace_period_s", base::seconds(1), settings.gracePeriod);
   settings.orderLease =
       readDuration(reader, "order_lease_ms", base::milliseconds(1), settings.orderLease);
+  settings.enginesCheckFences = reader.flag("engines_check_fences", false);
   settings.concurrentLoads = static_cast<std::uint32_t>(
       reader.integer("concurrent_weight_loads", settings.concurrentLoads, 1, kMostMachines));
   reader.finish();
--- a/src/config/cluster_settings.h
+++ b/src/config/cluster_settings.h
@@ -31,7 +31,8 @@
   base::Duration retention = base::seconds(120);  ///< of a batch, from its submission
   base::Duration gracePeriod = base::seconds(8);  ///< for a planned stop
   base::Duration orderLease = base::milliseconds(3000);  ///< between orders of two leaders
-  std::uint32_t concurrentLoads = 2;                     ///< engines that change weights at once
+  bool enginesCheckFences = false;    ///< engines refuse orders with a lower fence than they saw
+  std::uint32_t concurrentLoads = 2;  ///< engines that change weights at once
 };
 
 /// True when the file's `formation` is `self`.
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -231,6 +231,15 @@
   }
 };
 
+/// `holder` is about to give orders to engines.
+struct NoteOrders {
+  base::NodeId holder;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(holder);
+  }
+};
+
 struct FoundLedgers {
   std::set<base::NodeId> founders;
   template <class Archive>
@@ -257,6 +266,6 @@
 
 using DirectoryCommand =
     std::variant<ReplaceConfiguration, RegisterInstance, RemoveInstance, PublishVersion,
-                 FoundLedgers, BeginRetirement, CompleteRetirement, RecordVersions>;
+                 FoundLedgers, BeginRetirement, CompleteRetirement, RecordVersions, NoteOrders>;
 
 }  // namespace tackpick::directory
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -28,7 +28,8 @@
       settings_(settings),
       replica_(self_.node, kDirectoryGroup, settings.replica, log, state_, random, now),
       service_(self_.node, replica_),
-      orders_(settings.orders) {}
+      orders_(settings.orders),
+      order_lease_(self_.node, settings.orderLease, log.lastIndex(), now) {}
 
 void DirectoryRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
                            base::TimePoint now) {
@@ -320,7 +321,7 @@
 
 void DirectoryRole::tick(base::TimePoint now) {
   replica_.tick(now);
-  if (now - slow_work_at_ < kSlowWorkInterval || !leads(now)) {
+  if (now - slow_work_at_ < kSlowWorkInterval || !begun_ || !leads(now)) {
     return;
   }
   slow_work_at_ = now;
@@ -334,10 +335,22 @@
       actions_.reportsWanted.push_back(record->second);
     }
   }
-  const auto orders =
-      orders_.step(state_, reports_, modelDemand(now), replica_.raft().currentTerm(), now);
-  actions_.orders.insert(actions_.orders.end(), orders.begin(), orders.end());
-  view_revision_ += orders.empty() ? 0 : 1;
+  giveNoted(orders_.step(state_, reports_, modelDemand(now), replica_.raft().currentTerm(), now),
+            now);
+}
+
+void DirectoryRole::giveNoted(std::vector<VersionOrder> orders, base::TimePoint now) {
+  if (orders.empty()) {
+    return;
+  }
+  ++view_revision_;
+  replica_.propose(
+      base::encode(DirectoryCommand{NoteOrders{self_.node}}), now,
+      [this, orders = std::move(orders)](const base::Bytes* result, consensus::LogIndex) {
+        if (result != nullptr) {
+          noted_orders_.insert(noted_orders_.end(), orders.begin(), orders.end());
+        }
+      });
 }
 
 std::map<std::string, double> DirectoryRole::modelDemand(base::TimePoint now) const {
@@ -404,21 +417,26 @@
   }
 }
 
-void DirectoryRole::recallVersions() {
+void DirectoryRole::beginLeading() {
   for (const auto& [id, versions] : state_.heldVersions()) {
     reports_.try_emplace(id, ReportedEngine{leader_since_, versions});
   }
-  versions_recalled_ = true;
+  orders_.reset(order_lease_.freeFrom());
+  begun_ = true;
   ++view_revision_;
 }
 
 DirectoryActions DirectoryRole::finish(base::TimePoint now) {
   replica_.finish(now, actions_.messages);
   observeLeadership(now);
-  if (!versions_recalled_ && leads(now)) {
-    recallVersions();
+  observeState(now);
+  if (!begun_ && leads(now)) {
+    beginLeading();
+  }
+  const std::vector<VersionOrder> noted = std::exchange(noted_orders_, {});
+  if (leads(now)) {
+    actions_.orders.insert(actions_.orders.end(), noted.begin(), noted.end());
   }
-  observeState();
   answerWatches(now);
   transport::Outbox answers = std::exchange(service_.outbox(), {});
   actions_.messages.insert(actions_.messages.end(), std::make_move_iterator(answers.begin()),
@@ -432,17 +450,19 @@
   if (newTerm) {
     leader_since_ = now;
     reports_.clear();
-    versions_recalled_ = false;
+    begun_ = false;
     beat_sequences_.clear();
     nodes_.clear();
-    orders_.reset(now);
     view_revision_ = raft.currentTerm() << kTermShift;
   }
   was_leader_ = raft.isLeader();
   observed_term_ = raft.currentTerm();
 }
 
-void DirectoryRole::observeState() {
+void DirectoryRole::observeState(base::TimePoint now) {
+  if (state_.orderNote().index > 0) {
+    order_lease_.onNote(state_.orderNote().holder, state_.orderNote().index, now);
+  }
   if (observed_state_ != state_.revision()) {
     observed_state_ = state_.revision();
     ++view_revision_;
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -11,6 +11,7 @@
 #include "consensus/replica.h"
 #include "directory/directory_messages.h"
 #include "directory/directory_state.h"
+#include "directory/order_lease.h"
 #include "directory/version_orders.h"
 
 namespace tackpick::directory {
@@ -24,6 +25,7 @@
 struct DirectorySettings {
   consensus::ReplicaSettings replica;
   VersionOrderSettings orders;
+  OrderLeaseSettings orderLease;
   cluster::GroupRepairSettings repair;
   std::size_t ledgerFounders = 3;
   /// With fewer ledgers than wanted, those that reported are the founders after this time.
@@ -99,15 +101,17 @@
   [[nodiscard]] std::uint64_t viewRevision() const { return view_revision_; }
 
   void observeLeadership(base::TimePoint now);
-  void observeState();
+  void observeState(base::TimePoint now);
+  /// Has it noted in the log that this controller gives orders, and gives them then.
+  void giveNoted(std::vector<VersionOrder> orders, base::TimePoint now);
   void answerWatches(base::TimePoint now);
   void foundLedgers(base::TimePoint now);
   void repairOwnGroup(base::TimePoint now);
   void forgetSilent(base::TimePoint now);
   /// Writes the weights that instances report into the log where they changed.
   void recordVersions(base::TimePoint now);
-  /// A new leader starts with the weights that the log tells.
-  void recallVersions();
+  /// The whole log is applied: a new leader starts from the weights that it tells.
+  void beginLeading();
 
   const NodeRecord self_;
   const DirectorySettings settings_;
@@ -117,13 +121,15 @@
 
   // The leader's memory; empty after an election.
   bool was_leader_ = false;
-  bool versions_recalled_ = false;
+  bool begun_ = false;  ///< beginLeading() was called in this term
   consensus::Term observed_term_ = 0;
   base::TimePoint leader_since_{};
   std::map<std::string, ReportedEngine> reports_;
   std::map<std::string, std::uint64_t> beat_sequences_;
   std::map<base::NodeId, HeardNode> nodes_;
   VersionOrders orders_;
+  OrderLease order_lease_;
+  std::vector<VersionOrder> noted_orders_;  ///< to be given at the end of this turn
   std::vector<PendingWatch> watches_;
   std::uint64_t view_revision_ = 0;  ///< changes whenever a view would
   std::uint64_t observed_state_ = 0;
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -10,7 +10,8 @@
 
 }  // namespace
 
-base::Bytes DirectoryState::apply(consensus::LogIndex /*index*/, const base::Bytes& command) {
+base::Bytes DirectoryState::apply(consensus::LogIndex index, const base::Bytes& command) {
+  applying_ = index;
   const auto decoded = base::decode<DirectoryCommand>(command);
   if (decoded) {
     std::visit([this](const auto& typed) { applyTyped(typed); }, *decoded);
@@ -91,6 +92,10 @@
   }
 }
 
+void DirectoryState::applyTyped(const NoteOrders& command) {
+  data_.orderNote = {command.holder, applying_};
+}
+
 base::Bytes DirectoryState::takeSnapshot() const { return base::encode(data_); }
 
 void DirectoryState::loadSnapshot(const base::Bytes& snapshot) {
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -32,6 +32,16 @@
       const {
     return data_.heldVersions;
   }
+  /// Who last noted that it gives orders, and the index of that note; index 0: nobody did.
+  struct OrderNote {
+    base::NodeId holder;
+    consensus::LogIndex index = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(holder, index);
+    }
+  };
+  [[nodiscard]] const OrderNote& orderNote() const { return data_.orderNote; }
   /// True when that instance has said that it leaves for good.
   [[nodiscard]] bool hasLeft(const std::string& id) const { return left_.contains(id); }
   [[nodiscard]] const std::map<std::string, std::uint64_t>& versions() const {
@@ -56,11 +66,12 @@
     std::map<std::string, std::uint64_t> versions;
     std::set<base::NodeId> ledgerFounders;
     std::map<std::string, Retirement> retirements;
+    OrderNote orderNote;
 
     template <class Archive>
     void serialize(Archive& archive) {
       archive(revision, configuration, instances, heldVersions, leftInOrder, versions,
-              ledgerFounders, retirements);
+              ledgerFounders, retirements, orderNote);
     }
   };
 
@@ -72,8 +83,10 @@
   void applyTyped(const BeginRetirement& command);
   void applyTyped(const CompleteRetirement& command);
   void applyTyped(const RecordVersions& command);
+  void applyTyped(const NoteOrders& command);
 
   Data data_;
+  consensus::LogIndex applying_ = 0;  ///< index of the command that is applied
   std::set<std::string> left_;
 };
 
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -70,8 +70,8 @@
 
 }  // namespace
 
-void VersionOrders::reset(base::TimePoint now) {
-  leader_since_ = now;
+void VersionOrders::reset(base::TimePoint ordersFrom) {
+  orders_from_ = ordersFrom;
   homes_.clear();
   published_.clear();
   given_.clear();
@@ -253,7 +253,7 @@
                                               const std::map<std::string, double>& demand,
                                               std::uint64_t term, base::TimePoint now) {
   std::vector<VersionOrder> orders;
-  if (now - leader_since_ < settings_.quietAfterElection) {
+  if (now < orders_from_) {
     return orders;
   }
   notePublished(state, now);
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -25,9 +25,6 @@
   /// A new version is ordered this much later on engines that hold the one before: the work that
   /// comes with a new version may still run there, and an engine that loads takes none.
   base::Duration settlingTime = base::milliseconds(500);
-  /// No order is given within this time of becoming leader, so that the orders of two leaders do
-  /// not alternate.
-  base::Duration quietAfterElection = base::milliseconds(3100);
   /// An order is taken as without effect when the engine has not reported the version by then.
   base::Duration orderTimeout = base::seconds(4);
   /// An engine that was given an order is asked for its versions from this time on, so that the
@@ -78,8 +75,8 @@
  public:
   explicit VersionOrders(VersionOrderSettings settings) : settings_(settings) {}
 
-  /// Call when this controller becomes leader.
-  void reset(base::TimePoint now);
+  /// Call when this controller becomes leader. It gives no order before `ordersFrom`.
+  void reset(base::TimePoint ordersFrom);
   /// Orders to give now.
   [[nodiscard]] std::vector<VersionOrder> step(const DirectoryState& state,
                                                const std::map<std::string, ReportedEngine>& engines,
@@ -131,7 +128,7 @@
                               base::TimePoint now) const;
 
   const VersionOrderSettings settings_;
-  base::TimePoint leader_since_{};
+  base::TimePoint orders_from_{};
   std::map<std::string, std::string> homes_;  ///< model by instance
   base::TimePoint moved_at_{};                ///< when an engine last changed its home
   std::map<std::string, Given> given_;        ///< latest order by instance
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -154,7 +154,7 @@
   settings.ledgerFounders = 2 * settings_.lossesBorne + 1;
   settings.orders.concurrentLoads = settings_.concurrentLoads;
   constexpr base::Duration kOrderMargin = base::milliseconds(100);
-  settings.orders.quietAfterElection = settings_.orderLease + kOrderMargin;
+  settings.orderLease = {settings_.orderLease + kOrderMargin, settings_.enginesCheckFences};
   directory_ =
       std::make_unique<directory::DirectoryRole>(ownRecord(), settings, *log_, *random_, now());
   return {};
