--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -219,19 +219,20 @@
       }));
 }
 
-std::map<std::string, std::uint32_t> InstanceTable::placesByModel(
-    const PublishedModels& published) const {
-  std::map<std::string, std::uint32_t> places;
+jobs::EngineRoom InstanceTable::engineRoom(const ServiceModels& models) const {
+  jobs::EngineRoom room;
   for (const auto& [id, entry] : entries_) {
-    const auto models = published.find(entry.record.service);
-    if (models == published.end() || entry.record.leaving || entry.gone) {
+    const auto run = models.find(entry.record.service);
+    if (run == models.end() || entry.record.leaving || entry.gone) {
       continue;
     }
-    for (const auto& [model, version] : models->second) {
-      places[model] += entry.version(model) + 1 >= version ? entry.record.slots : 0;
+    for (const std::string& model : run->second) {
+      if (entry.version(model) > 0) {
+        room.add(model, entry.version(model), entry.record.slots);
+      }
     }
   }
-  return places;
+  return room;
 }
 
 double InstanceTable::occupancy(const std::string& service) const {
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "directory/directory_messages.h"
+#include "jobs/engine_room.h"
 
 namespace tackpick::forwarding {
 
@@ -74,8 +75,8 @@
   [[nodiscard]] std::uint64_t version(const std::string& model) const;
 };
 
-/// By service, the newest published version of each model that its engines run.
-using PublishedModels = std::map<std::string, std::map<std::string, std::uint64_t>>;
+/// The models that the engines of each service run.
+using ServiceModels = std::map<std::string, std::set<std::string>>;
 
 /// Deterministic; owned by one thread.
 class InstanceTable {
@@ -105,9 +106,8 @@
   [[nodiscard]] const InstanceEntry* find(const std::string& id) const;
   /// Instances of a service that do not leave.
   [[nodiscard]] std::size_t count(const std::string& service) const;
-  /// Places at engines that hold the newest version of a model or the one before, by model.
-  [[nodiscard]] std::map<std::string, std::uint32_t> placesByModel(
-      const PublishedModels& published) const;
+  /// Places at engines, by model and the version of it that they hold.
+  [[nodiscard]] jobs::EngineRoom engineRoom(const ServiceModels& models) const;
   /// Share of the places of a service that are taken, as last reported; requests of this gateway
   /// count at least.
   [[nodiscard]] double occupancy(const std::string& service) const;
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -150,8 +150,7 @@
   }
 }
 
-std::vector<GrantedItem> ItemLeases::lease(base::NodeId gateway,
-                                           std::map<std::string, std::uint32_t> wanted,
+std::vector<GrantedItem> ItemLeases::lease(base::NodeId gateway, EngineRoom wanted,
                                            const JobState& state, base::TimePoint now) {
   std::vector<GrantedItem> leased;
   if (now < leasing_from_) {
@@ -162,13 +161,16 @@
     if (!isOpen(state, key)) {
       continue;
     }
-    std::uint32_t& room = wanted[state.find(key.job)->submission.model];
-    if (room == 0) {
+    const JobSubmission& job = state.find(key.job)->submission;
+    if (leases_.contains(key)) {
+      continue;
+    }
+    if (!wanted.take(job.model, job.minimumVersion)) {
       rest.push_back(std::move(key));
-    } else if (leases_.try_emplace(key, Lease{gateway, now + lease_time_}).second) {
-      --room;
-      leased.push_back({std::move(key), ++last_number_});
+      continue;
     }
+    leases_.emplace(key, Lease{gateway, now + lease_time_});
+    leased.push_back({std::move(key), ++last_number_});
   }
   queue_ = std::move(rest);
   return leased;
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -48,9 +48,8 @@
   void onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace, base::TimePoint now);
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
   void giveBack(base::NodeId gateway, const std::vector<ItemKey>& held);
-  /// Leases up to `wanted` items of each model to `gateway`.
-  [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway,
-                                               std::map<std::string, std::uint32_t> wanted,
+  /// Leases items to `gateway`, as many as find a place in `wanted`.
+  [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, EngineRoom wanted,
                                                const JobState& state, base::TimePoint now);
   [[nodiscard]] bool hasQueued() const { return !queue_.empty(); }
   /// When the leader first saw the job; it was submitted no later.
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -15,6 +15,7 @@
 #include "base/identifiers.h"
 #include "base/serialization.h"
 #include "base/time.h"
+#include "jobs/engine_room.h"
 
 namespace tackpick::jobs {
 
@@ -159,8 +160,7 @@
 /// A gateway renews its leases and asks for more. Leases live in the leader's memory only.
 struct LeaseItems {
   std::vector<ItemKey> held;
-  /// Further items that it can run, by model; items of other models are not leased to it.
-  std::map<std::string, std::uint32_t> wanted;
+  EngineRoom wanted;     ///< for further items
   bool leaving = false;  ///< all its other leases are given back
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -32,7 +32,6 @@
 constexpr std::uint32_t kMostMoves = 4;
 /// Items beyond the engines' places that may wait at them, in percent.
 constexpr std::uint32_t kOvercommitPercent = 110;
-constexpr std::uint32_t kWholePercent = 100;
 
 std::uint64_t parseVersion(const std::string& text) {
   std::uint64_t version = 0;
@@ -47,9 +46,7 @@
   engine_models_.clear();
   for (const directory::Service& service : node_.member().configuration().services) {
     for (const std::string& model : service.models) {
-      const auto published = view.publishedVersions.find(model);
-      engine_models_[service.name][model] =
-          published == view.publishedVersions.end() ? 0 : published->second;
+      engine_models_[service.name].insert(model);
     }
   }
 }
@@ -70,18 +67,15 @@
   }
 }
 
-std::map<std::string, std::uint32_t> ItemRunner::wantedItems() const {
-  std::map<std::string, std::uint32_t> wanted;
+jobs::EngineRoom ItemRunner::wantedItems() const {
   if (stopping_) {
-    return wanted;
-  }
-  for (const auto& [model, places] : instances_.placesByModel(engine_models_)) {
-    wanted[model] = (places * kOvercommitPercent / kWholePercent + gateways_ - 1) / gateways_;
+    return {};
   }
+  jobs::EngineRoom wanted = instances_.engineRoom(engine_models_);
+  wanted.share(gateways_, kOvercommitPercent);
   for (const auto& [key, item] : items_) {
-    const auto found = wanted.find(item->run.leased().model);
-    if (!item->finished && found != wanted.end() && found->second > 0) {
-      --found->second;
+    if (!item->finished) {
+      wanted.occupy(item->run.leased().model, item->run.leased().minimumVersion);
     }
   }
   return wanted;
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -71,7 +71,7 @@
   void giveBack();
   void lease(base::TimePoint now);
   void onLeased(const jobs::JobReply& reply);
-  [[nodiscard]] std::map<std::string, std::uint32_t> wantedItems() const;
+  [[nodiscard]] jobs::EngineRoom wantedItems() const;
   void startAttempts(base::TimePoint now);
   void startAttempt(const jobs::ItemKey& key, Running& item, base::TimePoint now);
   void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
@@ -96,7 +96,7 @@
   std::map<jobs::ItemKey, std::unique_ptr<Running>> items_;
   std::map<std::string, std::vector<jobs::ItemResult>> results_;  ///< to be committed, by job
   std::uint32_t gateways_ = 1;
-  forwarding::PublishedModels engine_models_;
+  forwarding::ServiceModels engine_models_;
   bool leasing_ = false;
   bool committing_ = false;
   bool stopping_ = false;
--- a/test/cluster/cluster_world_test.cpp
+++ b/test/cluster/cluster_world_test.cpp
@@ -143,7 +143,7 @@
   }
   void runItems(WorldNode& gateway) {
     jobs::LeaseItems lease;
-    lease.wanted[""] = 3;
+    lease.wanted.add("", 1, 3);
     gateway.member->call(
         jobs::JobRequest{lease}, base::seconds(2), world_.now(),
         [this, &gateway](const jobs::JobReply* reply) {
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -30,6 +30,15 @@
   return {item, jobs::ItemState::kCompleted, text, {1}};
 }
 
+/// Places at engines that hold version 1.
+jobs::EngineRoom room(const std::map<std::string, std::uint32_t>& places) {
+  jobs::EngineRoom made;
+  for (const auto& [model, count] : places) {
+    made.add(model, 1, count);
+  }
+  return made;
+}
+
 jobs::LeasedItem leasedItem(std::uint64_t minimumVersion = 2, bool singleVersion = false) {
   jobs::LeasedItem leased;
   leased.key = {"j", 0};
@@ -121,11 +130,11 @@
 
 Test(item_leases, longest_expected_first_and_each_once) {
   LeaseFixture fixture;
-  auto leased = fixture.leases.lease(kGateway, {{"", 3}}, fixture.state, fixture.now);
+  auto leased = fixture.leases.lease(kGateway, room({{"", 3}}), fixture.state, fixture.now);
   cr_assert_eq(leased.size(), 3U);
   cr_assert_eq(leased[0].key.item, 3U);
   cr_assert_eq(leased[2].key.item, 1U);
-  leased = fixture.leases.lease(kOther, {{"", 3}}, fixture.state, fixture.now);
+  leased = fixture.leases.lease(kOther, room({{"", 3}}), fixture.state, fixture.now);
   cr_assert_eq(leased.size(), 1U);
 }
 
@@ -136,10 +145,70 @@
   apply(fixture.state, jobs::SubmitJob{other});
   fixture.leases.addJob("k", *fixture.state.find("k"), fixture.now);
   const auto leased =
-      fixture.leases.lease(kGateway, {{"", 1}, {"m", 5}}, fixture.state, fixture.now);
+      fixture.leases.lease(kGateway, room({{"", 1}, {"m", 5}}), fixture.state, fixture.now);
   cr_assert_eq(leased.size(), 3U);
-  cr_assert_eq(fixture.leases.lease(kOther, {{"m", 5}}, fixture.state, fixture.now).size(), 0U);
-  cr_assert_eq(fixture.leases.lease(kOther, {{"", 5}}, fixture.state, fixture.now).size(), 3U);
+  cr_assert_eq(fixture.leases.lease(kOther, room({{"m", 5}}), fixture.state, fixture.now).size(),
+               0U);
+  cr_assert_eq(fixture.leases.lease(kOther, room({{"", 5}}), fixture.state, fixture.now).size(),
+               3U);
+}
+
+Test(engine_room, items_share_places_with_those_that_need_newer_weights) {
+  jobs::EngineRoom engines;
+  engines.add("m", 8, 2);
+  engines.add("m", 7, 3);
+  cr_assert_not(engines.take("m", 9), "no engine is so new");
+  cr_assert(engines.take("m", 8));
+  cr_assert(engines.take("m", 8));
+  cr_assert_not(engines.take("m", 8));
+  for (int i = 0; i < 3; ++i) {
+    cr_assert(engines.take("m", 6));
+  }
+  cr_assert_not(engines.take("m", 7), "all five are taken");
+  cr_assert(engines.empty());
+  cr_assert_not(engines.take("n", 0));
+}
+
+Test(engine_room, old_work_leaves_no_place_for_new_where_it_runs_at_new_engines) {
+  jobs::EngineRoom engines;
+  engines.add("m", 7, 1);
+  engines.add("m", 8, 2);
+  cr_assert(engines.take("m", 7));
+  cr_assert(engines.take("m", 7));
+  cr_assert(engines.take("m", 8));
+  cr_assert_not(engines.take("m", 8), "three places, three items");
+}
+
+Test(engine_room, shares_and_running_items) {
+  jobs::EngineRoom engines;
+  engines.add("m", 1, 10);
+  engines.add("m", 2, 10);
+  engines.share(4, 100);
+  engines.occupy("m", 2);
+  engines.occupy("m", 2);
+  engines.occupy("m", 2);
+  engines.occupy("m", 2);
+  cr_assert_not(engines.take("m", 2), "three of ten");
+  cr_assert(engines.take("m", 1));
+  cr_assert_not(engines.take("m", 1), "five of twenty");
+}
+
+Test(item_leases, work_for_old_weights_does_not_keep_work_for_new_ones_waiting) {
+  LeaseFixture fixture;
+  jobs::JobSubmission newer = submission("k", 2);
+  newer.minimumVersion = 8;
+  apply(fixture.state, jobs::SubmitJob{newer});
+  fixture.leases.addJob("k", *fixture.state.find("k"), fixture.now);
+  jobs::EngineRoom engines;
+  engines.add("", 7, 2);
+  engines.add("", 8, 1);
+  const auto first = fixture.leases.lease(kGateway, engines, fixture.state, fixture.now);
+  cr_assert_eq(first.size(), 3U);
+  cr_assert_eq(first[2].key.job, "j", "three old items fill the three places");
+  jobs::EngineRoom newEngines;
+  newEngines.add("", 8, 2);
+  const auto second = fixture.leases.lease(kOther, newEngines, fixture.state, fixture.now);
+  cr_assert_eq(second[1].key.job, "k");
 }
 
 Test(lease_order, what_the_caller_waits_for_comes_first) {
@@ -161,12 +230,12 @@
 
 Test(item_leases, lease_that_is_not_renewed_goes_to_another) {
   LeaseFixture fixture;
-  const auto leased = fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
+  const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
   (void)fixture.leases.renew(kGateway, {leased[0].key}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
   fixture.leases.refresh(fixture.state, fixture.now);
-  const auto again = fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now);
+  const auto again = fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
   const auto revoked = fixture.leases.renew(kGateway, keysOf(leased), fixture.state, fixture.now);
   cr_assert_eq(revoked.size(), 3U, "others run them by now");
@@ -174,58 +243,60 @@
 
 Test(item_leases, leaving_gateway_gives_back_what_it_does_not_hold) {
   LeaseFixture fixture;
-  const auto leased = fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
+  const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
   fixture.leases.giveBack(kGateway, {leased[0].key});
-  const auto again = fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now);
+  const auto again = fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
 }
 
 Test(item_leases, ended_jobs_revoke_and_lease_nothing) {
   LeaseFixture fixture;
-  const auto leased = fixture.leases.lease(kGateway, {{"", 2}}, fixture.state, fixture.now);
+  const auto leased = fixture.leases.lease(kGateway, room({{"", 2}}), fixture.state, fixture.now);
   apply(fixture.state, jobs::EndJob{"j"});
   cr_assert_eq(fixture.leases.renew(kGateway, keysOf(leased), fixture.state, fixture.now).size(),
                2U);
-  cr_assert(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).empty());
+  cr_assert(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).empty());
 }
 
 Test(item_leases, new_leader_first_hears_what_gateways_hold) {
   LeaseFixture fixture;
   fixture.leases.reset(2, fixture.now, base::milliseconds(500));
   fixture.leases.addJob("j", *fixture.state.find("j"), fixture.now);
-  cr_assert(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).empty());
+  cr_assert(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).empty());
   (void)fixture.leases.renew(kGateway, {{"j", 3}, {"j", 2}}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(600);
-  cr_assert_eq(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).size(), 2U);
+  cr_assert_eq(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).size(),
+               2U);
 }
 
 Test(item_leases, restarted_gateway_frees_what_its_former_run_held) {
   LeaseFixture fixture;
-  (void)fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
+  (void)fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
   const base::NodeId again = base::makeNodeId(1, 2);
   (void)fixture.leases.renew(again, {}, fixture.state, fixture.now);
   fixture.leases.refresh(fixture.state, fixture.now);
-  cr_assert_eq(fixture.leases.lease(again, {{"", 4}}, fixture.state, fixture.now).size(), 4U);
+  cr_assert_eq(fixture.leases.lease(again, room({{"", 4}}), fixture.state, fixture.now).size(), 4U);
 }
 
 Test(item_leases, broken_connection_ends_leases_that_are_not_renewed_soon) {
   LeaseFixture fixture;
-  const auto leased = fixture.leases.lease(kGateway, {{"", 4}}, fixture.state, fixture.now);
+  const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
   fixture.leases.onGatewayLost(1, base::milliseconds(300), fixture.now);
   fixture.now += base::milliseconds(200);
   (void)fixture.leases.renew(kGateway, {leased[0].key}, fixture.state, fixture.now);
   fixture.now += base::milliseconds(200);
   fixture.leases.refresh(fixture.state, fixture.now);
-  cr_assert_eq(fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now).size(), 3U);
+  cr_assert_eq(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).size(),
+               3U);
 }
 
 Test(item_leases, numbers_rise_also_across_leaders) {
   LeaseFixture fixture;
-  const auto leased = fixture.leases.lease(kGateway, {{"", 2}}, fixture.state, fixture.now);
+  const auto leased = fixture.leases.lease(kGateway, room({{"", 2}}), fixture.state, fixture.now);
   cr_assert_gt(leased[1].lease, leased[0].lease);
   fixture.leases.reset(2, fixture.now, base::Duration{0});
   fixture.leases.addJob("j", *fixture.state.find("j"), fixture.now);
-  const auto later = fixture.leases.lease(kOther, {{"", 4}}, fixture.state, fixture.now);
+  const auto later = fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now);
   cr_assert_gt(later[0].lease, leased[1].lease);
 }
 
