--- a/apps/tackpickd/main.cpp
+++ b/apps/tackpickd/main.cpp
@@ -11,6 +11,7 @@
 #include "platform_dialect.h"
 #include "runtime/daemon.h"
 #include "telemetry/log.h"
+#include "telemetry/metric.h"
 
 namespace {
 
@@ -48,7 +49,8 @@
       "http", "overrides http", cxxopts::value<std::string>()->default_value(""))(
       "zone", "overrides zone", cxxopts::value<std::string>()->default_value(""))(
       "data-folder", "overrides data_folder", cxxopts::value<std::string>()->default_value(""))(
-      "events", "print the event catalogue and exit")("help", "show this text");
+      "events", "print the event catalogue and exit")(
+      "metrics", "print the catalogue of figures and exit")("help", "show this text");
   const auto parsed = parser.parse(argc, argv);
   if (parsed.count("help") > 0) {
     std::cout << parser.help();
@@ -58,6 +60,10 @@
     std::cout << telemetry::catalogueAsMarkdown();
     std::exit(0);
   }
+  if (parsed.count("metrics") > 0) {
+    std::cout << telemetry::metricsAsMarkdown();
+    std::exit(0);
+  }
   Options options;
   options.settingsFile = parsed["settings"].as<std::string>();
   options.checkOnly = parsed.count("check") > 0;
--- a/src/config/cluster_settings.cpp
+++ b/src/config/cluster_settings.cpp
@@ -109,6 +109,7 @@
   settings.readiness = readEndpoint(reader, "readiness", gateway);
   settings.control =
       readEndpoint(reader, "control", settings.role == directory::NodeRole::kController);
+  settings.metrics = readEndpoint(reader, "metrics", false);
   readSeeds(reader, settings, problems);
   settings.bootstrap = reader.flag("bootstrap", false);
   settings.dataFolder =
--- a/src/config/cluster_settings.h
+++ b/src/config/cluster_settings.h
@@ -24,6 +24,7 @@
   transport::Endpoint traffic;                    ///< gateways: callers
   transport::Endpoint readiness;                  ///< gateways
   transport::Endpoint control;                    ///< controllers: operators and instances
+  transport::Endpoint metrics;                    ///< figures for scrapers; may be left out
   std::vector<transport::Endpoint> seeds;         ///< control interfaces of some controllers
   bool bootstrap = false;                         ///< the whole cluster starts for the first time
   std::string dataFolder;                         ///< controllers and ledgers
--- /dev/null
+++ b/src/directory/call_name.cpp
@@ -0,0 +1,31 @@
+#include "directory/call_name.h"
+
+namespace tackpick::directory {
+namespace {
+
+CallName nameOfTyped(const ReplaceConfiguration& request) {
+  return {"replace_configuration", std::to_string(request.configuration.version), true};
+}
+CallName nameOfTyped(const ReadConfiguration& /*request*/) {
+  return {"read_configuration", {}, false};
+}
+CallName nameOfTyped(const InstanceBeat& request) {
+  return {request.record.leaving ? "drain" : "heartbeat", request.record.id, false};
+}
+CallName nameOfTyped(const InstanceLeaves& request) { return {"leave", request.id, false}; }
+CallName nameOfTyped(const PublishVersion& request) {
+  return {"publish_version", request.model + ":" + std::to_string(request.version), true};
+}
+CallName nameOfTyped(const Watch& /*request*/) { return {"watch", {}, false}; }
+CallName nameOfTyped(const RetireNode& request) { return {"retire", request.name, true}; }
+CallName nameOfTyped(const ReadRetirement& request) {
+  return {"read_retirement", request.name, false};
+}
+
+}  // namespace
+
+CallName nameOf(const DirectoryRequest& request) {
+  return std::visit([](const auto& typed) { return nameOfTyped(typed); }, request);
+}
+
+}  // namespace tackpick::directory
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -70,6 +70,22 @@
 
 }  // namespace
 
+std::string_view toString(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kTaken:
+      return "taken";
+    case OrderOutcome::kHolds:
+      return "holds";
+    case OrderOutcome::kBusy:
+      return "busy";
+    case OrderOutcome::kRefused:
+      return "refused";
+    case OrderOutcome::kUncertain:
+      return "uncertain";
+  }
+  return "unknown";
+}
+
 void VersionOrders::reset(base::TimePoint ordersFrom) {
   orders_from_ = ordersFrom;
   homes_.clear();
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/identifiers.h"
@@ -62,6 +63,8 @@
   kUncertain,  ///< no answer: it may be taken, now or later
 };
 
+[[nodiscard]] std::string_view toString(OrderOutcome outcome);
+
 /// What the leader has heard of an engine.
 struct ReportedEngine {
   base::TimePoint heardAt{};
--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -18,6 +18,24 @@
 
 }  // namespace
 
+std::string_view toString(SendOutcome outcome) {
+  switch (outcome) {
+    case SendOutcome::kServed:
+      return "served";
+    case SendOutcome::kFailed:
+      return "failed";
+    case SendOutcome::kUnreached:
+      return "unreached";
+    case SendOutcome::kFull:
+      return "full";
+    case SendOutcome::kGone:
+      return "gone";
+    case SendOutcome::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
 std::uint64_t InstanceEntry::version(const std::string& model) const {
   const auto found = versions.find(model);
   return found == versions.end() ? 0 : found->second;
@@ -80,22 +98,62 @@
          (1.0 + kSharing * occupied + kQueueing * queued);
 }
 
+bool InstanceTable::isSound(const InstanceEntry& entry, const InstanceNeed& need,
+                            base::TimePoint now) {
+  const bool loads = entry.loading && !need.model.empty();
+  return serves(entry, need) && !loads && now >= entry.avoidUntil;
+}
+
+bool InstanceTable::hasRoom(const InstanceEntry& entry, base::TimePoint now) {
+  return busyness(entry, now) + 1 <= entry.record.slots;
+}
+
+bool InstanceTable::isUsable(const std::string& id, const InstanceNeed& need,
+                             base::TimePoint now) const {
+  const InstanceEntry* entry = find(id);
+  return entry != nullptr && isSound(*entry, need, now);
+}
+
+const InstanceEntry* InstanceTable::drawCheaper(const std::vector<const InstanceEntry*>& candidates,
+                                                int draws, const InstanceNeed& need,
+                                                base::Random& random, base::TimePoint now) const {
+  const InstanceEntry* best = nullptr;
+  for (int draw = 0; draw < draws && !candidates.empty(); ++draw) {
+    const InstanceEntry* drawn = candidates[random.below(candidates.size())];
+    if (best == nullptr || cost(*drawn, need, now) < cost(*best, need, now)) {
+      best = drawn;
+    }
+  }
+  return best;
+}
+
 const InstanceEntry* InstanceTable::findFaster(const InstanceNeed& need, const std::string& current,
-                                               double gain, base::TimePoint now) const {
+                                               double gain, base::Random& random,
+                                               base::TimePoint now) const {
   const InstanceEntry* here = find(current);
   if (here == nullptr || here->paceMs <= 0) {
     return nullptr;
   }
-  const InstanceEntry* best = nullptr;
+  std::vector<const InstanceEntry*> faster;
   for (const auto& [id, entry] : entries_) {
-    const bool usable = serves(entry, need) && !entry.loading && now >= entry.avoidUntil &&
-                        entry.paceMs > 0 && entry.paceMs * gain <= here->paceMs &&
-                        busyness(entry, now) + 1 <= entry.record.slots;
-    if (usable && (best == nullptr || entry.paceMs < best->paceMs)) {
-      best = &entry;
+    if (isSound(entry, need, now) && hasRoom(entry, now) && entry.paceMs > 0 &&
+        entry.paceMs * gain <= here->paceMs) {
+      faster.push_back(&entry);
     }
   }
-  return best;
+  return drawCheaper(faster, kDraws, need, random, now);
+}
+
+const InstanceEntry* InstanceTable::findIdle(const InstanceNeed& need,
+                                             const std::set<std::string>& tried,
+                                             base::Random& random, base::TimePoint now) const {
+  std::vector<const InstanceEntry*> idle;
+  for (const auto& [id, entry] : entries_) {
+    if (!tried.contains(id) && isSound(entry, need, now) && hasRoom(entry, now)) {
+      idle.push_back(&entry);
+    }
+  }
+  return drawCheaper(idle, kDraws, need, random, now);
 }
 
 const InstanceEntry* InstanceTable::select(const InstanceNeed& need,
@@ -119,17 +177,9 @@
     ranked.at(rank).push_back(&entry);
   }
   for (const auto& candidates : ranked) {
-    if (candidates.empty()) {
-      continue;
-    }
-    const InstanceEntry* best = nullptr;
-    for (int draw = 0; draw < (need.longRunning ? kDrawsWhenLong : kDraws); ++draw) {
-      const InstanceEntry* drawn = candidates[random.below(candidates.size())];
-      if (best == nullptr || cost(*drawn, need, now) < cost(*best, need, now)) {
-        best = drawn;
-      }
+    if (!candidates.empty()) {
+      return drawCheaper(candidates, need.longRunning ? kDrawsWhenLong : kDraws, need, random, now);
     }
-    return best;
   }
   return nullptr;
 }
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/random.h"
@@ -42,6 +43,8 @@
   kAbandoned,  ///< we broke off
 };
 
+[[nodiscard]] std::string_view toString(SendOutcome outcome);
+
 /// What an instance says of its load in an answer.
 struct ReportedLoad {
   std::uint32_t running = 0;
@@ -94,11 +97,20 @@
                base::TimePoint now);
   /// Events of a stream came so far apart on average.
   void onPace(const std::string& id, base::Duration perEvent);
-  /// The instance where a stream would go on faster: at least `gain` times as fast as at `current`,
-  /// with room. Nothing when there is none.
+  /// An instance where a stream would go on faster: at least `gain` times as fast as at `current`,
+  /// with room. Of two drawn at random the cheaper one, so that gateways do not all choose the
+  /// same. Nothing when there is none.
   [[nodiscard]] const InstanceEntry* findFaster(const InstanceNeed& need,
                                                 const std::string& current, double gain,
-                                                base::TimePoint now) const;
+                                                base::Random& random, base::TimePoint now) const;
+  /// An instance with room that has not been tried and refuses nothing now; nothing when there is
+  /// none.
+  [[nodiscard]] const InstanceEntry* findIdle(const InstanceNeed& need,
+                                              const std::set<std::string>& tried,
+                                              base::Random& random, base::TimePoint now) const;
+  /// True when the instance may be sent to now.
+  [[nodiscard]] bool isUsable(const std::string& id, const InstanceNeed& need,
+                              base::TimePoint now) const;
   void onLoad(const std::string& id, const ReportedLoad& load, base::TimePoint now);
   /// An answer named the version that makes it.
   void onVersion(const std::string& id, const std::string& model, std::uint64_t version);
@@ -117,6 +129,13 @@
   [[nodiscard]] static bool serves(const InstanceEntry& entry, const InstanceNeed& need);
   /// Requests at an instance, as far as this gateway knows.
   [[nodiscard]] static double busyness(const InstanceEntry& entry, base::TimePoint now);
+  [[nodiscard]] static bool isSound(const InstanceEntry& entry, const InstanceNeed& need,
+                                    base::TimePoint now);
+  [[nodiscard]] static bool hasRoom(const InstanceEntry& entry, base::TimePoint now);
+  /// Of two drawn at random the cheaper one.
+  [[nodiscard]] const InstanceEntry* drawCheaper(
+      const std::vector<const InstanceEntry*>& candidates, int draws, const InstanceNeed& need,
+      base::Random& random, base::TimePoint now) const;
   [[nodiscard]] double cost(const InstanceEntry& entry, const InstanceNeed& need,
                             base::TimePoint now) const;
 
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "directory/call_name.h"
 #include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
@@ -46,13 +47,37 @@
   }
   const auto directoryCall =
       std::make_shared<directory::DirectoryRequest>(std::get<directory::DirectoryRequest>(call));
-  node_.member().call(*directoryCall, kCallDeadline, node_.now(),
-                      [this, exchange, directoryCall](const directory::DirectoryReply* reply) {
-                        const edge::Answer answer =
-                            node_.dialect().controlAnswer(*directoryCall, reply);
-                        exchange->respond(answer.status, answer.headers, answer.body);
-                      });
+  node_.member().call(
+      *directoryCall, kCallDeadline, node_.now(),
+      [this, exchange, directoryCall, begun = node_.now()](const directory::DirectoryReply* reply) {
+        const edge::Answer answer = node_.dialect().controlAnswer(*directoryCall, reply);
+        exchange->respond(answer.status, answer.headers, answer.body);
+        onReply(*directoryCall, reply, answer.status, node_.now() - begun);
+      });
   node_.wake();
 }
 
+void ControlFront::onReply(const directory::DirectoryRequest& request,
+                           const directory::DirectoryReply* reply, int status,
+                           base::Duration took) {
+  const directory::CallName name = directory::nameOf(request);
+  node_.metrics().count(telemetry::CounterId::kControlCalls,
+                        std::string(name.call) + "_" + std::to_string(status));
+  node_.metrics().observe(telemetry::HistogramId::kControlCallTime, took);
+  const bool leaves = name.call == "drain" || name.call == "leave";
+  telemetry::Detail detail;
+  detail.add("call", name.call).add("subject", name.subject);
+  detail.add("status", static_cast<std::uint64_t>(status)).add("took_ms", took);
+  if (reply == nullptr) {
+    telemetry::logEvent(telemetry::EventId::kCallUnanswered, detail.text());
+  } else if (name.changes) {
+    const bool accepted = status == kOk;
+    telemetry::logEvent(
+        accepted ? telemetry::EventId::kChangeAccepted : telemetry::EventId::kChangeRefused,
+        detail.add("reason", accepted ? "" : reply->text).text());
+  } else if (leaves) {
+    telemetry::logEvent(telemetry::EventId::kInstanceLeaving, detail.text());
+  }
+}
+
 }  // namespace tackpick::node
--- a/src/node/control_front.h
+++ b/src/node/control_front.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 
+#include "directory/directory_messages.h"
 #include "http/exchange_server.h"
 
 namespace tackpick::node {
@@ -18,6 +19,9 @@
  private:
   void onRequest(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange);
 
+  void onReply(const directory::DirectoryRequest& request, const directory::DirectoryReply* reply,
+               int status, base::Duration took);
+
   Node& node_;
   http::ExchangeServer server_;
 };
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -85,6 +85,7 @@
                                                                const http::UpstreamEnd& end) const;
   void deliver(const Send& send);
   void answerOwn(int status);
+  void countAnswer(int status);
   void giveUp();
   void onDeadline();
   void onCallerGone();
@@ -100,6 +101,7 @@
   forwarding::AttemptPolicy policy_;
   forwarding::InstanceNeed need_;
   std::set<std::string> tried_;
+  std::string tries_;                    ///< instances and how the sends there ended, for the log
   std::map<std::uint64_t, Send> sends_;  ///< running ones
   std::uint64_t next_send_ = 0;
   std::optional<Send> failure_;  ///< a server's whole answer that reports its failure
@@ -232,6 +234,8 @@
   sends_.erase(found);
   const auto [result, outcome] = classify(send, end);
   instances_.onEnded(send.instance, outcome, node_.now() - send.sentAt, node_.now());
+  node_.metrics().count(telemetry::CounterId::kSendsEnded, toString(outcome));
+  tries_ += (tries_.empty() ? "" : ",") + send.instance + ":" + std::string(toString(outcome));
   policy_.onResult(result);
   if (send.passedOn) {
     if (end.complete) {
@@ -252,7 +256,13 @@
   sendOrGiveUp();
 }
 
+void ForwardedRequest::countAnswer(int status) {
+  node_.metrics().count(telemetry::CounterId::kRequestsAnswered, std::to_string(status));
+  node_.metrics().observe(telemetry::HistogramId::kRequestTime, node_.now() - request_.receivedAt);
+}
+
 void ForwardedRequest::deliver(const Send& send) {
+  countAnswer(send.status);
   exchange_->respond(send.status, send.headers, send.body);
   finish(SendOutcome::kAbandoned);
 }
@@ -283,14 +293,21 @@
   if (status == kUnavailable) {
     headers.add("Retry-After", kRetryAfterSeconds);
   }
+  node_.metrics().count(telemetry::CounterId::kRequestsGivenUp, base::toString(policy_.verdict()));
   telemetry::logEvent(
       telemetry::EventId::kRequestGivenUp,
-      "request=" + request_.headers.value(node_.dialect().headers().requestId) +
-          " route=" + route_.name + " status=" + std::to_string(status) +
-          " sends=" + std::to_string(policy_.sends()) +
-          " verdict=" + std::string(base::toString(policy_.verdict())) + " age_ms=" +
-          std::to_string(
-              static_cast<int>(base::toMilliseconds(node_.now() - request_.receivedAt))));
+      telemetry::Detail()
+          .add("request", request_.headers.value(node_.dialect().headers().requestId))
+          .add("route", route_.name)
+          .add("status", static_cast<std::uint64_t>(status))
+          .add("sends", std::uint64_t{policy_.sends()})
+          .add("running", std::uint64_t{policy_.running()})
+          .add("tries", tries_)
+          .add("usable", instances_.count(need_.service))
+          .add("verdict", base::toString(policy_.verdict()))
+          .add("age_ms", node_.now() - request_.receivedAt)
+          .text());
+  countAnswer(status);
   exchange_->respond(status, headers, {});
   finish(SendOutcome::kFailed);
 }
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "http/status.h"
+#include "jobs/call_name.h"
 #include "node/node.h"
 #include "telemetry/log.h"
 
@@ -102,12 +103,56 @@
     deadline += read->hold;
   }
   ledgers_.call(request, deadline, node_.now(),
-                [this, request, exchange](const jobs::JobReply* reply) {
+                [this, request, exchange, begun = node_.now()](const jobs::JobReply* reply) {
                   const edge::Answer answer = node_.dialect().jobAnswer(request, reply);
                   exchange->respond(answer.status, answer.headers, answer.body);
+                  onJobReply(request, reply, answer, node_.now() - begun);
                 });
 }
 
+void GatewayFront::onJobReply(const jobs::JobRequest& request, const jobs::JobReply* reply,
+                              const edge::Answer& answer, base::Duration took) {
+  const jobs::CallName name = jobs::nameOf(request);
+  node_.metrics().count(telemetry::CounterId::kLedgerCalls,
+                        std::string(name.call) + "_" + std::to_string(answer.status));
+  const auto* read = std::get_if<jobs::ReadJob>(&request);
+  if (read == nullptr) {
+    node_.metrics().observe(telemetry::HistogramId::kLedgerCallTime, took);
+  }
+  telemetry::Detail detail;
+  detail.add("job", name.job).add("call", name.call);
+  detail.add("status", static_cast<std::uint64_t>(answer.status)).add("took_ms", took);
+  if (reply == nullptr) {
+    telemetry::logEvent(telemetry::EventId::kJobCallUnanswered, detail.text());
+  } else if (const auto* submission = std::get_if<jobs::SubmitJob>(&request)) {
+    detail.add("items", submission->job.items.size()).add("model", submission->job.model);
+    detail.add("minimum_version", submission->job.minimumVersion);
+    detail.add("wanted_groups", std::uint64_t{submission->job.wantedGroups});
+    telemetry::logEvent(telemetry::EventId::kJobSubmitted, detail.text());
+  } else if (std::holds_alternative<jobs::EndJob>(request)) {
+    telemetry::logEvent(telemetry::EventId::kJobEnded, detail.text());
+  }
+}
+
+void GatewayFront::reportFigures(telemetry::Metrics& metrics) const {
+  std::map<std::string, double> states = {
+      {"ready", 0}, {"leaving", 0}, {"loading", 0}, {"avoided", 0}};
+  for (const auto& [id, entry] : instances_.entries()) {
+    if (entry.record.leaving || entry.gone) {
+      ++states["leaving"];
+    } else if (entry.loading) {
+      ++states["loading"];
+    } else {
+      ++states[node_.now() < entry.avoidUntil ? "avoided" : "ready"];
+    }
+  }
+  for (const auto& [state, count] : states) {
+    metrics.set(telemetry::GaugeId::kInstances, state, count);
+  }
+  metrics.set(telemetry::GaugeId::kOpenExchanges, static_cast<double>(traffic_.openExchanges()));
+  items_.reportFigures(metrics);
+}
+
 void GatewayFront::beginStop() {
   stopping_ = true;
   stop_begun_ = node_.now();
--- a/src/node/gateway_front.h
+++ b/src/node/gateway_front.h
@@ -24,12 +24,15 @@
   void tick();
   void beginStop();
   [[nodiscard]] bool stopComplete() const;
+  void reportFigures(telemetry::Metrics& metrics) const;
 
  private:
   void onRequest(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange);
   void onReadiness(const std::shared_ptr<http::Exchange>& exchange) const;
   void callLedgers(const jobs::JobRequest& request,
                    const std::shared_ptr<http::Exchange>& exchange);
+  void onJobReply(const jobs::JobRequest& request, const jobs::JobReply* reply,
+                  const edge::Answer& answer, base::Duration took);
   /// How long a planned stop may take; a little of the grace period is left for the end.
   [[nodiscard]] base::Duration longestStop() const;
   [[nodiscard]] bool ready() const { return configuration_->version > 0 && !stopping_; }
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -14,6 +14,10 @@
 using namespace http::status;
 
 using forwarding::SendOutcome;
+using telemetry::CounterId;
+using telemetry::Detail;
+using telemetry::EventId;
+using telemetry::HistogramId;
 
 constexpr base::Duration kLeaseInterval = base::milliseconds(80);
 constexpr base::Duration kIdleLeaseInterval = base::milliseconds(160);
@@ -30,6 +34,9 @@
 constexpr base::Duration kLongRun = base::milliseconds(900);
 constexpr double kMoveGain = 1.25;
 constexpr std::uint32_t kMostMoves = 4;
+/// Without a byte for so long after it was sent, an item waits for a place.
+constexpr base::Duration kQueueLimit = base::milliseconds(500);
+constexpr std::uint32_t kMostQueueMoves = 3;
 /// Items beyond the engines' places that may wait at them, in percent.
 constexpr std::uint32_t kOvercommitPercent = 110;
 
@@ -55,6 +62,7 @@
   const base::TimePoint now = node_.now();
   cutSilent(now);
   moveFromSlow(now);
+  moveFromQueues(now);
   startAttempts(now);
   commit(now);
   if (!released_) {
@@ -123,6 +131,8 @@
 }
 
 void ItemRunner::giveBack() {
+  telemetry::logEvent(EventId::kItemsReleased,
+                      Detail().add("items", unfinishedRuns().size()).text());
   std::erase_if(items_, [](const auto& entry) { return !entry.second->finished; });
   lease(node_.now());
 }
@@ -136,6 +146,7 @@
     }
   }
   const base::TimePoint now = node_.now();
+  noteLeased(reply.leased);
   for (const jobs::LeasedItem& leased : reply.leased) {
     if (items_.contains(leased.key)) {
       continue;
@@ -149,6 +160,20 @@
   startAttempts(now);
 }
 
+void ItemRunner::noteLeased(const std::vector<jobs::LeasedItem>& leased) {
+  std::map<std::string, std::uint64_t> items;
+  std::map<std::string, std::uint64_t> continued;
+  for (const jobs::LeasedItem& item : leased) {
+    ++items[item.key.job];
+    continued[item.key.job] += item.progress ? 1 : 0;
+  }
+  for (const auto& [job, count] : items) {
+    telemetry::logEvent(
+        EventId::kItemLeased,
+        Detail().add("job", job).add("items", count).add("continued", continued[job]).text());
+  }
+}
+
 void ItemRunner::startAttempts(base::TimePoint now) {
   if (released_ || now - renewed_at_ > kLeaseTrust) {
     return;
@@ -168,9 +193,7 @@
     return;
   }
   item.service = directory::drawService(*route, node_.random());
-  const forwarding::InstanceNeed need{item.service, leased.model, leased.minimumVersion,
-                                      isLong(item)};
-  const auto* entry = instances_.select(need, item.tried, node_.random(), now);
+  const forwarding::InstanceEntry* entry = chooseInstance(item, now);
   if (entry == nullptr) {
     retryLater(item, kRetryDelay);
     return;
@@ -206,6 +229,20 @@
   item.exchange = node_.upstream().start(std::move(request), std::move(events));
 }
 
+forwarding::InstanceNeed ItemRunner::needOf(const Running& item) const {
+  const jobs::LeasedItem& leased = item.run.leased();
+  return {item.service, leased.model, leased.minimumVersion, isLong(item)};
+}
+
+const forwarding::InstanceEntry* ItemRunner::chooseInstance(Running& item, base::TimePoint now) {
+  const forwarding::InstanceNeed need = needOf(item);
+  const std::string next = std::exchange(item.next, {});
+  if (!next.empty() && instances_.isUsable(next, need, now)) {
+    return instances_.find(next);
+  }
+  return instances_.select(need, item.tried, node_.random(), now);
+}
+
 void ItemRunner::onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers) {
   const auto found = items_.find(key);
   if (found == items_.end()) {
@@ -245,6 +282,9 @@
       return;
     }
     demand_.add(item.run.leased().model, 1.0, item.lastByteAt);
+    if (item.begunAfter == base::Duration{0}) {
+      item.begunAfter = item.lastByteAt - item.firstSentAt;
+    }
     notePace(item, item.lastByteAt);
   }
 }
@@ -257,38 +297,48 @@
   Running& item = *found->second;
   item.exchange = {};
   const base::TimePoint now = node_.now();
-  const auto ended = [&](SendOutcome outcome) {
-    instances_.onEnded(item.instance, outcome, now - item.sentAt, now);
-  };
   if (!end.complete) {
-    ended(end.verdict == base::Verdict::kNotRun ? SendOutcome::kUnreached : SendOutcome::kFailed);
-    retryLater(item, base::Duration{0});
+    const bool unreached = end.verdict == base::Verdict::kNotRun;
+    onAttemptFailed(key, item, unreached ? SendOutcome::kUnreached : SendOutcome::kFailed, {});
   } else if (item.status == kMisdirected) {
-    ended(SendOutcome::kGone);
-    retryLater(item, base::Duration{0});
+    onAttemptFailed(key, item, SendOutcome::kGone, {});
   } else if (item.notExecuted) {
-    ended(SendOutcome::kFull);
-    retryLater(item, kRetryDelay);
+    onAttemptFailed(key, item, SendOutcome::kFull, kRetryDelay);
+  } else if (item.status == kOk && isWhole(item)) {
+    instances_.onEnded(item.instance, SendOutcome::kServed, now - item.sentAt, now);
+    node_.metrics().count(CounterId::kItemAttemptsEnded, toString(SendOutcome::kServed));
+    finishItem(key, item, item.run.completed());
   } else {
-    ended(item.status == kOk ? SendOutcome::kServed : SendOutcome::kFailed);
-    onWholeAnswer(key, item);
+    onAttemptFailed(key, item, SendOutcome::kFailed, kRetryDelay);
+    if (item.status == kUnprocessable || (item.status == kServerError && item.run.onFailure())) {
+      finishItem(key, item, item.run.terminated());
+    }
   }
 }
 
-void ItemRunner::onWholeAnswer(const jobs::ItemKey& key, Running& item) {
-  if (item.status == kOk) {
-    const bool whole = !item.unusable && !item.parser.hasRest() && item.run.lastEvent();
-    if (whole) {
-      finishItem(key, item, item.run.completed());
-    } else {
-      retryLater(item, kRetryDelay);
-    }
-  } else if (item.status == kUnprocessable ||
-             (item.status == kServerError && item.run.onFailure())) {
-    finishItem(key, item, item.run.terminated());
-  } else {
-    retryLater(item, kRetryDelay);
-  }
+bool ItemRunner::isWhole(const Running& item) {
+  return !item.unusable && !item.parser.hasRest() && item.run.lastEvent();
+}
+
+void ItemRunner::onAttemptFailed(const jobs::ItemKey& key, Running& item, SendOutcome outcome,
+                                 base::Duration delay) {
+  const base::TimePoint now = node_.now();
+  instances_.onEnded(item.instance, outcome, now - item.sentAt, now);
+  node_.metrics().count(CounterId::kItemAttemptsEnded, toString(outcome));
+  // Refusals for want of room are many and repeated soon: they are counted only.
+  if (outcome != SendOutcome::kFull) {
+    telemetry::logEvent(EventId::kAttemptFailed,
+                        Detail()
+                            .add("job", key.job)
+                            .add("item", item.run.leased().item.id)
+                            .add("instance", item.instance)
+                            .add("outcome", toString(outcome))
+                            .add("status", static_cast<std::uint64_t>(item.status))
+                            .add("events", item.run.lastEvent().value_or(0))
+                            .add("after_ms", now - item.sentAt)
+                            .text());
+  }
+  retryLater(item, delay);
 }
 
 void ItemRunner::retryLater(Running& item, base::Duration delay) {
@@ -305,12 +355,12 @@
 
 void ItemRunner::cutSilent(base::TimePoint now) {
   for (const auto& [key, item] : items_) {
-    if (item->exchange.valid() && (item->unusable || now - item->lastByteAt > kSilenceLimit)) {
+    const bool silent = now - item->lastByteAt > kSilenceLimit;
+    if (item->exchange.valid() && (item->unusable || silent)) {
       node_.upstream().cancel(item->exchange);
       item->exchange = {};
-      instances_.onEnded(item->instance,
-                         item->unusable ? SendOutcome::kAbandoned : SendOutcome::kFailed,
-                         now - item->sentAt, now);
+      onAttemptFailed(key, *item, item->unusable ? SendOutcome::kAbandoned : SendOutcome::kFailed,
+                      {});
     }
   }
 }
@@ -340,45 +390,79 @@
     if (!mayMove) {
       continue;
     }
-    const jobs::LeasedItem& leased = item->run.leased();
-    const forwarding::InstanceNeed need{item->service, leased.model, leased.minimumVersion, true};
-    const auto* faster = instances_.findFaster(need, item->instance, kMoveGain, now);
-    if (faster == nullptr) {
+    const auto* faster =
+        instances_.findFaster(needOf(*item), item->instance, kMoveGain, node_.random(), now);
+    if (faster != nullptr) {
+      ++item->moves;
+      moveTo(key, *item, faster->record.id, "slow");
+    }
+  }
+}
+
+void ItemRunner::moveFromQueues(base::TimePoint now) {
+  for (const auto& [key, item] : items_) {
+    const bool waits = item->exchange.valid() && item->lastByteAt == item->sentAt &&
+                       now - item->sentAt > kQueueLimit && item->queueMoves < kMostQueueMoves;
+    if (!waits) {
       continue;
     }
-    telemetry::logEvent(telemetry::EventId::kItemMoved,
-                        "job=" + key.job + " item=" + leased.item.id + " from=" + item->instance +
-                            " to=" + faster->record.id);
-    ++item->moves;
-    cancelAttempt(*item);
-    item->tried.insert(item->instance);
-    retryLater(*item, base::Duration{0});
+    const auto* idle = instances_.findIdle(needOf(*item), item->tried, node_.random(), now);
+    if (idle != nullptr) {
+      ++item->queueMoves;
+      moveTo(key, *item, idle->record.id, "full");
+    }
   }
 }
 
+void ItemRunner::moveTo(const jobs::ItemKey& key, Running& item, const std::string& instance,
+                        std::string_view reason) {
+  node_.metrics().count(CounterId::kItemsMoved, reason);
+  telemetry::logEvent(EventId::kItemMoved, Detail()
+                                               .add("job", key.job)
+                                               .add("item", item.run.leased().item.id)
+                                               .add("from", item.instance)
+                                               .add("to", instance)
+                                               .add("reason", reason)
+                                               .add("events", item.run.lastEvent().value_or(0))
+                                               .text());
+  cancelAttempt(item);
+  item.tried.insert(item.instance);
+  item.next = instance;
+  retryLater(item, base::Duration{0});
+}
+
 void ItemRunner::finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result) {
   item.finished = true;
-  if (result.state == jobs::ItemState::kTerminated) {
-    telemetry::logEvent(telemetry::EventId::kItemGivenUp,
-                        "job=" + key.job + " item=" + item.run.leased().item.id +
-                            " status=" + std::to_string(item.status));
-  } else {
-    const auto millis = [](base::Duration time) {
-      return std::to_string(static_cast<int>(base::toMilliseconds(time)));
-    };
-    const base::TimePoint now = node_.now();
-    telemetry::logEvent(
-        telemetry::EventId::kItemFinished,
-        "job=" + key.job + " item=" + item.run.leased().item.id + " instance=" + item.instance +
-            " lease_age_ms=" + millis(item.run.leased().age) + " wait_ms=" +
-            millis(item.firstSentAt - item.leasedAt) + " run_ms=" + millis(now - item.firstSentAt) +
-            " last_ms=" + millis(now - item.sentAt) + " attempts=" + std::to_string(item.attempts) +
-            " events=" + std::to_string(item.run.lastEvent().value_or(0)) +
-            " hint=" + std::to_string(item.run.leased().item.expectedTokens));
+  const bool completed = result.state == jobs::ItemState::kCompleted;
+  node_.metrics().count(CounterId::kItemsFinished, completed ? "completed" : "terminated");
+  const base::TimePoint now = node_.now();
+  const jobs::LeasedItem& leased = item.run.leased();
+  Detail detail;
+  detail.add("job", key.job).add("item", leased.item.id).add("group", leased.item.group);
+  detail.add("instance", item.instance).add("status", static_cast<std::uint64_t>(item.status));
+  detail.add("lease_age_ms", leased.age).add("wait_ms", item.firstSentAt - item.leasedAt);
+  detail.add("run_ms", now - item.firstSentAt).add("begun_ms", item.begunAfter);
+  detail.add("last_ms", now - item.sentAt).add("attempts", std::uint64_t{item.attempts});
+  detail.add("events", item.run.lastEvent().value_or(0));
+  detail.add("hint", std::uint64_t{leased.item.expectedTokens});
+  telemetry::logEvent(completed ? EventId::kItemFinished : EventId::kItemGivenUp, detail.text());
+  if (completed) {
+    const base::Duration begun = item.firstSentAt - item.leasedAt + item.begunAfter;
+    node_.metrics().observe(HistogramId::kItemWait, leased.age + begun);
+    node_.metrics().observe(HistogramId::kItemRun, now - item.firstSentAt - item.begunAfter);
   }
   results_[key.job].push_back(std::move(result));
 }
 
+void ItemRunner::reportFigures(telemetry::Metrics& metrics) const {
+  std::size_t waiting = 0;
+  for (const auto& [job, results] : results_) {
+    waiting += results.size();
+  }
+  metrics.set(telemetry::GaugeId::kItemsRunning, static_cast<double>(items_.size()));
+  metrics.set(telemetry::GaugeId::kResultsWaiting, static_cast<double>(waiting));
+}
+
 void ItemRunner::commit(base::TimePoint now) {
   if (committing_ || results_.empty()) {
     return;
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -13,6 +13,7 @@
 #include "http/upstream_client.h"
 #include "jobs/item_run.h"
 #include "jobs/progress_saver.h"
+#include "telemetry/metric.h"
 
 namespace tackpick::node {
 
@@ -36,7 +37,7 @@
   void beginStop() { stopping_ = true; }
   /// Breaks off what runs, hands its texts to the ledgers and gives all leases back.
   void release();
-  [[nodiscard]] const jobs::ProgressSaver& progress() const { return progress_; }
+  void reportFigures(telemetry::Metrics& metrics) const;
   /// Nothing runs and every result is handed in.
   [[nodiscard]] bool idle() const { return items_.empty() && results_.empty() && !committing_; }
 
@@ -59,6 +60,9 @@
     int status = 0;
     std::uint32_t attempts = 0;
     std::uint32_t moves = 0;       ///< to faster engines
+    std::uint32_t queueMoves = 0;  ///< away from engines where it waited
+    std::string next;              ///< where it is to go on, when that is decided
+    base::Duration begunAfter{0};  ///< from its first send to its first event
     std::uint32_t paceEvents = 0;  ///< events since the pace was last noted
     base::TimePoint paceSince{};
     base::TimePoint firstSentAt{};
@@ -77,13 +81,24 @@
   void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
   void onData(const jobs::ItemKey& key, std::string_view data);
   void onEnd(const jobs::ItemKey& key, const http::UpstreamEnd& end);
-  void onWholeAnswer(const jobs::ItemKey& key, Running& item);
+  [[nodiscard]] static bool isWhole(const Running& item);
+  static void noteLeased(const std::vector<jobs::LeasedItem>& leased);
   void retryLater(Running& item, base::Duration delay);
   void cutSilent(base::TimePoint now);
   /// Continues items elsewhere that have run long on an engine much slower than another.
   void moveFromSlow(base::TimePoint now);
+  /// Sends items elsewhere that wait at a full engine while another has room.
+  void moveFromQueues(base::TimePoint now);
+  [[nodiscard]] forwarding::InstanceNeed needOf(const Running& item) const;
+  /// Breaks the running attempt off; the item goes on at `instance`.
+  void moveTo(const jobs::ItemKey& key, Running& item, const std::string& instance,
+              std::string_view reason);
+  [[nodiscard]] const forwarding::InstanceEntry* chooseInstance(Running& item, base::TimePoint now);
   void notePace(Running& item, base::TimePoint now);
   [[nodiscard]] bool isLong(const Running& item) const;
+  /// A run ended without the whole text: notes why, and when the next may begin.
+  void onAttemptFailed(const jobs::ItemKey& key, Running& item, forwarding::SendOutcome outcome,
+                       base::Duration delay);
   void cancelAttempt(Running& item);
   void finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result);
   void commit(base::TimePoint now);
--- /dev/null
+++ b/src/node/metrics_front.cpp
@@ -0,0 +1,61 @@
+#include "node/metrics_front.h"
+
+#include <utility>
+
+#include "http/status.h"
+#include "node/node.h"
+#include "telemetry/log.h"
+
+namespace tackpick::node {
+namespace {
+
+using telemetry::CounterId;
+using telemetry::GaugeId;
+
+constexpr const char* kMetricsPath = "/metrics";
+
+}  // namespace
+
+MetricsFront::MetricsFront(Node& node)
+    : m_node(node),
+      m_server(
+          node.context(), node.settings().metrics.host, node.settings().metrics.port, {},
+          [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
+            onRequest(request, exchange);
+          }) {}
+
+void MetricsFront::onRequest(const http::RawRequest& request,
+                             const std::shared_ptr<http::Exchange>& exchange) {
+  if (request.method != "GET" || request.path() != kMetricsPath) {
+    exchange->respond(http::status::kNotFound, {}, {});
+    return;
+  }
+  refresh();
+  m_node.reportFigures();
+  http::HeaderList headers;
+  headers.add("Content-Type", "text/plain; version=0.0.4");
+  exchange->respond(http::status::kOk, headers, m_node.metrics().text());
+}
+
+void MetricsFront::refresh() {
+  telemetry::PrometheusMetrics& metrics = m_node.metrics();
+  const auto tell = [&](CounterId id, std::uint64_t& told, std::uint64_t value) {
+    metrics.count(id, {}, value - std::exchange(told, value));
+  };
+  const http::UpstreamCounters& upstream = m_node.upstream().counters();
+  tell(CounterId::kConnectionsOpened, m_told.connections, upstream.connectionsOpened);
+  tell(CounterId::kForeignAnswers, m_told.foreignAnswers, upstream.foreignAnswers);
+  tell(CounterId::kInternalBytesSent, m_told.bytesSent, m_node.network().bytesSent());
+  tell(CounterId::kInternalBytesReceived, m_told.bytesReceived, m_node.network().bytesReceived());
+  tell(CounterId::kLogLinesDropped, m_told.droppedLines, telemetry::logCounters().droppedLines);
+  const cluster::ClusterMember& member = m_node.member();
+  metrics.set(GaugeId::kConfigurationVersion, static_cast<double>(member.configuration().version));
+  if (const auto heardAt = member.heardAt()) {
+    metrics.set(GaugeId::kControllersHeardAge, base::toSeconds(m_node.now() - *heardAt));
+  }
+  for (const auto& [model, version] : member.view().publishedVersions) {
+    metrics.set(GaugeId::kPublishedVersion, model, static_cast<double>(version));
+  }
+}
+
+}  // namespace tackpick::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,6 +6,7 @@
 #include "base/random.h"
 #include "node/control_front.h"
 #include "node/gateway_front.h"
+#include "node/metrics_front.h"
 #include "runtime/node_identity.h"
 #include "storage/posix_file_system.h"
 #include "telemetry/log.h"
@@ -14,7 +15,10 @@
 namespace tackpick::node {
 namespace {
 
+using telemetry::CounterId;
+using telemetry::Detail;
 using telemetry::EventId;
+using telemetry::GaugeId;
 using telemetry::logEvent;
 
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
@@ -22,6 +26,9 @@
 constexpr const char* kDirectoryFolder = "directory";
 constexpr const char* kLedgerFolder = "ledger";
 
+/// A turn that takes longer is told: a slow disk, or work that should be spread.
+constexpr base::Duration kSlowTurn = base::milliseconds(200);
+
 /// How long a replica stays after it has been asked to stop, so that another leads by then.
 constexpr base::Duration kReplicaStop = base::milliseconds(300);
 
@@ -198,6 +205,9 @@
     } else if (settings_.role == directory::NodeRole::kGateway) {
       gateway_front_ = std::make_unique<GatewayFront>(*this);
     }
+    if (!settings_.metrics.host.empty()) {
+      metrics_front_ = std::make_unique<MetricsFront>(*this);
+    }
   } catch (const std::exception& error) {
     return base::fail(base::ErrorCode::kNetwork, std::string("cannot listen: ") + error.what());
   }
@@ -205,8 +215,11 @@
 }
 
 int Node::run() {
-  logEvent(EventId::kProcessStarted,
-           "node=" + std::to_string(self_.value) + " name=" + settings_.name);
+  logEvent(EventId::kProcessStarted, Detail()
+                                         .add("node", self_.value)
+                                         .add("name", settings_.name)
+                                         .add("zone", settings_.zone)
+                                         .text());
   waitForSignal();
   tick();
   context_.run();
@@ -219,7 +232,10 @@
     if (error) {
       return;
     }
-    if (signal != SIGHUP) {
+    if (signal == SIGHUP) {
+      // Nothing that may change while a process runs stands in its settings file.
+      logEvent(EventId::kSettingsChanged, Detail().add("name", settings_.name).text());
+    } else {
       beginStop();
     }
     waitForSignal();
@@ -266,6 +282,7 @@
   }
   turn();
   observe();
+  telemetry::flushLog();
   if (failed_ || (stopping_ && stopComplete())) {
     context_.stop();
     return;
@@ -288,6 +305,7 @@
 
 void Node::turn() {
   turn_scheduled_ = false;
+  const base::TimePoint begun = now();
   if (directory_) {
     const directory::DirectoryActions actions = directory_->finish(now());
     sendAll(actions.messages);
@@ -302,6 +320,11 @@
     sendAll(ledger_->finish(now()));
   }
   sendAll(member_->takeMessages());
+  const base::Duration took = now() - begun;
+  metrics_.observe(telemetry::HistogramId::kTurnTime, took);
+  if (took > kSlowTurn) {
+    logEvent(EventId::kSlowTurn, Detail().add("took_ms", took).text());
+  }
 }
 
 void Node::sendAll(const transport::Outbox& outbox) {
@@ -366,19 +389,27 @@
 }
 
 void Node::sendOrder(const directory::VersionOrder& order) {
-  logEvent(EventId::kEngineOrdered, "instance=" + order.instance + " model=" + order.model +
-                                        " version=" + std::to_string(order.version) +
-                                        " fence=" + std::to_string(order.fence));
+  logEvent(EventId::kEngineOrdered, Detail()
+                                        .add("instance", order.instance)
+                                        .add("model", order.model)
+                                        .add("version", order.version)
+                                        .add("fence", order.fence)
+                                        .text());
   const auto status = std::make_shared<int>(0);
   http::UpstreamEvents events;
   events.onHead = [status](int code, const http::HeaderList&) { *status = code; };
   events.onEnd = [this, order, status](const http::UpstreamEnd& end) {
     const directory::OrderOutcome outcome =
         end.complete ? dialect_.orderOutcome(*status) : directory::OrderOutcome::kUncertain;
+    metrics_.count(CounterId::kOrdersGiven, directory::toString(outcome));
     if (outcome == directory::OrderOutcome::kRefused ||
         outcome == directory::OrderOutcome::kUncertain) {
-      logEvent(EventId::kEngineOrderFailed, "instance=" + order.instance + " status=" +
-                                                std::to_string(*status) + " error=" + end.error);
+      logEvent(EventId::kEngineOrderFailed, Detail()
+                                                .add("instance", order.instance)
+                                                .add("outcome", directory::toString(outcome))
+                                                .add("status", static_cast<std::uint64_t>(*status))
+                                                .add("error", end.error)
+                                                .text());
     }
     directory_->onOrderOutcome(order, outcome, now());
     wake();
@@ -400,34 +431,67 @@
   upstream_->start(dialect_.reportRequest(engine), std::move(events));
 }
 
-void Node::observe() {
-  const consensus::Replica* replica = nullptr;
+const consensus::Replica* Node::replica() const {
   if (directory_) {
-    replica = &directory_->replica();
-  } else if (ledger_) {
-    replica = &ledger_->replica();
+    return &directory_->replica();
   }
-  if (replica == nullptr) {
-    return;
+  return ledger_ ? &ledger_->replica() : nullptr;
+}
+
+void Node::observe() {
+  if (const consensus::Replica* own = replica()) {
+    observeReplica(*own);
   }
-  const consensus::RaftConsensus& raft = replica->raft();
+}
+
+void Node::observeReplica(const consensus::Replica& replica) {
+  const consensus::RaftConsensus& raft = replica.raft();
   if (raft.isLeader() != reported_leader_) {
     reported_leader_ = raft.isLeader();
+    if (reported_leader_) {
+      metrics_.count(CounterId::kElectionsWon);
+    }
     logEvent(reported_leader_ ? EventId::kBecameLeader : EventId::kLostLeadership,
-             "group=" + std::to_string(replica->group().value) +
-                 " term=" + std::to_string(raft.currentTerm()) +
-                 " applied=" + std::to_string(replica->appliedIndex()));
+             Detail()
+                 .add("group", replica.group().value)
+                 .add("term", raft.currentTerm())
+                 .add("applied", replica.appliedIndex())
+                 .text());
   }
   const std::size_t voters = raft.membership().voters.size();
   if (voters != reported_voters_) {
     reported_voters_ = voters;
-    logEvent(EventId::kMembershipChanged, "group=" + std::to_string(replica->group().value) +
-                                              " voters=" + std::to_string(voters) + " learners=" +
-                                              std::to_string(raft.membership().learners.size()));
+    logEvent(EventId::kMembershipChanged, Detail()
+                                              .add("group", replica.group().value)
+                                              .add("voters", voters)
+                                              .add("learners", raft.membership().learners.size())
+                                              .text());
   }
   if (raft.failed() && !failed_) {
     failed_ = true;
-    logEvent(EventId::kReplicaFailed, "group=" + std::to_string(replica->group().value));
+    logEvent(EventId::kReplicaFailed, Detail().add("group", replica.group().value).text());
+  }
+}
+
+void Node::reportFigures() {
+  if (const consensus::Replica* own = replica()) {
+    const consensus::RaftConsensus& raft = own->raft();
+    metrics_.set(GaugeId::kLeader, raft.isLeader() ? 1 : 0);
+    metrics_.set(GaugeId::kTerm, static_cast<double>(raft.currentTerm()));
+    metrics_.set(GaugeId::kCommitIndex, static_cast<double>(raft.commitIndex()));
+    metrics_.set(GaugeId::kVoters, static_cast<double>(raft.membership().voters.size()));
+    metrics_.set(GaugeId::kLogBytes, static_cast<double>(log_->logBytes()));
+    metrics_.set(GaugeId::kSnapshotBytes, static_cast<double>(log_->snapshotBytes()));
+  }
+  if (ledger_) {
+    const auto& kept = ledger_->state().jobs();
+    const auto open = std::count_if(kept.begin(), kept.end(),
+                                    [](const auto& entry) { return !entry.second.settled(); });
+    metrics_.set(GaugeId::kKeptJobs, static_cast<double>(kept.size()));
+    metrics_.set(GaugeId::kOpenJobs, static_cast<double>(open));
+  }
+  if (gateway_front_) {
+    gateway_front_->reportFigures(metrics_);
   }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,12 +17,14 @@
 #include "jobs/job_role.h"
 #include "storage/file_system.h"
 #include "storage/segmented_log.h"
+#include "telemetry/prometheus_metrics.h"
 #include "transport/peer_network.h"
 
 namespace tackpick::node {
 
 class ControlFront;
 class GatewayFront;
+class MetricsFront;
 
 /// Thin: decisions are made by DirectoryRole, JobRole and the modules of the gateway; this class
 /// opens folders and ports and moves messages. Single-threaded.
@@ -44,6 +46,10 @@
   [[nodiscard]] const edge::Dialect& dialect() const { return dialect_; }
   [[nodiscard]] cluster::ClusterMember& member() { return *member_; }
   [[nodiscard]] http::UpstreamClient& upstream() { return *upstream_; }
+  [[nodiscard]] const transport::PeerNetwork& network() const { return *network_; }
+  [[nodiscard]] telemetry::PrometheusMetrics& metrics() { return metrics_; }
+  /// Sets the gauges of the role that this process plays.
+  void reportFigures();
   /// Ends the current turn soon: the role syncs and messages go out. Call after every event.
   void wake();
 
@@ -71,6 +77,8 @@
   void tick();
   void turn();
   void observe();
+  void observeReplica(const consensus::Replica& replica);
+  [[nodiscard]] const consensus::Replica* replica() const;
   void waitForSignal();
   void beginStop();
   [[nodiscard]] bool stopComplete() const;
@@ -79,6 +87,7 @@
   const edge::Dialect& dialect_;
   asio::io_context context_;
   base::SteadyTimeSource clock_;
+  telemetry::PrometheusMetrics metrics_;
   std::unique_ptr<base::Random> random_;
   base::NodeId self_;
 
@@ -91,6 +100,7 @@
   std::unique_ptr<http::UpstreamClient> upstream_;
   std::unique_ptr<ControlFront> control_front_;
   std::unique_ptr<GatewayFront> gateway_front_;
+  std::unique_ptr<MetricsFront> metrics_front_;
 
   asio::steady_timer ticker_;
   asio::signal_set signals_;
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -196,6 +196,7 @@
   if (stopping_) {
     finishStop();
   }
+  telemetry::flushLog();
   ticker_.expires_after(kTickInterval);
   ticker_.async_wait([this](const asio::error_code& error) {
     if (!error) {
--- /dev/null
+++ b/src/telemetry/metric.cpp
@@ -0,0 +1,98 @@
+#include "telemetry/metric.h"
+
+namespace tackpick::telemetry {
+namespace {
+
+MetricDescription row(CounterId id, std::string_view name, std::string_view help,
+                      std::string_view label = {}) {
+  return {MetricKind::kCounter, static_cast<std::uint8_t>(id), name, help, label};
+}
+
+MetricDescription row(GaugeId id, std::string_view name, std::string_view help,
+                      std::string_view label = {}) {
+  return {MetricKind::kGauge, static_cast<std::uint8_t>(id), name, help, label};
+}
+
+MetricDescription row(HistogramId id, std::string_view name, std::string_view help) {
+  return {MetricKind::kHistogram, static_cast<std::uint8_t>(id), name, help, {}};
+}
+
+}  // namespace
+
+const std::vector<MetricDescription>& metricCatalogue() {
+  using C = CounterId;
+  using G = GaugeId;
+  using H = HistogramId;
+  static const std::vector<MetricDescription> kCatalogue = {
+      row(C::kRequestsAnswered, "tackpick_requests_answered_total",
+          "answers to callers' requests, our own included", "status"),
+      row(C::kRequestsGivenUp, "tackpick_requests_given_up_total",
+          "callers' requests that got an answer of our own", "verdict"),
+      row(C::kSendsEnded, "tackpick_sends_ended_total",
+          "sends of callers' requests to instances, by how they ended", "outcome"),
+      row(C::kLedgerCalls, "tackpick_ledger_calls_total",
+          "callers' calls about jobs, by call and status", "call"),
+      row(C::kControlCalls, "tackpick_control_calls_total",
+          "calls of operators, trainers and instances, by call and status", "call"),
+      row(C::kItemsFinished, "tackpick_items_finished_total", "items with a result", "state"),
+      row(C::kItemsMoved, "tackpick_items_moved_total", "items that went on at another engine",
+          "reason"),
+      row(C::kItemAttemptsEnded, "tackpick_item_attempts_ended_total",
+          "runs of items at engines, by how they ended", "outcome"),
+      row(C::kTextsSaved, "tackpick_texts_saved_total",
+          "texts of unfinished items handed to the ledgers"),
+      row(C::kOrdersGiven, "tackpick_engine_orders_total", "orders to engines, by outcome",
+          "outcome"),
+      row(C::kElectionsWon, "tackpick_elections_won_total", "times this replica became leader"),
+      row(C::kConnectionsOpened, "tackpick_upstream_connections_total",
+          "connections opened to instances"),
+      row(C::kForeignAnswers, "tackpick_foreign_answers_total",
+          "answers that belonged to another request and were passed over"),
+      row(C::kInternalBytesSent, "tackpick_internal_sent_bytes_total",
+          "bytes to our other processes"),
+      row(C::kInternalBytesReceived, "tackpick_internal_received_bytes_total",
+          "bytes from our other processes"),
+      row(C::kLogLinesDropped, "tackpick_log_lines_dropped_total",
+          "lines dropped because the log's reader was slow"),
+      row(G::kLeader, "tackpick_leader", "1 while this replica leads its group"),
+      row(G::kTerm, "tackpick_term", "Raft term of the replica"),
+      row(G::kCommitIndex, "tackpick_commit_index", "committed log index of the replica"),
+      row(G::kVoters, "tackpick_voters", "voters of the replica's group"),
+      row(G::kLogBytes, "tackpick_log_bytes", "log kept after the snapshot"),
+      row(G::kSnapshotBytes, "tackpick_snapshot_bytes", "state of the last snapshot"),
+      row(G::kConfigurationVersion, "tackpick_configuration_version",
+          "operator's version in force here; 0 before the first"),
+      row(G::kControllersHeardAge, "tackpick_controllers_heard_age_seconds",
+          "time since the controllers' leader was last heard"),
+      row(G::kInstances, "tackpick_instances", "engines and servers known here", "state"),
+      row(G::kItemsRunning, "tackpick_items_running", "items leased to this gateway"),
+      row(G::kResultsWaiting, "tackpick_results_waiting", "results not yet taken by the ledgers"),
+      row(G::kOpenExchanges, "tackpick_open_exchanges", "callers' requests without an answer"),
+      row(G::kOpenJobs, "tackpick_open_jobs", "jobs of which something may still run"),
+      row(G::kKeptJobs, "tackpick_kept_jobs", "jobs whose results can be read"),
+      row(G::kPublishedVersion, "tackpick_published_version", "newest published weights", "model"),
+      row(H::kRequestTime, "tackpick_request_seconds",
+          "callers' requests, from the last byte in to the answer"),
+      row(H::kItemWait, "tackpick_item_wait_seconds",
+          "items, from their job's submission to their first event"),
+      row(H::kItemRun, "tackpick_item_run_seconds", "items, from their first event to their last"),
+      row(H::kLedgerCallTime, "tackpick_ledger_call_seconds", "callers' calls about jobs"),
+      row(H::kControlCallTime, "tackpick_control_call_seconds",
+          "calls of operators, trainers and instances"),
+      row(H::kTurnTime, "tackpick_turn_seconds", "turns of the event loop, with their syncs"),
+  };
+  return kCatalogue;
+}
+
+std::string metricsAsMarkdown() {
+  static const std::vector<std::string> kKinds = {"counter", "gauge", "histogram"};
+  std::string table = "| name | kind | label | meaning |\n| --- | --- | --- | --- |\n";
+  for (const MetricDescription& metric : metricCatalogue()) {
+    table += "| " + std::string(metric.name) + " | " +
+             kKinds.at(static_cast<std::size_t>(metric.kind)) + " | " + std::string(metric.label) +
+             " | " + std::string(metric.help) + " |\n";
+  }
+  return table;
+}
+
+}  // namespace tackpick::telemetry
--- a/test/forwarding/forwarding_test.cpp
+++ b/test/forwarding/forwarding_test.cpp
@@ -113,12 +113,28 @@
   fixture.table.onPace("slow", base::milliseconds(80));
   fixture.table.onPace("fast", base::milliseconds(40));
   const forwarding::InstanceNeed need{"s", "m", 1, true};
-  const auto* faster = fixture.table.findFaster(need, "slow", 1.25, fixture.now);
+  const auto* faster = fixture.table.findFaster(need, "slow", 1.25, fixture.random, fixture.now);
   cr_assert_not_null(faster);
   cr_assert_eq(faster->record.id, "fast");
-  cr_assert_null(fixture.table.findFaster(need, "fast", 1.25, fixture.now));
+  cr_assert_null(fixture.table.findFaster(need, "fast", 1.25, fixture.random, fixture.now));
   fixture.table.onLoad("fast", {4, 0, 4}, fixture.now);
-  cr_assert_null(fixture.table.findFaster(need, "slow", 1.25, fixture.now), "it is full");
+  cr_assert_null(fixture.table.findFaster(need, "slow", 1.25, fixture.random, fixture.now),
+                 "it is full");
+}
+
+Test(instance_table, waiting_items_find_an_instance_with_room) {
+  Fixture fixture({view("full"), view("idle"), view("tried")});
+  const forwarding::InstanceNeed need{"s", "m", 1, false};
+  fixture.table.onLoad("full", {4, 2, 4}, fixture.now);
+  for (int draw = 0; draw < 20; ++draw) {
+    const auto* idle = fixture.table.findIdle(need, {"tried"}, fixture.random, fixture.now);
+    cr_assert_not_null(idle);
+    cr_assert_eq(idle->record.id, "idle");
+  }
+  fixture.table.onEnded("idle", forwarding::SendOutcome::kFull, {}, fixture.now);
+  cr_assert_null(fixture.table.findIdle(need, {"tried"}, fixture.random, fixture.now));
+  cr_assert(fixture.table.isUsable("tried", need, fixture.now));
+  cr_assert_not(fixture.table.isUsable("idle", need, fixture.now));
 }
 
 Test(attempt_policy, once_only_requests_are_repeated_only_when_not_run) {
