The ledgers' leader places items at engines; it leases no more than have a place

Ruled out: memory of engines, time to read prompts (15 ms at the median). Change: gateways say where each item runs and how fast engines are; the leader counts items of all gateways by engine (EnginePlacement), names the engine with each lease, and keeps the rest queued but for one per eight places. Twice a second it tells gateways the counts, for moves. The pace of an engine that loads is not noted, and nothing is moved away from it. Tests: engine_placement, item_leases and instance_table cases, written with the change.

--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -77,7 +77,8 @@
 double InstanceTable::busyness(const InstanceEntry& entry, base::TimePoint now) {
   const double reported =
       now - entry.loadAt < kLoadFreshness ? entry.load.running + entry.load.waiting : 0.0;
-  return std::max<double>(entry.inFlight, reported);
+  const double shared = now - entry.sharedLoadAt < kLoadFreshness ? entry.sharedLoad : 0.0;
+  return std::max({static_cast<double>(entry.inFlight), reported, shared});
 }
 
 double InstanceTable::cost(const InstanceEntry& entry, const InstanceNeed& need,
@@ -131,7 +132,7 @@
                                                double gain, base::Random& random,
                                                base::TimePoint now) const {
   const InstanceEntry* here = find(current);
-  if (here == nullptr || here->paceMs <= 0) {
+  if (here == nullptr || here->paceMs <= 0 || here->loading) {
     return nullptr;
   }
   std::vector<const InstanceEntry*> faster;
@@ -231,7 +232,7 @@
 
 void InstanceTable::onPace(const std::string& id, base::Duration perEvent) {
   const auto found = entries_.find(id);
-  if (found == entries_.end()) {
+  if (found == entries_.end() || found->second.loading) {
     return;
   }
   InstanceEntry& entry = found->second;
@@ -247,6 +248,14 @@
   }
 }
 
+void InstanceTable::onSharedLoad(const std::string& id, std::uint32_t items, base::TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.sharedLoad = items;
+    found->second.sharedLoadAt = now;
+  }
+}
+
 void InstanceTable::onVersion(const std::string& id, const std::string& model,
                               std::uint64_t version) {
   const auto found = entries_.find(id);
@@ -261,6 +270,16 @@
   return found == entries_.end() ? nullptr : &found->second;
 }
 
+std::map<std::string, double> InstanceTable::paces() const {
+  std::map<std::string, double> paces;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.paceMs > 0) {
+      paces.emplace(id, entry.paceMs);
+    }
+  }
+  return paces;
+}
+
 std::size_t InstanceTable::count(const std::string& service) const {
   return static_cast<std::size_t>(
       std::count_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -68,6 +68,8 @@
   std::uint32_t inFlight = 0;
   ReportedLoad load;
   base::TimePoint loadAt{};
+  std::uint32_t sharedLoad = 0;  ///< requests of all gateways, as the ledgers count them
+  base::TimePoint sharedLoadAt{};
   double paceMs = 0;  ///< moving average of the time between two events of a stream; zero: none yet
   double latencyMs = 0;  ///< moving average of served requests; zero: none yet
   std::uint32_t failures = 0;
@@ -95,11 +97,13 @@
   void onSent(const std::string& id);
   void onEnded(const std::string& id, SendOutcome outcome, base::Duration took,
                base::TimePoint now);
-  /// Events of a stream came so far apart on average.
+  /// Events of a stream came so far apart on average. Passed over while the engine changes its
+  /// weights, which slows it for a moment.
   void onPace(const std::string& id, base::Duration perEvent);
   /// An instance where a stream would go on faster: at least `gain` times as fast as at `current`,
   /// with room. Of two drawn at random the cheaper one, so that gateways do not all choose the
   /// same. Nothing when there is none.
+  /// Nothing while `current` only changes its weights.
   [[nodiscard]] const InstanceEntry* findFaster(const InstanceNeed& need,
                                                 const std::string& current, double gain,
                                                 base::Random& random, base::TimePoint now) const;
@@ -112,10 +116,14 @@
   [[nodiscard]] bool isUsable(const std::string& id, const InstanceNeed& need,
                               base::TimePoint now) const;
   void onLoad(const std::string& id, const ReportedLoad& load, base::TimePoint now);
+  /// The ledgers told how many items of all gateways run at an engine.
+  void onSharedLoad(const std::string& id, std::uint32_t items, base::TimePoint now);
   /// An answer named the version that makes it.
   void onVersion(const std::string& id, const std::string& model, std::uint64_t version);
 
   [[nodiscard]] const InstanceEntry* find(const std::string& id) const;
+  /// Milliseconds between two events of a stream, by engine, where that is known.
+  [[nodiscard]] std::map<std::string, double> paces() const;
   /// Instances of a service that do not leave.
   [[nodiscard]] std::size_t count(const std::string& service) const;
   /// Places at engines, by model and the version of it that they hold.
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -91,20 +91,30 @@
   }
 }
 
-std::vector<ItemKey> ItemLeases::renew(base::NodeId gateway, const std::vector<ItemKey>& held,
+namespace {
+
+bool holds(const std::vector<HeldItem>& held, const ItemKey& key) {
+  return std::any_of(held.begin(), held.end(),
+                     [&](const HeldItem& item) { return item.key == key; });
+}
+
+}  // namespace
+
+std::vector<ItemKey> ItemLeases::renew(base::NodeId gateway, const std::vector<HeldItem>& held,
                                        const JobState& state, base::TimePoint now) {
   endLeasesOfFormerRuns(gateway, now);
   std::vector<ItemKey> revoked;
-  for (const ItemKey& key : held) {
+  for (const auto& [key, engine] : held) {
     if (!isOpen(state, key)) {
       revoked.push_back(key);
       continue;
     }
-    const auto [lease, added] = leases_.try_emplace(key, Lease{gateway, now + lease_time_});
+    const auto [lease, added] = leases_.try_emplace(key, Lease{gateway, now + lease_time_, engine});
     if (added) {
       std::erase(queue_, key);  // held since before this leader's time
     } else if (lease->second.gateway == gateway) {
       lease->second.until = now + lease_time_;
+      lease->second.engine = engine;
     } else {
       revoked.push_back(key);  // another runs it by now
     }
@@ -113,13 +123,23 @@
   for (auto& [key, lease] : leases_) {
     constexpr int kHalf = 2;
     const bool old = lease.until - now < lease_time_ / kHalf;
-    if (lease.gateway == gateway && old && std::find(held.begin(), held.end(), key) == held.end()) {
+    if (lease.gateway == gateway && old && !holds(held, key)) {
       lease.until = now;
     }
   }
   return revoked;
 }
 
+std::map<std::string, std::uint32_t> ItemLeases::itemsByEngine() const {
+  std::map<std::string, std::uint32_t> items;
+  for (const auto& [key, lease] : leases_) {
+    if (!lease.engine.empty()) {
+      ++items[lease.engine];
+    }
+  }
+  return items;
+}
+
 void ItemLeases::endLeasesOfFormerRuns(base::NodeId gateway, base::TimePoint now) {
   for (auto& [key, lease] : leases_) {
     if (lease.gateway != gateway && base::nodeNumber(lease.gateway) == base::nodeNumber(gateway)) {
@@ -137,10 +157,9 @@
   }
 }
 
-void ItemLeases::giveBack(base::NodeId gateway, const std::vector<ItemKey>& held) {
+void ItemLeases::giveBack(base::NodeId gateway, const std::vector<HeldItem>& held) {
   for (auto it = leases_.begin(); it != leases_.end();) {
-    const bool kept = it->second.gateway != gateway ||
-                      std::find(held.begin(), held.end(), it->first) != held.end();
+    const bool kept = it->second.gateway != gateway || holds(held, it->first);
     if (kept) {
       ++it;
       continue;
@@ -153,9 +172,10 @@
 std::vector<GrantedItem> ItemLeases::lease(base::NodeId gateway, EngineRoom wanted,
                                            const JobState& state, base::TimePoint now) {
   std::vector<GrantedItem> leased;
-  if (now < leasing_from_) {
+  if (now < leasing_from_ || queue_.empty()) {
     return leased;
   }
+  placement_.setLoads(itemsByEngine());
   std::deque<ItemKey> rest;
   for (ItemKey& key : queue_) {
     if (!isOpen(state, key)) {
@@ -165,12 +185,15 @@
     if (leases_.contains(key)) {
       continue;
     }
-    if (!wanted.take(job.model, job.minimumVersion)) {
+    const std::string engine = placement_.place(job.model, job.minimumVersion);
+    const bool noPlace = placement_.knowsEngines() && engine.empty();
+    if (noPlace || !wanted.take(job.model, job.minimumVersion)) {
+      placement_.takeBack(engine);
       rest.push_back(std::move(key));
       continue;
     }
-    leases_.emplace(key, Lease{gateway, now + lease_time_});
-    leased.push_back({std::move(key), ++last_number_});
+    leases_.emplace(key, Lease{gateway, now + lease_time_, engine});
+    leased.push_back({std::move(key), ++last_number_, engine});
   }
   queue_ = std::move(rest);
   return leased;
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -10,6 +10,7 @@
 
 #include "base/identifiers.h"
 #include "base/time.h"
+#include "jobs/engine_placement.h"
 #include "jobs/job_state.h"
 
 namespace tackpick::jobs {
@@ -25,6 +26,7 @@
 struct GrantedItem {
   ItemKey key;
   std::uint64_t lease = 0;
+  std::string engine;  ///< where it should run; empty: all are full
 };
 
 /// Deterministic. Items are leased oldest job first and, within a job, in the order of
@@ -42,15 +44,18 @@
   /// Ends leases of jobs that are settled or gone, and returns expired ones to the queue.
   void refresh(const JobState& state, base::TimePoint now);
   /// Renews what `gateway` holds. Returns the items it holds that need not run any more.
-  [[nodiscard]] std::vector<ItemKey> renew(base::NodeId gateway, const std::vector<ItemKey>& held,
+  [[nodiscard]] std::vector<ItemKey> renew(base::NodeId gateway, const std::vector<HeldItem>& held,
                                            const JobState& state, base::TimePoint now);
   /// The connection to a gateway broke: its leases end after `grace` unless it renews them.
   void onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace, base::TimePoint now);
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
-  void giveBack(base::NodeId gateway, const std::vector<ItemKey>& held);
+  void giveBack(base::NodeId gateway, const std::vector<HeldItem>& held);
   /// Leases items to `gateway`, as many as find a place in `wanted`.
   [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, EngineRoom wanted,
                                                const JobState& state, base::TimePoint now);
+  /// Leased items by the engine where they run or were placed.
+  [[nodiscard]] std::map<std::string, std::uint32_t> itemsByEngine() const;
+  [[nodiscard]] EnginePlacement& placement() { return placement_; }
   [[nodiscard]] bool hasQueued() const { return !queue_.empty(); }
   /// When the leader first saw the job; it was submitted no later.
   [[nodiscard]] base::TimePoint firstSeen(const std::string& job, base::TimePoint now) const;
@@ -63,6 +68,7 @@
   struct Lease {
     base::NodeId gateway;
     base::TimePoint until{};
+    std::string engine;  ///< where it runs, or was placed
   };
 
   /// Another process runs at the gateway's address by now: what the former held is free.
@@ -72,6 +78,7 @@
   const base::Duration lease_time_;
   base::TimePoint leasing_from_{};
   std::uint64_t last_number_ = 0;  ///< of a lease
+  EnginePlacement placement_;
   std::deque<ItemKey> queue_;
   std::map<ItemKey, Lease> leases_;
   std::map<std::string, base::TimePoint> first_seen_;
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -157,14 +157,25 @@
   }
 };
 
+/// An item that a gateway holds, and the engine where it runs; empty: none at the moment.
+struct HeldItem {
+  ItemKey key;
+  std::string engine;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(key, engine);
+  }
+};
+
 /// A gateway renews its leases and asks for more. Leases live in the leader's memory only.
 struct LeaseItems {
-  std::vector<ItemKey> held;
-  EngineRoom wanted;     ///< for further items
-  bool leaving = false;  ///< all its other leases are given back
+  std::vector<HeldItem> held;
+  std::map<std::string, double> paces;  ///< by engine: milliseconds between two events of a stream
+  EngineRoom wanted;                    ///< for further items
+  bool leaving = false;                 ///< all its other leases are given back
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(held, wanted, leaving);
+    archive(held, paces, wanted, leaving);
   }
 };
 
@@ -224,6 +235,7 @@
   ItemKey key;
   std::uint64_t lease = 0;              ///< rises with each lease that a ledger gives
   std::optional<PartialText> progress;  ///< of earlier leases
+  std::string engine;                   ///< where it should run; empty: all are full
   Item item;
   std::string host;
   std::string model;
@@ -235,8 +247,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, lease, progress, item, host, model, minimumVersion, singleVersion, attempts, age,
-            queueTimeout);
+    archive(key, lease, progress, engine, item, host, model, minimumVersion, singleVersion,
+            attempts, age, queueTimeout);
   }
 };
 
@@ -247,10 +259,12 @@
   std::string body;                 ///< ReadItem
   std::vector<LeasedItem> leased;   ///< LeaseItems
   std::vector<ItemKey> revoked;     ///< LeaseItems: held ones that need not be run any more
+  /// LeaseItems that tell paces: items of all gateways, by the engine where they run.
+  std::map<std::string, std::uint32_t> itemsByEngine;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(status, total, results, body, leased, revoked);
+    archive(status, total, results, body, leased, revoked, itemsByEngine);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -78,6 +78,9 @@
 }
 
 void JobRole::onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now) {
+  for (const auto& [engine, pace] : request.paces) {
+    leases_.placement().notePace(engine, pace);
+  }
   JobReply reply;
   reply.revoked = leases_.renew(caller.node, request.held, state_, now);
   if (request.leaving) {
@@ -86,6 +89,9 @@
   for (const GrantedItem& granted : leases_.lease(caller.node, request.wanted, state_, now)) {
     reply.leased.push_back(describe(granted, now));
   }
+  if (!request.paces.empty()) {
+    reply.itemsByEngine = leases_.itemsByEngine();
+  }
   replyWith(caller, reply);
 }
 
@@ -96,6 +102,7 @@
   LeasedItem leased;
   leased.key = key;
   leased.lease = granted.lease;
+  leased.engine = granted.engine;
   const auto partial = owner.partial.find(key.item);
   if (partial != owner.partial.end()) {
     leased.progress = partial->second;
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -41,6 +41,10 @@
   void setNodes(std::vector<cluster::GroupNode> nodes) { nodes_ = std::move(nodes); }
   /// The connection to a node broke.
   void onPeerLost(std::uint32_t number, base::TimePoint now);
+  /// Engines that may take new items.
+  void setEngines(std::vector<PlacementEngine> engines) {
+    leases_.placement().setEngines(std::move(engines));
+  }
   void tick(base::TimePoint now);
   /// Ends a turn: syncs, applies, and returns what to send.
   [[nodiscard]] transport::Outbox finish(base::TimePoint now);
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -32,6 +32,8 @@
 constexpr std::uint32_t kPaceEvents = 6;
 /// An item that has run for so long may be one of the few that run very long: moving it pays.
 constexpr base::Duration kLongRun = base::milliseconds(900);
+/// How often the ledgers are told how fast engines are.
+constexpr base::Duration kPaceInterval = base::milliseconds(500);
 constexpr double kMoveGain = 1.25;
 constexpr std::uint32_t kMostMoves = 4;
 /// Without a byte for so long after it was sent, an item waits for a place.
@@ -97,7 +99,11 @@
   request.wanted = wantedItems();
   request.leaving = released_;
   for (const auto& [key, item] : items_) {
-    request.held.push_back(key);
+    request.held.push_back({key, item->exchange.valid() ? item->instance : item->next});
+  }
+  if (now - paces_told_at_ >= kPaceInterval) {
+    paces_told_at_ = now;
+    request.paces = instances_.paces();
   }
   leasing_ = true;
   lease_at_ = now;
@@ -147,12 +153,16 @@
   }
   const base::TimePoint now = node_.now();
   noteLeased(reply.leased);
+  for (const auto& [engine, items] : reply.itemsByEngine) {
+    instances_.onSharedLoad(engine, items, now);
+  }
   for (const jobs::LeasedItem& leased : reply.leased) {
     if (items_.contains(leased.key)) {
       continue;
     }
     auto item = std::make_unique<Running>(leased, node_.dialect().headers().weightsField);
     item->leasedAt = now;
+    item->next = leased.engine;
     constexpr double kWeight = 0.02;
     typical_tokens_ += kWeight * (leased.item.expectedTokens - typical_tokens_);
     items_.emplace(leased.key, std::move(item));
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -118,6 +118,7 @@
   bool released_ = false;
   base::TimePoint lease_at_{};
   base::TimePoint renewed_at_{};
+  base::TimePoint paces_told_at_{};
   directory::ModelDemand demand_;
   double typical_tokens_ = 0;  ///< moving average of the expected length of an item
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -32,6 +32,21 @@
 /// How long a replica stays after it has been asked to stop, so that another leads by then.
 constexpr base::Duration kReplicaStop = base::milliseconds(300);
 
+/// Engines silent for longer get no new items.
+constexpr base::Duration kEngineSilence = base::seconds(4);
+
+std::vector<jobs::PlacementEngine> placementEngines(const directory::DirectoryView& view) {
+  std::vector<jobs::PlacementEngine> engines;
+  for (const directory::InstanceView& instance : view.instances) {
+    const bool takesItems = !instance.record.leaving && !instance.loading &&
+                            instance.silence < kEngineSilence && instance.record.slots > 0;
+    if (takesItems && !instance.versions.empty()) {
+      engines.push_back({instance.record.id, instance.record.slots, instance.versions});
+    }
+  }
+  return engines;
+}
+
 std::uint32_t drawInstance() {
   constexpr std::uint32_t kInstanceMask = 0xffffffffU;
   return static_cast<std::uint32_t>(runtime::randomNumber() & kInstanceMask) | 1U;
@@ -378,7 +393,11 @@
           return true;
         });
   }
-  if (!ledger_ || !view.nodesSettled) {
+  if (!ledger_) {
+    return;
+  }
+  ledger_->setEngines(placementEngines(view));
+  if (!view.nodesSettled) {
     return;
   }
   std::vector<cluster::GroupNode> nodes;
--- a/test/forwarding/forwarding_test.cpp
+++ b/test/forwarding/forwarding_test.cpp
@@ -122,6 +122,31 @@
                  "it is full");
 }
 
+Test(instance_table, engine_that_changes_weights_is_not_taken_for_slow) {
+  auto loading = view("a");
+  loading.loading = true;
+  Fixture fixture({loading, view("b")});
+  fixture.table.onPace("a", base::milliseconds(300));
+  cr_assert_eq(fixture.table.find("a")->paceMs, 0.0);
+  fixture.table.update({view("a"), view("b")}, fixture.now);
+  fixture.table.onPace("a", base::milliseconds(80));
+  fixture.table.onPace("b", base::milliseconds(40));
+  const forwarding::InstanceNeed need{"s", "m", 1, true};
+  cr_assert_not_null(fixture.table.findFaster(need, "a", 1.25, fixture.random, fixture.now));
+  fixture.table.update({loading, view("b")}, fixture.now);
+  cr_assert_null(fixture.table.findFaster(need, "a", 1.25, fixture.random, fixture.now));
+}
+
+Test(instance_table, items_of_other_gateways_count) {
+  Fixture fixture({view("a"), view("b")});
+  const forwarding::InstanceNeed need{"s", "m", 1, false};
+  fixture.table.onSharedLoad("a", 4, fixture.now);
+  for (int draw = 0; draw < 20; ++draw) {
+    const auto* idle = fixture.table.findIdle(need, {}, fixture.random, fixture.now);
+    cr_assert_eq(idle->record.id, "b");
+  }
+}
+
 Test(instance_table, waiting_items_find_an_instance_with_room) {
   Fixture fixture({view("full"), view("idle"), view("tried")});
   const forwarding::InstanceNeed need{"s", "m", 1, false};
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -118,10 +118,10 @@
   jobs::ItemLeases leases{base::seconds(2)};
 };
 
-std::vector<jobs::ItemKey> keysOf(const std::vector<jobs::GrantedItem>& granted) {
-  std::vector<jobs::ItemKey> keys;
+std::vector<jobs::HeldItem> heldOf(const std::vector<jobs::GrantedItem>& granted) {
+  std::vector<jobs::HeldItem> keys;
   for (const jobs::GrantedItem& item : granted) {
-    keys.push_back(item.key);
+    keys.push_back({item.key, item.engine});
   }
   return keys;
 }
@@ -211,6 +211,48 @@
   cr_assert_eq(second[1].key.job, "k");
 }
 
+Test(engine_placement, least_loaded_of_those_that_are_new_enough) {
+  jobs::EnginePlacement placement;
+  placement.setEngines({{"a", 2, {{"m", 5}}}, {"b", 2, {{"m", 6}}}, {"c", 2, {{"n", 9}}}});
+  placement.setLoads({{"a", 1}});
+  cr_assert_eq(placement.place("m", 5), "b");
+  cr_assert_eq(placement.place("m", 6), "b");
+  cr_assert_eq(placement.place("m", 6), "", "full");
+  cr_assert_eq(placement.place("m", 5), "a");
+  cr_assert_eq(placement.place("m", 5), "");
+  cr_assert_eq(placement.place("n", 9), "c");
+}
+
+Test(engine_placement, slow_engines_get_less) {
+  jobs::EnginePlacement placement;
+  placement.setEngines({{"fast", 8, {{"m", 1}}}, {"slow", 8, {{"m", 1}}}});
+  placement.notePace("fast", 40);
+  placement.notePace("slow", 140);
+  placement.setLoads({});
+  for (int i = 0; i < 9; ++i) {
+    cr_assert_eq(placement.place("m", 1), "fast", "one may wait there");
+  }
+  cr_assert_eq(placement.place("m", 1), "slow", "better than to wait behind another");
+  placement.takeBack("slow");
+  placement.takeBack("fast");
+  cr_assert_eq(placement.place("m", 1), "fast");
+}
+
+Test(item_leases, items_of_all_gateways_count_where_they_run) {
+  LeaseFixture fixture;
+  fixture.leases.placement().setEngines({{"a", 2, {{"", 1}}}, {"b", 2, {{"", 1}}}});
+  const auto first = fixture.leases.lease(kGateway, room({{"", 2}}), fixture.state, fixture.now);
+  cr_assert_neq(first[0].engine, first[1].engine);
+  // Both went on at the same engine.
+  (void)fixture.leases.renew(kGateway, {{first[0].key, "a"}, {first[1].key, "a"}}, fixture.state,
+                             fixture.now);
+  const auto second = fixture.leases.lease(kOther, room({{"", 2}}), fixture.state, fixture.now);
+  cr_assert_eq(second[0].engine, "b");
+  cr_assert_eq(second[1].engine, "b");
+  cr_assert(fixture.leases.lease(kOther, room({{"", 9}}), fixture.state, fixture.now).empty(),
+            "both engines are full");
+}
+
 Test(lease_order, what_the_caller_waits_for_comes_first) {
   jobs::JobSubmission job;
   const auto add = [&](const std::string& group, std::uint32_t tokens) {
@@ -232,19 +274,19 @@
   LeaseFixture fixture;
   const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
-  (void)fixture.leases.renew(kGateway, {leased[0].key}, fixture.state, fixture.now);
+  (void)fixture.leases.renew(kGateway, heldOf({leased[0]}), fixture.state, fixture.now);
   fixture.now += base::milliseconds(1500);
   fixture.leases.refresh(fixture.state, fixture.now);
   const auto again = fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
-  const auto revoked = fixture.leases.renew(kGateway, keysOf(leased), fixture.state, fixture.now);
+  const auto revoked = fixture.leases.renew(kGateway, heldOf(leased), fixture.state, fixture.now);
   cr_assert_eq(revoked.size(), 3U, "others run them by now");
 }
 
 Test(item_leases, leaving_gateway_gives_back_what_it_does_not_hold) {
   LeaseFixture fixture;
   const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
-  fixture.leases.giveBack(kGateway, {leased[0].key});
+  fixture.leases.giveBack(kGateway, heldOf({leased[0]}));
   const auto again = fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
 }
@@ -253,7 +295,7 @@
   LeaseFixture fixture;
   const auto leased = fixture.leases.lease(kGateway, room({{"", 2}}), fixture.state, fixture.now);
   apply(fixture.state, jobs::EndJob{"j"});
-  cr_assert_eq(fixture.leases.renew(kGateway, keysOf(leased), fixture.state, fixture.now).size(),
+  cr_assert_eq(fixture.leases.renew(kGateway, heldOf(leased), fixture.state, fixture.now).size(),
                2U);
   cr_assert(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).empty());
 }
@@ -263,7 +305,8 @@
   fixture.leases.reset(2, fixture.now, base::milliseconds(500));
   fixture.leases.addJob("j", *fixture.state.find("j"), fixture.now);
   cr_assert(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).empty());
-  (void)fixture.leases.renew(kGateway, {{"j", 3}, {"j", 2}}, fixture.state, fixture.now);
+  (void)fixture.leases.renew(kGateway, {{{"j", 3}, ""}, {{"j", 2}, ""}}, fixture.state,
+                             fixture.now);
   fixture.now += base::milliseconds(600);
   cr_assert_eq(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).size(),
                2U);
@@ -283,7 +326,7 @@
   const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
   fixture.leases.onGatewayLost(1, base::milliseconds(300), fixture.now);
   fixture.now += base::milliseconds(200);
-  (void)fixture.leases.renew(kGateway, {leased[0].key}, fixture.state, fixture.now);
+  (void)fixture.leases.renew(kGateway, heldOf({leased[0]}), fixture.state, fixture.now);
   fixture.now += base::milliseconds(200);
   fixture.leases.refresh(fixture.state, fixture.now);
   cr_assert_eq(fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now).size(),
