--- a/src/cluster/group_service.cpp
+++ b/src/cluster/group_service.cpp
@@ -27,9 +27,13 @@
 
 void GroupService::proposeFor(const ServiceCaller& caller, base::Bytes command,
                               const base::Bytes& payload, base::TimePoint now) {
+  if (!under_way_.insert(caller).second) {
+    return;
+  }
   const bool proposed =
       replica_.propose(std::move(command), now,
                        [this, caller, payload](const base::Bytes* result, consensus::LogIndex) {
+                         under_way_.erase(caller);
                          if (result == nullptr) {
                            refuse(caller, CommandStatus::kUnavailable);
                          } else {
@@ -37,6 +41,7 @@
                          }
                        });
   if (!proposed) {
+    under_way_.erase(caller);
     refuse(caller, CommandStatus::kNotLeader);
   }
 }
--- a/src/cluster/group_service.h
+++ b/src/cluster/group_service.h
@@ -3,6 +3,7 @@
 /// on behalf of callers, repair of the group's membership.
 #pragma once
 
+#include <set>
 #include <vector>
 
 #include "cluster/group_repair.h"
@@ -14,6 +15,8 @@
 struct ServiceCaller {
   base::NodeId node;
   base::CallId call;
+
+  auto operator<=>(const ServiceCaller&) const = default;
 };
 
 /// Answers calls to a group at one of its replicas. Deterministic; owned by one thread.
@@ -24,7 +27,8 @@
   void reply(const ServiceCaller& caller, base::Bytes payload);
   /// Refuses a call and names the leader where it is another.
   void refuse(const ServiceCaller& caller, transport::CommandStatus status);
-  /// Answers `payload` once the command is applied, or refuses when it cannot be.
+  /// Answers `payload` once the command is applied, or refuses when it cannot be. A call that is
+  /// repeated while its command is under way is not proposed again.
   void proposeFor(const ServiceCaller& caller, base::Bytes command, const base::Bytes& payload,
                   base::TimePoint now);
   /// Proposes a command that nobody waits for.
@@ -39,6 +43,7 @@
   const base::NodeId self_;
   consensus::Replica& replica_;
   transport::Outbox outbox_;
+  std::set<ServiceCaller> under_way_;
 };
 
 }  // namespace tackpick::cluster
--- a/src/consensus/raft_consensus.cpp
+++ b/src/consensus/raft_consensus.cpp
@@ -19,6 +19,9 @@
   // promised a lease to, so it must not vote before that lease can have run out.
   reloadMembership();
   resetElectionTimer(now);
+  constexpr std::size_t kLeastPercent = 75;
+  constexpr std::size_t kPercentSpread = 50;
+  compaction_percent_ = kLeastPercent + random.below(kPercentSpread);
 }
 
 void RaftConsensus::handle(base::NodeId from, const RaftMessage& message, base::TimePoint now) {
@@ -119,7 +122,9 @@
   // The leader waits longer: taking a snapshot holds it up, and its followers take theirs earlier.
   const std::size_t patience = state_ == RaftState::kLeader ? 2 : 1;
   const std::size_t most = std::max(bytes, log_.snapshotBytes() / 2) * patience;
-  return logLength() > entries * patience || log_.logBytes() > most;
+  constexpr std::size_t kWholePercent = 100;
+  return logLength() * kWholePercent > entries * patience * compaction_percent_ ||
+         log_.logBytes() * kWholePercent > most * compaction_percent_;
 }
 
 bool RaftConsensus::hasLease(base::TimePoint now) const {
--- a/src/consensus/raft_consensus.h
+++ b/src/consensus/raft_consensus.h
@@ -96,6 +96,8 @@
   [[nodiscard]] bool hasCommittedInTerm() const;
   /// True when the log should give way to a new snapshot: it has grown beyond `entries`, or beyond
   /// `bytes` and half of the last snapshot.
+  /// Bytes of the newest snapshot's state.
+  [[nodiscard]] std::size_t snapshotBytes() const { return log_.snapshotBytes(); }
   [[nodiscard]] bool needsCompaction(LogIndex entries, std::size_t bytes) const;
   /// Entries in the log that a snapshot does not cover.
   [[nodiscard]] LogIndex logLength() const { return log_.lastIndex() + 1 - log_.firstIndex(); }
@@ -174,6 +176,9 @@
   LogIndex membership_index_ = 0;
 
   base::TimePoint election_deadline_{};
+  /// Of the limits at which the log is compacted: drawn, so that the replicas of a group, which get
+  /// the same entries, are not all held up at once.
+  std::size_t compaction_percent_ = 100;
   base::TimePoint last_heard_from_leader_{};
   std::set<base::NodeId> votes_;
 
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -88,7 +88,24 @@
   outbox_.clear();
 }
 
-void Replica::applyCommitted(base::TimePoint /*now*/) {
+void Replica::compactWhenDue(base::TimePoint now) {
+  if (!raft_.needsCompaction(settings_.compactionThreshold, settings_.compactionBytes)) {
+    return;
+  }
+  // A snapshot holds a replica up for longer than an election takes when its state is large. A
+  // leader hands over first, as long as its log can still grow.
+  constexpr std::size_t kPatience = 3;
+  const bool large = raft_.snapshotBytes() >= settings_.compactionBytes / 2;
+  const bool pressing = raft_.needsCompaction(settings_.compactionThreshold * kPatience,
+                                              settings_.compactionBytes * kPatience);
+  if (raft_.isLeader() && large && !pressing) {
+    raft_.transferLeadership(now);
+    return;
+  }
+  raft_.compact(applied_index_, machine_.takeSnapshot());
+}
+
+void Replica::applyCommitted(base::TimePoint now) {
   if (const auto snapshot = raft_.takeReceivedSnapshot()) {
     machine_.loadSnapshot(snapshot->state);
     applied_index_ = snapshot->lastIndex;
@@ -101,9 +118,7 @@
     applied_index_ = entry.index;
     completeApplied(entry, result);
   }
-  if (raft_.needsCompaction(settings_.compactionThreshold, settings_.compactionBytes)) {
-    raft_.compact(applied_index_, machine_.takeSnapshot());
-  }
+  compactWhenDue(now);
 }
 
 void Replica::completeApplied(const LogEntry& entry, const base::Bytes& result) {
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -69,6 +69,7 @@
   void respond(base::NodeId to, base::CallId call, transport::CommandStatus status,
                base::Bytes payload);
   void applyCommitted(base::TimePoint now);
+  void compactWhenDue(base::TimePoint now);
   void completeApplied(const LogEntry& entry, const base::Bytes& result);
   void answerQueries(base::TimePoint now);
   void failPendingUnlessLeading();
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -119,7 +119,12 @@
 }
 
 void JobRole::onRequest(const Caller& caller, const CommitResults& request, base::TimePoint now) {
-  proposeFor(caller, request, now);
+  const CommitResults news = state_.withoutKnown(request);
+  if (news.jobs.empty()) {
+    replyWith(caller, {});
+  } else {
+    proposeFor(caller, news, now);
+  }
 }
 
 void JobRole::onRequest(const Caller& caller, const SaveProgress& request, base::TimePoint now) {
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -111,6 +111,25 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+CommitResults JobState::withoutKnown(const CommitResults& results) const {
+  CommitResults left;
+  for (const JobResults& job : results.jobs) {
+    const Job* known = find(job.job);
+    JobResults some{job.job, {}};
+    for (const ItemResult& result : job.results) {
+      const bool open = known != nullptr && !known->ended && result.item < known->listed.size() &&
+                        !known->listed[result.item];
+      if (open) {
+        some.results.push_back(result);
+      }
+    }
+    if (!some.results.empty()) {
+      left.jobs.push_back(std::move(some));
+    }
+  }
+  return left;
+}
+
 base::Bytes JobState::takeSnapshot() const { return base::encode(jobs_); }
 
 void JobState::loadSnapshot(const base::Bytes& snapshot) {
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -39,6 +39,8 @@
 
   [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
   [[nodiscard]] const Job* find(const std::string& id) const;
+  /// `results` without those that would change nothing.
+  [[nodiscard]] CommitResults withoutKnown(const CommitResults& results) const;
   /// Rises with every change.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -79,6 +79,21 @@
   cr_assert(state.find("j")->results.empty());
 }
 
+Test(job_state, results_that_change_nothing_are_not_written) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 3)});
+  apply(state, jobs::SubmitJob{submission("ended", 3)});
+  apply(state, jobs::EndJob{"ended"});
+  apply(state, jobs::CommitResults{{{"j", {result(1, "first")}}}});
+  const jobs::CommitResults news =
+      state.withoutKnown({{{"j", {result(1, "second"), result(2, "x")}},
+                           {"ended", {result(0, "x")}},
+                           {"unknown", {result(0, "x")}}}});
+  cr_assert_eq(news.jobs.size(), 1U);
+  cr_assert_eq(news.jobs[0].results.size(), 1U);
+  cr_assert_eq(news.jobs[0].results[0].item, 2U);
+}
+
 Test(job_state, requests_are_kept_only_while_their_items_may_run) {
   jobs::JobState state;
   apply(state, jobs::SubmitJob{submission("j", 3)});
