A process stays while its disk refuses writes, and opens its folder again; leaders hand over sooner

Change: runUntilStopped keeps the process, without its replica, and opens the folder again each 0.5 s (event 1007); a damaged folder or another node's still ends it.

--- a/apps/tackpickd/main.cpp
+++ b/apps/tackpickd/main.cpp
@@ -7,7 +7,7 @@
 
 #include "config/cluster_settings.h"
 #include "config/process_settings.h"
-#include "node/node.h"
+#include "node/run_until_stopped.h"
 #include "platform_dialect.h"
 #include "runtime/daemon.h"
 #include "telemetry/log.h"
@@ -100,8 +100,7 @@
     return 0;
   }
   static const tackpick::platform::PlatformDialect kDialect;
-  BOOST_LEAF_AUTO(node, tackpick::node::Node::create(settings, kDialect));
-  return node->run();
+  return tackpick::node::runUntilStopped(settings, kDialect);
 }
 
 base::Result<int> start(const Options& options) {
--- a/src/consensus/raft_consensus.cpp
+++ b/src/consensus/raft_consensus.cpp
@@ -119,11 +119,9 @@
 }
 
 bool RaftConsensus::needsCompaction(LogIndex entries, std::size_t bytes) const {
-  // The leader waits longer: taking a snapshot holds it up, and its followers take theirs earlier.
-  const std::size_t patience = state_ == RaftState::kLeader ? 2 : 1;
-  const std::size_t most = std::max(bytes, log_.snapshotBytes() / 2) * patience;
+  const std::size_t most = std::max(bytes, log_.snapshotBytes() / 2);
   constexpr std::size_t kWholePercent = 100;
-  return logLength() * kWholePercent > entries * patience * compaction_percent_ ||
+  return logLength() * kWholePercent > entries * compaction_percent_ ||
          log_.logBytes() * kWholePercent > most * compaction_percent_;
 }
 
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -1,5 +1,6 @@
 #include "consensus/replica.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -94,10 +95,11 @@
   }
   // A snapshot holds a replica up for longer than an election takes when its state is large. A
   // leader hands over first, as long as its log can still grow.
-  constexpr std::size_t kPatience = 3;
+  constexpr std::size_t kPatience = 2;
   const bool large = raft_.snapshotBytes() >= settings_.compactionBytes / 2;
-  const bool pressing = raft_.needsCompaction(settings_.compactionThreshold * kPatience,
-                                              settings_.compactionBytes * kPatience);
+  const bool pressing = raft_.needsCompaction(
+      settings_.compactionThreshold * kPatience,
+      std::max(settings_.compactionBytes, raft_.snapshotBytes() / 2) * kPatience);
   if (raft_.isLeader() && large && !pressing) {
     raft_.transferLeadership(now);
     return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -488,6 +488,7 @@
   }
   if (raft.failed() && !failed_) {
     failed_ = true;
+    disk_failed_ = true;
     logEvent(EventId::kReplicaFailed, Detail().add("group", replica.group().value).text());
   }
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -36,8 +36,10 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
-  /// Runs until a planned stop is complete. Returns the exit code.
+  /// Runs until a planned stop is complete, or the disk fails. Returns the exit code.
   int run();
+  /// run() ended because a write failed.
+  [[nodiscard]] bool diskFailed() const { return disk_failed_; }
 
   [[nodiscard]] asio::io_context& context() { return context_; }
   [[nodiscard]] base::TimePoint now() const { return clock_.now(); }
@@ -108,6 +110,7 @@
   bool stopping_ = false;
   base::TimePoint stop_begun_{};
   bool failed_ = false;
+  bool disk_failed_ = false;
 
   // What was last reported as events.
   bool reported_leader_ = false;
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -17,6 +17,7 @@
   kSettingsRefused = 1004,
   kSettingsChanged = 1005,
   kSlowTurn = 1006,
+  kDiskUnavailable = 1007,
   kBecameLeader = 2001,
   kLostLeadership = 2002,
   kReplicaFailed = 2003,
--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -145,6 +145,10 @@
     cr_assert_fail("no machine %s", address.c_str());
     return machines_.front();
   }
+  /// Where the machine keeps its data.
+  [[nodiscard]] std::filesystem::path dataFolder(const std::string& address) const {
+    return folder_ / address;
+  }
   /// Calls a controller until one gives a clear answer.
   HttpAnswer control(const std::string& method, const std::string& path, const Json& body) {
     HttpAnswer answer;
@@ -319,3 +323,23 @@
   waitUntil([&] { return cluster.readiness() == 503; }, "it says that it is not ready");
   cr_assert_eq(cluster.machine("127.0.3.1").process->wait(), 0);
 }
+
+Test(cluster, process_stays_while_its_disk_refuses_and_joins_once_it_does_not) {
+  Cluster cluster;
+  const std::string address = "127.0.1.1";
+  const std::string voter = "voters=3 learners=0";
+  waitUntil([&] { return cluster.logged(address, voter) > 0; }, "the controllers form a group");
+  cluster.machine(address).process->kill();
+  // A file where the folder was: nothing can be opened or written below it.
+  const std::filesystem::path aside = cluster.dataFolder(address).string() + ".aside";
+  std::filesystem::rename(cluster.dataFolder(address), aside);
+  std::ofstream(cluster.dataFolder(address)).close();
+  const std::size_t before = cluster.logged(address, voter);
+  cluster.start(cluster.machine(address), false);
+  waitUntil([&] { return cluster.logged(address, "disk_unavailable") > 1; }, "it tries again");
+  cr_assert_not(cluster.machine(address).process->hasEnded());
+  std::filesystem::remove(cluster.dataFolder(address));
+  std::filesystem::rename(aside, cluster.dataFolder(address));
+  waitUntil([&] { return cluster.logged(address, voter) > before; }, "it has its log again");
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+}
