--- a/src/edge/dialect.h
+++ b/src/edge/dialect.h
@@ -63,13 +63,11 @@
   /// `route` is the request's route, or null.
   [[nodiscard]] virtual GatewayCall gatewayCall(const http::RawRequest& request,
                                                 const directory::Route* route) const = 0;
-  /// `reply` is null when the ledgers gave no answer in time.
   [[nodiscard]] virtual Answer jobAnswer(const jobs::JobRequest& request,
-                                         const jobs::JobReply* reply) const = 0;
+                                         const jobs::JobReply& reply) const = 0;
   [[nodiscard]] virtual ControlCall controlCall(const http::RawRequest& request) const = 0;
-  /// `reply` is null when the controllers gave no answer in time.
   [[nodiscard]] virtual Answer controlAnswer(const directory::DirectoryRequest& request,
-                                             const directory::DirectoryReply* reply) const = 0;
+                                             const directory::DirectoryReply& reply) const = 0;
 
   [[nodiscard]] virtual std::optional<forwarding::ReportedLoad> load(
       std::string_view header) const = 0;
--- /dev/null
+++ b/src/edge/unanswered.h
@@ -0,0 +1,14 @@
+/// \file
+/// Answers to callers whose call found no leader in time.
+#pragma once
+
+#include "edge/dialect.h"
+
+namespace tackpick::edge {
+
+/// A submission may have been taken all the same: its answer must not promise that it was not.
+[[nodiscard]] Answer unansweredJobCall(const jobs::JobRequest& request);
+/// Callers of controllers repeat their calls, which is safe.
+[[nodiscard]] Answer unansweredControlCall();
+
+}  // namespace tackpick::edge
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "directory/call_name.h"
+#include "edge/unanswered.h"
 #include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
@@ -50,7 +51,9 @@
   node_.member().call(
       *directoryCall, kCallDeadline, node_.now(),
       [this, exchange, directoryCall, begun = node_.now()](const directory::DirectoryReply* reply) {
-        const edge::Answer answer = node_.dialect().controlAnswer(*directoryCall, reply);
+        const edge::Answer answer = reply == nullptr
+                                        ? edge::unansweredControlCall()
+                                        : node_.dialect().controlAnswer(*directoryCall, *reply);
         exchange->respond(answer.status, answer.headers, answer.body);
         onReply(*directoryCall, reply, answer.status, node_.now() - begun);
       });
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "edge/unanswered.h"
 #include "http/status.h"
 #include "jobs/call_name.h"
 #include "node/node.h"
@@ -104,7 +105,9 @@
   }
   ledgers_.call(request, deadline, node_.now(),
                 [this, request, exchange, begun = node_.now()](const jobs::JobReply* reply) {
-                  const edge::Answer answer = node_.dialect().jobAnswer(request, reply);
+                  const edge::Answer answer = reply == nullptr
+                                                  ? edge::unansweredJobCall(request)
+                                                  : node_.dialect().jobAnswer(request, *reply);
                   exchange->respond(answer.status, answer.headers, answer.body);
                   onJobReply(request, reply, answer, node_.now() - begun);
                 });
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -17,7 +17,6 @@
 using telemetry::CounterId;
 using telemetry::Detail;
 using telemetry::EventId;
-using telemetry::HistogramId;
 
 constexpr base::Duration kLeaseInterval = base::milliseconds(80);
 constexpr base::Duration kIdleLeaseInterval = base::milliseconds(160);
@@ -26,19 +25,8 @@
 /// Without a renewal for so long nothing new is sent: its job may have ended.
 constexpr base::Duration kLeaseTrust = base::milliseconds(2000);
 constexpr base::Duration kRetryDelay = base::milliseconds(40);
-/// An attempt without a byte for so long is broken off and continued elsewhere.
-constexpr base::Duration kSilenceLimit = base::milliseconds(2500);
-/// Events over which the pace of an engine is noted.
-constexpr std::uint32_t kPaceEvents = 6;
-/// An item that has run for so long may be one of the few that run very long: moving it pays.
-constexpr base::Duration kLongRun = base::milliseconds(900);
 /// How often the ledgers are told how fast engines are.
 constexpr base::Duration kPaceInterval = base::milliseconds(500);
-constexpr double kMoveGain = 1.25;
-constexpr std::uint32_t kMostMoves = 4;
-/// Without a byte for so long after it was sent, an item waits for a place.
-constexpr base::Duration kQueueLimit = base::milliseconds(500);
-constexpr std::uint32_t kMostQueueMoves = 3;
 /// Items beyond the engines' places that may wait at them, in percent.
 constexpr std::uint32_t kOvercommitPercent = 110;
 
@@ -363,116 +351,6 @@
   }
 }
 
-void ItemRunner::cutSilent(base::TimePoint now) {
-  for (const auto& [key, item] : items_) {
-    const bool silent = now - item->lastByteAt > kSilenceLimit;
-    if (item->exchange.valid() && (item->unusable || silent)) {
-      node_.upstream().cancel(item->exchange);
-      item->exchange = {};
-      onAttemptFailed(key, *item, item->unusable ? SendOutcome::kAbandoned : SendOutcome::kFailed,
-                      {});
-    }
-  }
-}
-
-void ItemRunner::notePace(Running& item, base::TimePoint now) {
-  if (item.paceSince == base::TimePoint{}) {
-    item.paceSince = now;  // the first event also waited for its prompt
-    return;
-  }
-  if (++item.paceEvents < kPaceEvents) {
-    return;
-  }
-  instances_.onPace(item.instance, (now - item.paceSince) / item.paceEvents);
-  item.paceSince = now;
-  item.paceEvents = 0;
-}
-
-bool ItemRunner::isLong(const Running& item) const {
-  constexpr double kLongFactor = 1.5;
-  return item.moves > 0 || item.run.leased().item.expectedTokens > kLongFactor * typical_tokens_;
-}
-
-void ItemRunner::moveFromSlow(base::TimePoint now) {
-  for (const auto& [key, item] : items_) {
-    const bool mayMove = item->exchange.valid() && item->paceSince != base::TimePoint{} &&
-                         item->moves < kMostMoves && now - item->firstSentAt > kLongRun;
-    if (!mayMove) {
-      continue;
-    }
-    const auto* faster =
-        instances_.findFaster(needOf(*item), item->instance, kMoveGain, node_.random(), now);
-    if (faster != nullptr) {
-      ++item->moves;
-      moveTo(key, *item, faster->record.id, "slow");
-    }
-  }
-}
-
-void ItemRunner::moveFromQueues(base::TimePoint now) {
-  for (const auto& [key, item] : items_) {
-    const bool waits = item->exchange.valid() && item->lastByteAt == item->sentAt &&
-                       now - item->sentAt > kQueueLimit && item->queueMoves < kMostQueueMoves;
-    if (!waits) {
-      continue;
-    }
-    const auto* idle = instances_.findIdle(needOf(*item), item->tried, node_.random(), now);
-    if (idle != nullptr) {
-      ++item->queueMoves;
-      moveTo(key, *item, idle->record.id, "full");
-    }
-  }
-}
-
-void ItemRunner::moveTo(const jobs::ItemKey& key, Running& item, const std::string& instance,
-                        std::string_view reason) {
-  node_.metrics().count(CounterId::kItemsMoved, reason);
-  telemetry::logEvent(EventId::kItemMoved, Detail()
-                                               .add("job", key.job)
-                                               .add("item", item.run.leased().item.id)
-                                               .add("from", item.instance)
-                                               .add("to", instance)
-                                               .add("reason", reason)
-                                               .add("events", item.run.lastEvent().value_or(0))
-                                               .text());
-  cancelAttempt(item);
-  item.tried.insert(item.instance);
-  item.next = instance;
-  retryLater(item, base::Duration{0});
-}
-
-void ItemRunner::finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result) {
-  item.finished = true;
-  const bool completed = result.state == jobs::ItemState::kCompleted;
-  node_.metrics().count(CounterId::kItemsFinished, completed ? "completed" : "terminated");
-  const base::TimePoint now = node_.now();
-  const jobs::LeasedItem& leased = item.run.leased();
-  Detail detail;
-  detail.add("job", key.job).add("item", leased.item.id).add("group", leased.item.group);
-  detail.add("instance", item.instance).add("status", static_cast<std::uint64_t>(item.status));
-  detail.add("lease_age_ms", leased.age).add("wait_ms", item.firstSentAt - item.leasedAt);
-  detail.add("run_ms", now - item.firstSentAt).add("begun_ms", item.begunAfter);
-  detail.add("last_ms", now - item.sentAt).add("attempts", std::uint64_t{item.attempts});
-  detail.add("events", item.run.lastEvent().value_or(0));
-  detail.add("hint", std::uint64_t{leased.item.expectedTokens});
-  telemetry::logEvent(completed ? EventId::kItemFinished : EventId::kItemGivenUp, detail.text());
-  if (completed) {
-    const base::Duration begun = item.firstSentAt - item.leasedAt + item.begunAfter;
-    node_.metrics().observe(HistogramId::kItemWait, leased.age + begun);
-    node_.metrics().observe(HistogramId::kItemRun, now - item.firstSentAt - item.begunAfter);
-  }
-  results_[key.job].push_back(std::move(result));
-}
-
-void ItemRunner::reportFigures(telemetry::Metrics& metrics) const {
-  std::size_t waiting = 0;
-  for (const auto& [job, results] : results_) {
-    waiting += results.size();
-  }
-  metrics.set(telemetry::GaugeId::kItemsRunning, static_cast<double>(items_.size()));
-  metrics.set(telemetry::GaugeId::kResultsWaiting, static_cast<double>(waiting));
-}
-
 void ItemRunner::commit(base::TimePoint now) {
   if (committing_ || results_.empty()) {
     return;
--- /dev/null
+++ b/src/node/node_telemetry.cpp
@@ -0,0 +1,82 @@
+/// \file
+/// What a Node tells of itself: events when something changed, figures when a scraper asks.
+#include <algorithm>
+
+#include "node/gateway_front.h"
+#include "node/node.h"
+#include "telemetry/log.h"
+
+namespace tackpick::node {
+
+using telemetry::CounterId;
+using telemetry::Detail;
+using telemetry::EventId;
+using telemetry::GaugeId;
+using telemetry::logEvent;
+
+const consensus::Replica* Node::replica() const {
+  if (directory_) {
+    return &directory_->replica();
+  }
+  return ledger_ ? &ledger_->replica() : nullptr;
+}
+
+void Node::observe() {
+  if (const consensus::Replica* own = replica()) {
+    observeReplica(*own);
+  }
+}
+
+void Node::observeReplica(const consensus::Replica& replica) {
+  const consensus::RaftConsensus& raft = replica.raft();
+  if (raft.isLeader() != reported_leader_) {
+    reported_leader_ = raft.isLeader();
+    if (reported_leader_) {
+      metrics_.count(CounterId::kElectionsWon);
+    }
+    logEvent(reported_leader_ ? EventId::kBecameLeader : EventId::kLostLeadership,
+             Detail()
+                 .add("group", replica.group().value)
+                 .add("term", raft.currentTerm())
+                 .add("applied", replica.appliedIndex())
+                 .text());
+  }
+  const std::size_t voters = raft.membership().voters.size();
+  if (voters != reported_voters_) {
+    reported_voters_ = voters;
+    logEvent(EventId::kMembershipChanged, Detail()
+                                              .add("group", replica.group().value)
+                                              .add("voters", voters)
+                                              .add("learners", raft.membership().learners.size())
+                                              .text());
+  }
+  if (raft.failed() && !failed_) {
+    failed_ = true;
+    disk_failed_ = true;
+    logEvent(EventId::kReplicaFailed, Detail().add("group", replica.group().value).text());
+  }
+}
+
+void Node::reportFigures() {
+  if (const consensus::Replica* own = replica()) {
+    const consensus::RaftConsensus& raft = own->raft();
+    metrics_.set(GaugeId::kLeader, raft.isLeader() ? 1 : 0);
+    metrics_.set(GaugeId::kTerm, static_cast<double>(raft.currentTerm()));
+    metrics_.set(GaugeId::kCommitIndex, static_cast<double>(raft.commitIndex()));
+    metrics_.set(GaugeId::kVoters, static_cast<double>(raft.membership().voters.size()));
+    metrics_.set(GaugeId::kLogBytes, static_cast<double>(log_->logBytes()));
+    metrics_.set(GaugeId::kSnapshotBytes, static_cast<double>(log_->snapshotBytes()));
+  }
+  if (ledger_) {
+    const auto& kept = ledger_->state().jobs();
+    const auto open = std::count_if(kept.begin(), kept.end(),
+                                    [](const auto& entry) { return !entry.second.settled(); });
+    metrics_.set(GaugeId::kKeptJobs, static_cast<double>(kept.size()));
+    metrics_.set(GaugeId::kOpenJobs, static_cast<double>(open));
+  }
+  if (gateway_front_) {
+    gateway_front_->reportFigures(metrics_);
+  }
+}
+
+}  // namespace tackpick::node
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -144,15 +144,12 @@
 
 Test(platform_dialect, answers_promise_no_more_than_is_known) {
   const platform::PlatformDialect dialect;
-  cr_assert_eq(dialect.jobAnswer(jobs::SubmitJob{}, nullptr).status, 504, "it may have been taken");
-  cr_assert_eq(dialect.jobAnswer(jobs::ReadJob{}, nullptr).status, 503);
   jobs::JobReply reply;
-  cr_assert_eq(dialect.jobAnswer(jobs::SubmitJob{}, &reply).status, 202);
+  cr_assert_eq(dialect.jobAnswer(jobs::SubmitJob{}, reply).status, 202);
   reply.status = jobs::JobStatus::kNotFound;
-  cr_assert_eq(dialect.jobAnswer(jobs::ReadJob{}, &reply).status, 404);
-  cr_assert_eq(dialect.controlAnswer(directory::ReadConfiguration{}, nullptr).status, 503);
+  cr_assert_eq(dialect.jobAnswer(jobs::ReadJob{}, reply).status, 404);
   directory::DirectoryReply invalid{directory::DirectoryStatus::kInvalid, "why", std::nullopt};
-  cr_assert_eq(dialect.controlAnswer(directory::ReplaceConfiguration{}, &invalid).status, 400);
+  cr_assert_eq(dialect.controlAnswer(directory::ReplaceConfiguration{}, invalid).status, 400);
 }
 
 Test(platform_dialect, calls_at_a_controller) {
