--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -90,7 +90,8 @@
                 ("tackpick-cluster-" + std::to_string(getpid()))),
         internal_port_(tackpick::test::reservePort()),
         http_port_(tackpick::test::reservePort()),
-        readiness_port_(tackpick::test::reservePort()) {
+        readiness_port_(tackpick::test::reservePort()),
+        metrics_port_(tackpick::test::reservePort()) {
     std::filesystem::create_directories(folder_);
     for (int i = 1; i <= 3; ++i) {
       machines_.push_back({"127.0.1." + std::to_string(i), "controller", nullptr});
@@ -113,8 +114,8 @@
     std::ofstream settings(name + ".yaml");
     settings << "formation: self\ncluster: test\nname: node-" << machine.address
              << "\nrole: " << machine.role << "\naddress: " << machine.address
-             << "\nzone: a\ninternal_port: " << internal_port_
-             << "\nbootstrap: " << (bootstrap ? "true" : "false")
+             << "\nzone: a\ninternal_port: " << internal_port_ << "\nmetrics: " << machine.address
+             << ":" << metrics_port_ << "\nbootstrap: " << (bootstrap ? "true" : "false")
              << "\nseeds: [127.0.1.1:" << http_port_ << ", 127.0.1.2:" << http_port_
              << ", 127.0.1.3:" << http_port_ << "]\n";
     if (machine.role == "gateway") {
@@ -185,6 +186,16 @@
                  3})
         .status;
   }
+  /// What the machine tells scrapers.
+  [[nodiscard]] std::string figures(const std::string& address) const {
+    return call({"GET",
+                 "http://" + address + ":" + std::to_string(metrics_port_) + "/metrics",
+                 "",
+                 {},
+                 {},
+                 3})
+        .body;
+  }
   /// Lines of a machine's log that hold `text`.
   [[nodiscard]] std::size_t logged(const std::string& address, const std::string& text) const {
     std::ifstream log(folder_ / (address + ".log"));
@@ -216,6 +227,7 @@
   const std::uint16_t internal_port_;
   const std::uint16_t http_port_;
   const std::uint16_t readiness_port_;
+  const std::uint16_t metrics_port_;
   std::vector<Machine> machines_;
   int turn_ = 0;
 };
@@ -315,6 +327,19 @@
   cr_assert_eq(cluster.gateway("DELETE", "/lots/one").status, kOk);
 }
 
+Test(cluster, every_role_tells_its_figures) {
+  Cluster cluster;
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
+  const auto tells = [&](const std::string& address, const std::string& line) {
+    return cluster.figures(address).find(line) != std::string::npos;
+  };
+  cr_assert(tells("127.0.3.1", "\ntackpick_configuration_version 2\n"));
+  cr_assert(tells(cluster.leader("127.0.1."), "\ntackpick_leader 1\n"));
+  cr_assert(tells(cluster.leader("127.0.2."), "\ntackpick_voters 3\n"));
+  cr_assert(tells("127.0.2.1", "# TYPE tackpick_turn_seconds histogram"));
+}
+
 Test(cluster, gateway_stops_as_planned) {
   Cluster cluster;
   cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
