Scoring calls: an item's whole text is judged before its result is listed

Change: items carry a ScoringCall. Once a text is whole, its gateway calls the scorer by the route in force then (ScoreCaller; ScoringAttempts decides what follows an answer, CallWindow how many calls run at once: additive increase, multiplicative decrease by the load that servers tell, so that callers go first). A text whose score does not come within 60 ms is handed to the ledgers as whole; its next holder makes only the call, and needs no engine. A result refers to the text that the ledgers keep instead of repeating it, and counts only while that very text is kept.

--- a/src/edge/dialect.h
+++ b/src/edge/dialect.h
@@ -29,6 +29,7 @@
   std::string weightsVersion;    ///< in an answer: the weights that make it
   std::string weightsField;      ///< the same as a field of a stream's event
   std::string lastEvent;         ///< continue a stream behind this event
+  std::string signature;         ///< in an answer: the instance's signature of it
 };
 
 /// An answer of our own.
@@ -84,6 +85,9 @@
   /// The call that runs an item, continuing behind `lastEvent`.
   [[nodiscard]] virtual http::UpstreamRequest itemRequest(
       const jobs::LeasedItem& item, std::optional<std::uint64_t> lastEvent) const = 0;
+  /// The call that has an item's text judged.
+  [[nodiscard]] virtual http::UpstreamRequest scoringRequest(
+      const jobs::ScoringCall& call) const = 0;
 };
 
 }  // namespace tackpick::edge
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -181,10 +181,17 @@
     if (!isOpen(state, key)) {
       continue;
     }
-    const JobSubmission& job = state.find(key.job)->submission;
+    const Job& owner = *state.find(key.job);
+    const JobSubmission& job = owner.submission;
     if (leases_.contains(key)) {
       continue;
     }
+    if (owner.hasWholeText(key.item)) {
+      // Needs no place at an engine.
+      leases_.emplace(key, Lease{gateway, now + lease_time_, {}});
+      leased.push_back({std::move(key), ++last_number_, {}});
+      continue;
+    }
     const std::string engine = placement_.place(job.model, job.minimumVersion);
     const bool noPlace = placement_.knowsEngines() && engine.empty();
     if (noPlace || !wanted.take(job.model, job.minimumVersion)) {
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -50,7 +50,8 @@
   void onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace, base::TimePoint now);
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
   void giveBack(base::NodeId gateway, const std::vector<HeldItem>& held);
-  /// Leases items to `gateway`, as many as find a place in `wanted`.
+  /// Leases items to `gateway`, as many as find a place in `wanted`, and whole texts that only
+  /// their score is missing of.
   [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, EngineRoom wanted,
                                                const JobState& state, base::TimePoint now);
   /// Leased items by the engine where they run or were placed.
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -61,7 +61,10 @@
   text_ = std::move(leased_.progress->text);
   versions_ = std::move(leased_.progress->versions);
   last_event_ = leased_.progress->point.event;
-  kept_ = Kept{leased_.progress->point, text_.size()};
+  kept_ = Kept{leased_.progress->point, text_.size(), leased_.progress->whole};
+  if (kept_->whole) {
+    whole_since_ = base::TimePoint{};
+  }
   leased_.progress.reset();
 }
 
@@ -70,7 +73,7 @@
     return std::nullopt;
   }
   const std::uint64_t events = *last_event_ - (kept_ ? kept_->point.event : 0);
-  if (events < leastEvents) {
+  if (whole_since_ ? kept_ && kept_->whole : events < leastEvents) {
     return std::nullopt;
   }
   ItemProgress progress;
@@ -81,11 +84,22 @@
   if (kept_) {
     progress.after = kept_->point;
   }
-  offered_ = Kept{progress.added.point, text_.size()};
+  progress.added.whole = whole_since_.has_value();
+  offered_ = Kept{progress.added.point, text_.size(), progress.added.whole};
+  saving_ = true;
   return progress;
 }
 
-void ItemRun::onProgressSaved(bool known) { kept_ = known ? offered_ : std::nullopt; }
+void ItemRun::onProgressSaved(bool known) {
+  saving_ = false;
+  kept_ = known ? offered_ : std::nullopt;
+}
+
+bool ItemRun::waitsUnkept(base::Duration delay, base::TimePoint now) const {
+  const bool kept = kept_ && kept_->whole;
+  return whole_since_ && !finished_ && !kept && !saving_ && !begun_anew_ &&
+         now - *whole_since_ >= delay;
+}
 
 bool ItemRun::accepts(std::uint64_t version) const {
   if (version < leased_.minimumVersion) {
@@ -127,7 +141,16 @@
 }
 
 ItemResult ItemRun::completed() const {
-  return {leased_.key.item, ItemState::kCompleted, text_, versions_};
+  return {leased_.key.item, ItemState::kCompleted, text_, versions_, score_};
+}
+
+ItemResult ItemRun::completedAfterKept() const {
+  ItemResult result = completed();
+  if (kept_ && !begun_anew_) {
+    result.text.erase(0, kept_->bytes);
+    result.after = kept_->point;
+  }
+  return result;
 }
 
 ItemResult ItemRun::terminated() const {
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -50,14 +50,28 @@
   [[nodiscard]] bool onHead(std::uint64_t version);
   /// Adds an event. False when it does not follow the last one, or its version must not be used.
   [[nodiscard]] bool onEvent(const StreamEvent& event);
-  /// The run ended whole: the item's result.
+  /// The run ended whole; a score may still be missing.
+  void onWhole(base::TimePoint now) { whole_since_ = now; }
+  [[nodiscard]] bool isWhole() const { return whole_since_.has_value(); }
+  /// Nothing more is to be kept of the text: its result is about to be handed in.
+  void onFinished() { finished_ = true; }
+  [[nodiscard]] bool isFinished() const { return finished_; }
+  /// The scorer's answer to this text.
+  void onScore(std::string score) { score_ = std::move(score); }
+  /// The result of a whole run.
   [[nodiscard]] ItemResult completed() const;
+  /// The same without what the ledgers keep of the text. Not while isSaving().
+  [[nodiscard]] ItemResult completedAfterKept() const;
   [[nodiscard]] ItemResult terminated() const;
-  /// What the ledgers do not keep of the text yet; nothing with fewer than `leastEvents` of them.
-  /// onProgressSaved() is to follow before the next offer.
+  /// What the ledgers do not keep of the text yet; nothing with fewer than `leastEvents` of them,
+  /// unless the text is whole. onProgressSaved() is to follow before the next offer.
   [[nodiscard]] std::optional<ItemProgress> offerProgress(std::uint64_t leastEvents);
   /// The ledgers have taken what was offered, or it is not known whether they have.
   void onProgressSaved(bool known);
+  /// An offer has no answer yet.
+  [[nodiscard]] bool isSaving() const { return saving_; }
+  /// The whole text has waited for its score for `delay`, and the ledgers do not keep it.
+  [[nodiscard]] bool waitsUnkept(base::Duration delay, base::TimePoint now) const;
   /// The engine answered with a failure. True when the item is to be given up.
   [[nodiscard]] bool onFailure();
   /// True when the item is too old to be tried again.
@@ -72,14 +86,19 @@
   struct Kept {
     ProgressPoint point;
     std::size_t bytes = 0;
+    bool whole = false;
   };
   std::optional<Kept> kept_;
   std::optional<Kept> offered_;
+  bool saving_ = false;
   bool begun_anew_ = false;  ///< the text no longer begins as the kept one does
   std::optional<std::uint64_t> last_event_;
   std::set<std::uint64_t> versions_;
   std::uint64_t run_version_ = 0;
   std::uint32_t failures_ = 0;
+  std::optional<base::TimePoint> whole_since_;
+  std::string score_;
+  bool finished_ = false;
 };
 
 }  // namespace tackpick::jobs
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -19,6 +19,19 @@
 
 namespace tackpick::jobs {
 
+/// The request that has an item's whole text judged. It goes to the service of its own route.
+struct ScoringCall {
+  std::string id;
+  std::string host;
+  std::string path;
+  std::string body;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, host, path, body);
+  }
+};
+
 /// One request of a job, to be run as it stands.
 struct Item {
   std::string id;
@@ -27,10 +40,12 @@
   std::string body;
   std::string group;                 ///< items of a group share their prompt
   std::uint32_t expectedTokens = 0;  ///< the caller's estimate of the output; zero: unknown
+  /// Its result is listed as completed only with the score of this call; nothing: it needs none.
+  std::optional<ScoringCall> scoring = std::nullopt;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, path, headers, body, group, expectedTokens);
+    archive(id, path, headers, body, group, expectedTokens, scoring);
   }
 };
 
@@ -55,19 +70,6 @@
 
 enum class ItemState : std::uint8_t { kCompleted, kTerminated };
 
-/// What became of an item.
-struct ItemResult {
-  std::uint32_t item = 0;  ///< its index in the job
-  ItemState state = ItemState::kCompleted;
-  std::string text;
-  std::set<std::uint64_t> versions;  ///< that made the text
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(item, state, text, versions);
-  }
-};
-
 /// How far a kept text reaches: the lease under which it was last extended, and its last event.
 struct ProgressPoint {
   std::uint64_t lease = 0;
@@ -81,16 +83,34 @@
   }
 };
 
+/// What became of an item.
+struct ItemResult {
+  std::uint32_t item = 0;  ///< its index in the job
+  ItemState state = ItemState::kCompleted;
+  std::string text;
+  std::set<std::uint64_t> versions;  ///< that made the text
+  std::string score = {};            ///< of the item's scoring call; empty when it has none
+  /// While the result is on its way: `text` follows the kept text, which reaches this point.
+  /// Nothing: it is the whole text.
+  std::optional<ProgressPoint> after = std::nullopt;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(item, state, text, versions, score, after);
+  }
+};
+
 /// The text that an unfinished item has so far, kept by the ledgers so that another gateway can
 /// continue it behind its last event.
 struct PartialText {
   ProgressPoint point;
   std::string text;
   std::set<std::uint64_t> versions;  ///< that made the text
+  bool whole = false;                ///< only its score is missing
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(point, text, versions);
+    archive(point, text, versions, whole);
   }
 };
 
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_state.h"
 
+#include <utility>
+
 namespace tackpick::jobs {
 
 namespace {
@@ -9,6 +11,7 @@
   item.path = {};
   item.headers = {};
   item.body = {};
+  item.scoring.reset();
 }
 
 /// True when `progress` continues what is kept or stands for itself. A text is made of the runs of
@@ -35,9 +38,35 @@
   }
   kept.point = progress.added.point;
   kept.text += progress.added.text;
+  kept.whole = progress.added.whole;
   kept.versions.insert(progress.added.versions.begin(), progress.added.versions.end());
 }
 
+/// Puts the kept text before a result that follows it. False when the result follows another text.
+bool joinKept(const Job& job, ItemResult& result) {
+  if (!result.after) {
+    return true;
+  }
+  const auto kept = job.partial.find(result.item);
+  if (kept == job.partial.end() || kept->second.point != *result.after) {
+    return false;
+  }
+  result.text.insert(0, kept->second.text);
+  result.after.reset();
+  return true;
+}
+
+void list(Job& job, ItemResult result) {
+  const std::uint32_t item = result.item;
+  if (item >= job.listed.size() || job.listed[item] || !joinKept(job, result)) {
+    return;
+  }
+  job.listed[item] = true;
+  job.results.push_back(std::move(result));
+  job.partial.erase(item);
+  forgetRequest(job.submission.items[item]);
+}
+
 }  // namespace
 
 base::Bytes JobState::apply(consensus::LogIndex /*index*/, const base::Bytes& command) {
@@ -74,14 +103,8 @@
     if (found == jobs_.end()) {
       continue;
     }
-    Job& job = found->second;
     for (const ItemResult& result : results.results) {
-      if (result.item < job.listed.size() && !job.listed[result.item]) {
-        job.listed[result.item] = true;
-        job.results.push_back(result);
-        job.partial.erase(result.item);
-        forgetRequest(job.submission.items[result.item]);
-      }
+      list(found->second, result);
     }
   }
 }
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -21,6 +21,11 @@
   [[nodiscard]] bool complete() const { return results.size() == submission.items.size(); }
   /// Nothing of it needs to run any more.
   [[nodiscard]] bool settled() const { return ended || complete(); }
+  /// The item's whole text is kept: only its score is missing.
+  [[nodiscard]] bool hasWholeText(std::uint32_t item) const {
+    const auto kept = partial.find(item);
+    return kept != partial.end() && kept->second.whole;
+  }
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -29,7 +34,7 @@
 };
 
 /// Deterministic. The first result for an item is listed at the next position of its job; later
-/// ones change nothing.
+/// ones change nothing. A result that follows a kept text counts only while that text is kept.
 class JobState final : public consensus::StateMachine {
  public:
   base::Bytes apply(consensus::LogIndex index, const base::Bytes& command) override;
--- a/src/jobs/progress_saver.cpp
+++ b/src/jobs/progress_saver.cpp
@@ -1,15 +1,35 @@
 #include "jobs/progress_saver.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace tackpick::jobs {
 
+namespace {
+
+/// No unfinished text has so many events.
+constexpr std::uint64_t kNoUnfinished = std::numeric_limits<std::uint64_t>::max();
+
+}  // namespace
+
+bool ProgressSaver::anyWaitsForScore(base::TimePoint now) const {
+  const Runs runs = m_runs();
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& entry) {
+    return entry.second->waitsUnkept(m_settings.scoreWait, now);
+  });
+}
+
 void ProgressSaver::tick(base::TimePoint now) {
-  if (m_saving || now - m_savedAt < m_settings.interval) {
+  if (m_saving) {
+    return;
+  }
+  const bool due = now - m_savedAt >= m_settings.interval;
+  if (!due && !anyWaitsForScore(now)) {
     return;
   }
-  m_savedAt = now;
-  SaveProgress request = collect(m_settings.leastEvents);
+  m_savedAt = due ? now : m_savedAt;
+  SaveProgress request = collect(due ? m_settings.leastEvents : kNoUnfinished);
   if (!request.jobs.empty()) {
     send(std::move(request), now, {});
   }
@@ -22,7 +42,8 @@
 SaveProgress ProgressSaver::collect(std::uint64_t leastEvents) const {
   SaveProgress request;
   for (const auto& [key, run] : m_runs()) {
-    std::optional<ItemProgress> progress = run->offerProgress(leastEvents);
+    std::optional<ItemProgress> progress =
+        run->isFinished() ? std::nullopt : run->offerProgress(leastEvents);
     if (!progress) {
       continue;
     }
--- a/src/jobs/progress_saver.h
+++ b/src/jobs/progress_saver.h
@@ -17,13 +17,16 @@
   base::Duration interval = base::milliseconds(700);
   /// Items with fewer new events wait for the next interval: most of them are whole by then.
   std::uint64_t leastEvents = 8;
+  /// A whole text is kept when its score has not come for so long; most come sooner, and then the
+  /// result is kept in one call.
+  base::Duration scoreWait = base::milliseconds(60);
   base::Duration callDeadline = base::seconds(2);
 };
 
 /// Deterministic; owned by one thread. At most one call is under way.
 class ProgressSaver {
  public:
-  /// The items that run at this gateway.
+  /// The items of this gateway, finished ones included until their results are taken.
   using Runs = std::map<ItemKey, ItemRun*>;
   using RunSource = std::function<Runs()>;
 
@@ -37,6 +40,7 @@
   [[nodiscard]] std::uint64_t savedTexts() const { return m_savedTexts; }
 
  private:
+  [[nodiscard]] bool anyWaitsForScore(base::TimePoint now) const;
   [[nodiscard]] SaveProgress collect(std::uint64_t leastEvents) const;
   void send(SaveProgress request, base::TimePoint now, std::function<void()> done);
   void onReply(const SaveProgress& request, bool known);
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -21,7 +21,6 @@
 constexpr base::Duration kLeaseInterval = base::milliseconds(80);
 constexpr base::Duration kIdleLeaseInterval = base::milliseconds(160);
 constexpr base::Duration kCallDeadline = base::seconds(2);
-constexpr base::Duration kCommitDeadline = base::seconds(30);
 /// Without a renewal for so long nothing new is sent: its job may have ended.
 constexpr base::Duration kLeaseTrust = base::milliseconds(2000);
 constexpr base::Duration kRetryDelay = base::milliseconds(40);
@@ -54,6 +53,7 @@
   moveFromSlow(now);
   moveFromQueues(now);
   startAttempts(now);
+  startScoring(now);
   commit(now);
   if (!released_) {
     progress_.tick(now);
@@ -72,7 +72,7 @@
   jobs::EngineRoom wanted = instances_.engineRoom(engine_models_);
   wanted.share(gateways_, kOvercommitPercent);
   for (const auto& [key, item] : items_) {
-    if (!item->finished) {
+    if (needsEngine(*item)) {
       wanted.occupy(item->run.leased().model, item->run.leased().minimumVersion);
     }
   }
@@ -105,12 +105,10 @@
                 });
 }
 
-jobs::ProgressSaver::Runs ItemRunner::unfinishedRuns() const {
+jobs::ProgressSaver::Runs ItemRunner::runs() const {
   jobs::ProgressSaver::Runs runs;
   for (const auto& [key, item] : items_) {
-    if (!item->finished) {
-      runs.emplace(key, &item->run);
-    }
+    runs.emplace(key, &item->run);
   }
   return runs;
 }
@@ -120,22 +118,24 @@
   released_ = true;
   for (const auto& [key, item] : items_) {
     cancelAttempt(*item);
+    scores_.cancel(key);
   }
   progress_.saveAll(node_.now(), [this] { giveBack(); });
 }
 
 void ItemRunner::giveBack() {
-  telemetry::logEvent(EventId::kItemsReleased,
-                      Detail().add("items", unfinishedRuns().size()).text());
-  std::erase_if(items_, [](const auto& entry) { return !entry.second->finished; });
+  const std::size_t released =
+      std::erase_if(items_, [](const auto& entry) { return !entry.second->outcome; });
+  telemetry::logEvent(EventId::kItemsReleased, Detail().add("items", released).text());
   lease(node_.now());
 }
 
 void ItemRunner::onLeased(const jobs::JobReply& reply) {
   for (const jobs::ItemKey& key : reply.revoked) {
     const auto found = items_.find(key);
-    if (found != items_.end() && !found->second->finished) {
+    if (found != items_.end() && !found->second->outcome) {
       cancelAttempt(*found->second);
+      scores_.cancel(key);
       items_.erase(found);
     }
   }
@@ -151,6 +151,7 @@
     auto item = std::make_unique<Running>(leased, node_.dialect().headers().weightsField);
     item->leasedAt = now;
     item->next = leased.engine;
+    item->whole = item->run.isWhole();
     constexpr double kWeight = 0.02;
     typical_tokens_ += kWeight * (leased.item.expectedTokens - typical_tokens_);
     items_.emplace(leased.key, std::move(item));
@@ -172,12 +173,16 @@
   }
 }
 
+bool ItemRunner::mayStart(base::TimePoint now) const {
+  return !released_ && now - renewed_at_ <= kLeaseTrust;
+}
+
 void ItemRunner::startAttempts(base::TimePoint now) {
-  if (released_ || now - renewed_at_ > kLeaseTrust) {
+  if (!mayStart(now)) {
     return;
   }
   for (const auto& [key, item] : items_) {
-    if (!item->finished && !item->exchange.valid() && now >= item->notBefore) {
+    if (needsEngine(*item) && !item->exchange.valid() && now >= item->notBefore) {
       startAttempt(key, *item, now);
     }
   }
@@ -187,7 +192,7 @@
   const jobs::LeasedItem& leased = item.run.leased();
   const directory::Route* route = routes_.find(leased.host, leased.item.path);
   if (route == nullptr || item.run.outOfTime(now - item.leasedAt)) {
-    finishItem(key, item, item.run.terminated());
+    finishItem(key, item, jobs::ItemState::kTerminated);
     return;
   }
   item.service = directory::drawService(*route, node_.random());
@@ -305,11 +310,11 @@
   } else if (item.status == kOk && isWhole(item)) {
     instances_.onEnded(item.instance, SendOutcome::kServed, now - item.sentAt, now);
     node_.metrics().count(CounterId::kItemAttemptsEnded, toString(SendOutcome::kServed));
-    finishItem(key, item, item.run.completed());
+    onWhole(key, item);
   } else {
     onAttemptFailed(key, item, SendOutcome::kFailed, kRetryDelay);
     if (item.status == kUnprocessable || (item.status == kServerError && item.run.onFailure())) {
-      finishItem(key, item, item.run.terminated());
+      finishItem(key, item, jobs::ItemState::kTerminated);
     }
   }
 }
@@ -351,28 +356,4 @@
   }
 }
 
-void ItemRunner::commit(base::TimePoint now) {
-  if (committing_ || results_.empty()) {
-    return;
-  }
-  jobs::CommitResults request;
-  for (auto& [job, results] : std::exchange(results_, {})) {
-    request.jobs.push_back({job, std::move(results)});
-  }
-  committing_ = true;
-  ledgers_.call(jobs::JobRequest{request}, kCommitDeadline, now,
-                [this, request](const jobs::JobReply* reply) {
-                  committing_ = false;
-                  for (const jobs::JobResults& job : request.jobs) {
-                    for (const jobs::ItemResult& result : job.results) {
-                      if (reply != nullptr) {
-                        items_.erase({job.job, result.item});
-                      } else {
-                        results_[job.job].push_back(result);
-                      }
-                    }
-                  }
-                });
-}
-
 }  // namespace tackpick::node
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -13,6 +14,7 @@
 #include "http/upstream_client.h"
 #include "jobs/item_run.h"
 #include "jobs/progress_saver.h"
+#include "node/score_caller.h"
 #include "telemetry/metric.h"
 
 namespace tackpick::node {
@@ -27,7 +29,8 @@
         instances_(instances),
         routes_(routes),
         ledgers_(ledgers),
-        progress_(ledgers, [this] { return unfinishedRuns(); }, {}) {}
+        progress_(ledgers, [this] { return runs(); }, {}),
+        scores_(node, instances, routes) {}
 
   void onView(const directory::DirectoryView& view);
   void tick();
@@ -39,7 +42,7 @@
   void release();
   void reportFigures(telemetry::Metrics& metrics) const;
   /// Nothing runs and every result is handed in.
-  [[nodiscard]] bool idle() const { return items_.empty() && results_.empty() && !committing_; }
+  [[nodiscard]] bool idle() const { return items_.empty() && !committing_; }
 
  private:
   /// An item between its lease and the commit of its result.
@@ -68,14 +71,25 @@
     base::TimePoint firstSentAt{};
     bool notExecuted = false;
     bool unusable = false;  ///< the running attempt's answer must not be used
-    bool finished = false;  ///< its result waits to be committed
+    bool whole = false;     ///< only its score may still be missing
+    base::TimePoint wholeAt{};
+    bool scoring = false;                    ///< its scorer is being asked
+    std::optional<jobs::ItemState> outcome;  ///< its result waits to be committed
+    bool committed = false;                  ///< its result was handed in, and may have been taken
   };
 
-  [[nodiscard]] jobs::ProgressSaver::Runs unfinishedRuns() const;
+  /// Neither runs nor is to run.
+  [[nodiscard]] static bool needsEngine(const Running& item) {
+    return !item.whole && !item.outcome;
+  }
+
+  [[nodiscard]] jobs::ProgressSaver::Runs runs() const;
   void giveBack();
   void lease(base::TimePoint now);
   void onLeased(const jobs::JobReply& reply);
   [[nodiscard]] jobs::EngineRoom wantedItems() const;
+  /// Without a renewal of the leases nothing new is sent: a job may have ended.
+  [[nodiscard]] bool mayStart(base::TimePoint now) const;
   void startAttempts(base::TimePoint now);
   void startAttempt(const jobs::ItemKey& key, Running& item, base::TimePoint now);
   void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
@@ -100,16 +114,23 @@
   void onAttemptFailed(const jobs::ItemKey& key, Running& item, forwarding::SendOutcome outcome,
                        base::Duration delay);
   void cancelAttempt(Running& item);
-  void finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result);
+  /// The text is whole: asks its scorer, or finishes the item when it needs no score.
+  void onWhole(const jobs::ItemKey& key, Running& item);
+  void startScoring(base::TimePoint now);
+  void onScore(const jobs::ItemKey& key, const std::string* score);
+  void finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemState outcome);
+  void logFinished(const jobs::ItemKey& key, const Running& item) const;
   void commit(base::TimePoint now);
+  [[nodiscard]] jobs::CommitResults takeResults();
+  void onCommitted(const jobs::CommitResults& request, bool known);
 
   Node& node_;
   forwarding::InstanceTable& instances_;
   const directory::RouteTable& routes_;
   jobs::LedgerClient& ledgers_;
   jobs::ProgressSaver progress_;
+  ScoreCaller scores_;
   std::map<jobs::ItemKey, std::unique_ptr<Running>> items_;
-  std::map<std::string, std::vector<jobs::ItemResult>> results_;  ///< to be committed, by job
   std::uint32_t gateways_ = 1;
   forwarding::ServiceModels engine_models_;
   bool leasing_ = false;
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// ItemRunner: runs that are broken off or go on elsewhere, and what is told of an item at its end.
+/// ItemRunner: runs that are broken off or go on elsewhere.
+#include <algorithm>
 #include <utility>
 
 #include "node/item_runner.h"
@@ -13,7 +14,6 @@
 using telemetry::CounterId;
 using telemetry::Detail;
 using telemetry::EventId;
-using telemetry::HistogramId;
 
 /// An attempt without a byte for so long is broken off and continued elsewhere.
 constexpr base::Duration kSilenceLimit = base::milliseconds(2500);
@@ -107,36 +107,13 @@
   retryLater(item, base::Duration{0});
 }
 
-void ItemRunner::finishItem(const jobs::ItemKey& key, Running& item, jobs::ItemResult result) {
-  item.finished = true;
-  const bool completed = result.state == jobs::ItemState::kCompleted;
-  node_.metrics().count(CounterId::kItemsFinished, completed ? "completed" : "terminated");
-  const base::TimePoint now = node_.now();
-  const jobs::LeasedItem& leased = item.run.leased();
-  Detail detail;
-  detail.add("job", key.job).add("item", leased.item.id).add("group", leased.item.group);
-  detail.add("instance", item.instance).add("status", static_cast<std::uint64_t>(item.status));
-  detail.add("lease_age_ms", leased.age).add("wait_ms", item.firstSentAt - item.leasedAt);
-  detail.add("run_ms", now - item.firstSentAt).add("begun_ms", item.begunAfter);
-  detail.add("last_ms", now - item.sentAt).add("attempts", std::uint64_t{item.attempts});
-  detail.add("events", item.run.lastEvent().value_or(0));
-  detail.add("hint", std::uint64_t{leased.item.expectedTokens});
-  telemetry::logEvent(completed ? EventId::kItemFinished : EventId::kItemGivenUp, detail.text());
-  if (completed) {
-    const base::Duration begun = item.firstSentAt - item.leasedAt + item.begunAfter;
-    node_.metrics().observe(HistogramId::kItemWait, leased.age + begun);
-    node_.metrics().observe(HistogramId::kItemRun, now - item.firstSentAt - item.begunAfter);
-  }
-  results_[key.job].push_back(std::move(result));
-}
-
 void ItemRunner::reportFigures(telemetry::Metrics& metrics) const {
-  std::size_t waiting = 0;
-  for (const auto& [job, results] : results_) {
-    waiting += results.size();
-  }
+  const auto waiting = std::count_if(items_.begin(), items_.end(), [](const auto& entry) {
+    return entry.second->outcome.has_value();
+  });
   metrics.set(telemetry::GaugeId::kItemsRunning, static_cast<double>(items_.size()));
   metrics.set(telemetry::GaugeId::kResultsWaiting, static_cast<double>(waiting));
+  metrics.set(telemetry::GaugeId::kScoringCalls, static_cast<double>(scores_.size()));
 }
 
 }  // namespace tackpick::node
--- /dev/null
+++ b/src/node/score_caller.cpp
@@ -0,0 +1,177 @@
+#include "node/score_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "http/status.h"
+#include "node/node.h"
+#include "telemetry/log.h"
+
+namespace tackpick::node {
+namespace {
+
+using forwarding::SendOutcome;
+using telemetry::CounterId;
+
+/// A silent call is broken off after so many times the latency that its route aims at.
+constexpr int kPatienceFactor = 4;
+constexpr base::Duration kLeastPatience = base::milliseconds(200);
+
+}  // namespace
+
+void ScoreCaller::add(const jobs::LeasedItem& leased, base::TimePoint deadline, Callback callback) {
+  Call& call = m_calls[leased.key];
+  call.request = *leased.item.scoring;
+  call.deadline = deadline;
+  call.callback = std::move(callback);
+  call.itemAttempts = leased.attempts;
+}
+
+void ScoreCaller::cancel(const jobs::ItemKey& key) {
+  const auto found = m_calls.find(key);
+  if (found == m_calls.end()) {
+    return;
+  }
+  breakOff(found->second, SendOutcome::kAbandoned, m_node.now());
+  m_calls.erase(found);
+}
+
+void ScoreCaller::breakOff(Call& call, SendOutcome outcome, base::TimePoint now) {
+  if (!call.exchange.valid()) {
+    return;
+  }
+  m_node.upstream().cancel(call.exchange);
+  call.exchange = {};
+  m_instances.onEnded(call.instance, outcome, now - call.sentAt, now);
+  m_window.onEnded(outcome == SendOutcome::kFailed, now);
+}
+
+void ScoreCaller::start(base::TimePoint now) {
+  for (auto& [key, call] : m_calls) {
+    if (call.exchange.valid() && now - call.sentAt > call.patience) {
+      breakOff(call, SendOutcome::kFailed, now);
+    }
+    const bool due = !call.exchange.valid() && now >= call.notBefore && now < call.deadline;
+    if (due && m_window.hasRoom()) {
+      send(key, call, now);
+    }
+  }
+}
+
+void ScoreCaller::send(const jobs::ItemKey& key, Call& call, base::TimePoint now) {
+  const directory::Route* route = m_routes.find(call.request.host, call.request.path);
+  if (route == nullptr) {
+    return;  // it may come back with the next configuration
+  }
+  const std::string service = directory::drawService(*route, m_node.random());
+  const auto* entry = m_instances.select({service, {}, 0, false}, call.tried, m_node.random(), now);
+  if (entry == nullptr) {
+    return;
+  }
+  if (!call.attempts) {
+    call.attempts =
+        std::make_unique<jobs::ScoringAttempts>(std::max(route->attempts, call.itemAttempts));
+  }
+  if (call.tried.contains(entry->record.id)) {
+    call.tried.clear();
+  }
+  call.tried.insert(entry->record.id);
+  call.instance = entry->record.id;
+  call.sentAt = now;
+  call.patience = std::max(kLeastPatience, route->targetLatency * kPatienceFactor);
+  call.answer = {};
+  call.crowded = false;
+  const edge::HeaderNames& names = m_node.dialect().headers();
+  http::UpstreamRequest request = m_node.dialect().scoringRequest(call.request);
+  request.address = {entry->record.host, entry->record.port};
+  request.headers.set(names.expectedInstance, entry->record.id);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
+  request.headers.set(names.deadline, std::to_string(left.count()));
+  request.echoName = names.requestId;
+  request.echoValue = call.request.id;
+  http::UpstreamEvents events;
+  events.onHead = [this, key = key](int status, const http::HeaderList& headers) {
+    onHead(key, status, headers);
+  };
+  events.onEnd = [this, key = key](const http::UpstreamEnd& end) { onEnd(key, end); };
+  m_instances.onSent(call.instance);
+  m_window.onSent();
+  call.exchange = m_node.upstream().start(std::move(request), std::move(events));
+}
+
+void ScoreCaller::onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers) {
+  const auto found = m_calls.find(key);
+  if (found == m_calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  const edge::HeaderNames& names = m_node.dialect().headers();
+  call.answer.status = status;
+  call.answer.notRun = headers.has(names.notExecuted) || status == http::status::kMisdirected;
+  call.answer.signature = headers.value(names.signature);
+  if (const auto load = m_node.dialect().load(headers.value(names.load))) {
+    m_instances.onLoad(call.instance, *load, m_node.now());
+    call.crowded = load->waiting > 0;
+  }
+}
+
+SendOutcome ScoreCaller::outcomeOf(const Call& call) {
+  if (!call.answer.complete) {
+    return call.answer.notRun ? SendOutcome::kUnreached : SendOutcome::kFailed;
+  }
+  if (call.answer.status == http::status::kMisdirected) {
+    return SendOutcome::kGone;
+  }
+  if (call.answer.notRun) {
+    return SendOutcome::kFull;
+  }
+  // Some texts are never judged: their failures say nothing of the server.
+  return call.answer.status >= http::status::kServerError ? SendOutcome::kAbandoned
+                                                          : SendOutcome::kServed;
+}
+
+void ScoreCaller::noteFailure(const jobs::ItemKey& key, const Call& call, SendOutcome outcome,
+                              base::TimePoint now) {
+  telemetry::logEvent(telemetry::EventId::kScoringCallFailed,
+                      telemetry::Detail()
+                          .add("job", key.job)
+                          .add("call", call.request.id)
+                          .add("instance", call.instance)
+                          .add("outcome", toString(outcome))
+                          .add("status", static_cast<std::uint64_t>(call.answer.status))
+                          .add("after_ms", now - call.sentAt)
+                          .text());
+}
+
+void ScoreCaller::onEnd(const jobs::ItemKey& key, const http::UpstreamEnd& end) {
+  const auto found = m_calls.find(key);
+  if (found == m_calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  const base::TimePoint now = m_node.now();
+  call.exchange = {};
+  call.answer.complete = end.complete;
+  if (!end.complete) {
+    call.answer.notRun = end.verdict == base::Verdict::kNotRun;
+  }
+  const SendOutcome outcome = outcomeOf(call);
+  m_instances.onEnded(call.instance, outcome, now - call.sentAt, now);
+  m_window.onEnded(call.crowded || outcome == SendOutcome::kFull, now);
+  m_node.metrics().count(CounterId::kScoringCallsEnded, toString(outcome));
+  const jobs::ScoringStep step = call.attempts->onAnswer(call.answer);
+  if (step != jobs::ScoringStep::kScored) {
+    noteFailure(key, call, outcome, now);
+  }
+  if (step == jobs::ScoringStep::kRepeat) {
+    call.notBefore = now + call.attempts->delay();
+  } else {
+    const std::string score = std::move(call.answer.signature);
+    const Callback callback = std::move(call.callback);
+    m_calls.erase(found);
+    callback(step == jobs::ScoringStep::kScored ? &score : nullptr);
+  }
+  start(now);
+}
+
+}  // namespace tackpick::node
--- /dev/null
+++ b/src/node/score_caller.h
@@ -0,0 +1,71 @@
+/// \file
+/// Asks items' scorers to judge their whole texts.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "directory/route_table.h"
+#include "forwarding/call_window.h"
+#include "forwarding/instance_table.h"
+#include "http/upstream_client.h"
+#include "jobs/job_messages.h"
+#include "jobs/scoring_attempts.h"
+
+namespace tackpick::node {
+
+class Node;
+
+/// Thin: ScoringAttempts, CallWindow and InstanceTable decide. Scorers may share their servers with
+/// callers, who go first: calls wait here while a server has requests waiting.
+class ScoreCaller {
+ public:
+  /// Gets the score; nothing when the scorer has failed too often.
+  using Callback = std::function<void(const std::string* score)>;
+
+  ScoreCaller(Node& node, forwarding::InstanceTable& instances, const directory::RouteTable& routes)
+      : m_node(node), m_instances(instances), m_routes(routes) {}
+
+  /// Calls the item's scorer, from start() on, until it answers or `deadline` has passed.
+  void add(const jobs::LeasedItem& leased, base::TimePoint deadline, Callback callback);
+  void cancel(const jobs::ItemKey& key);
+  /// Sends what may be sent. Call it again soon while calls wait.
+  void start(base::TimePoint now);
+  [[nodiscard]] std::size_t size() const { return m_calls.size(); }
+
+ private:
+  struct Call {
+    jobs::ScoringCall request;
+    base::TimePoint deadline{};
+    Callback callback;
+    std::uint32_t itemAttempts = 1;
+    std::unique_ptr<jobs::ScoringAttempts> attempts;
+    std::set<std::string> tried;
+    std::string instance;
+    http::ExchangeId exchange;  ///< valid while a call runs
+    base::TimePoint sentAt{};
+    base::TimePoint notBefore{};
+    base::Duration patience{0};  ///< a running call without an answer is broken off after this
+    jobs::ScorerAnswer answer;
+    bool crowded = false;  ///< requests wait at its server
+  };
+
+  void send(const jobs::ItemKey& key, Call& call, base::TimePoint now);
+  void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
+  void onEnd(const jobs::ItemKey& key, const http::UpstreamEnd& end);
+  static void noteFailure(const jobs::ItemKey& key, const Call& call,
+                          forwarding::SendOutcome outcome, base::TimePoint now);
+  void breakOff(Call& call, forwarding::SendOutcome outcome, base::TimePoint now);
+  [[nodiscard]] static forwarding::SendOutcome outcomeOf(const Call& call);
+
+  Node& m_node;
+  forwarding::InstanceTable& m_instances;
+  const directory::RouteTable& m_routes;
+  forwarding::CallWindow m_window;
+  std::map<jobs::ItemKey, Call> m_calls;
+};
+
+}  // namespace tackpick::node
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -76,6 +76,8 @@
        "a stopping gateway gave its unfinished items back", ""},
       {Id::kAttemptFailed, "item_attempt_failed", kInfo,
        "a run of an item ended without its whole text; it is repeated or continued", ""},
+      {Id::kScoringCallFailed, "scoring_call_failed", kInfo,
+       "a call to an item's scorer brought no score; it is repeated, or the item is given up", ""},
       {Id::kConnectionRefused, "connection_refused", kWarning,
        "an internal connection showed a wrong key, version or frame",
        "look for a process of another cluster or release"},
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -47,6 +47,7 @@
   kItemLeased = 4014,
   kItemsReleased = 4015,
   kAttemptFailed = 4016,
+  kScoringCallFailed = 4017,
   kConnectionRefused = 5001,
 };
 
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -22,6 +22,7 @@
   kItemsFinished,      ///< by state
   kItemsMoved,         ///< by reason
   kItemAttemptsEnded,  ///< by outcome
+  kScoringCallsEnded,  ///< by outcome
   kTextsSaved,
   kOrdersGiven,  ///< by outcome
   kElectionsWon,
@@ -44,6 +45,7 @@
   kControllersHeardAge,
   kInstances,  ///< by state
   kItemsRunning,
+  kScoringCalls,
   kResultsWaiting,
   kOpenExchanges,
   kOpenJobs,
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -182,3 +182,24 @@
     cr_assert_not(dialect.load(bad).has_value());
   }
 }
+
+Test(platform_dialect, scoring_call_is_read_sent_and_its_score_told) {
+  const std::string body = R"({"model":"m","items":[{"identifier":"i","path":"/p/3","headers":{},
+   "scoringCall":{"identifier":"c","host":"s.example","path":"/score/1","body":"q83vEjRWeJA="}}]})";
+  const auto job = platform::parseJob("j", "h", {}, body);
+  cr_assert(job && job->items.at(0).scoring);
+  const platform::PlatformDialect dialect;
+  const http::UpstreamRequest call = dialect.scoringRequest(*job->items[0].scoring);
+  cr_assert_eq(call.method, "POST");
+  cr_assert_eq(call.target, "/score/1");
+  cr_assert_eq(call.headers.value("Host"), "s.example");
+  cr_assert_eq(call.headers.value("Request-Id"), "c");
+  cr_assert_eq(call.body, "\xab\xcd\xef\x12\x34\x56\x78\x90");
+
+  jobs::JobReply reply;
+  reply.results = {{"i", {0, jobs::ItemState::kCompleted, "text", {1}, "signed"}},
+                   {"k", {1, jobs::ItemState::kTerminated, "", {}}}};
+  const Json told = Json::parse(platform::resultsJson(0, reply));
+  cr_assert_eq(told["results"][0]["score"], "signed");
+  cr_assert_not(told["results"][1].contains("score"));
+}
