Internal frames are compressed with zstd

Cause: bytes between zones are the largest price. Texts are letters: 4.7 bits a byte.

Change: a frame carries a compressed message where that is shorter (zstd level 1, small window and tables; transport/frame_codec). Ruled out: compressing texts only where they are kept (the largest part are readers' answers).

--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "transport/frame_codec.h"
 #include "transport/shared_key.h"
 
 namespace tackpick::transport {
@@ -111,15 +112,21 @@
       onProof();
       break;
     case Stage::kMessages:
-      if (auto message = base::decode<InternalMessage>(payload_)) {
-        network_.handler_(peer_, std::move(*message));
-      } else {
-        refuse();
-      }
+      onMessageFrame();
       break;
   }
 }
 
+void Connection::onMessageFrame() {
+  const auto bytes = unpackFrame(payload_, network_.settings_.maximumFrameBytes);
+  auto message = bytes ? base::decode<InternalMessage>(*bytes) : std::nullopt;
+  if (!message) {
+    refuse();
+    return;
+  }
+  network_.handler_(peer_, std::move(*message));
+}
+
 void Connection::onHello() {
   // Its few bytes bound what a forged length inside could make the decoder allocate.
   constexpr std::size_t kSmallestHello = 20;
@@ -174,9 +181,9 @@
   network_.onClosed(shared_from_this());
 }
 
-void Connection::send(const base::Bytes& frame) {
-  if (queued_bytes_ + frame.size() <= network_.settings_.maximumQueuedBytes) {
-    enqueue(frame);
+void Connection::send(const base::Bytes& message) {
+  if (queued_bytes_ + message.size() <= network_.settings_.maximumQueuedBytes) {
+    enqueue(packFrame(message));
   }
 }
 
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -12,8 +12,8 @@
 namespace tackpick::transport {
 
 /// Frames are `[length u32 little endian][payload]`. The first frame of each side is a Hello, the
-/// second a Proof over both Hellos; only then follow messages. Lives as long as its asynchronous
-/// operations.
+/// second a Proof over both Hellos; only then follow messages (see frame_codec.h). Lives as long as
+/// its asynchronous operations.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(PeerNetwork& network, asio::ip::tcp::socket socket, bool dialled,
@@ -22,7 +22,7 @@
   /// Closes the connection unless both ends have proved themselves soon.
   void limitHandshake();
   void start();
-  void send(const base::Bytes& frame);
+  void send(const base::Bytes& message);
   void close();
   [[nodiscard]] bool isReady() const { return ready_; }
   [[nodiscard]] bool isDialled() const { return dialled_; }
@@ -36,6 +36,7 @@
   void readHeader();
   void readPayload(std::uint32_t length);
   void onFrame();
+  void onMessageFrame();
   void onHello();
   void onProof();
   void refuse();
--- a/src/transport/internal_messages.h
+++ b/src/transport/internal_messages.h
@@ -15,7 +15,7 @@
 namespace tackpick::transport {
 
 /// Version of this protocol; peers of another version are refused in the handshake.
-inline constexpr std::uint32_t kProtocolVersion = 1;
+inline constexpr std::uint32_t kProtocolVersion = 2;
 
 struct RaftEnvelope {
   base::GroupId group;
