Engines with the oldest weights load first; fast engines fill before slow ones

Long items waited 1.4 to 3.4 s for an engine new enough while engines that had just become new enough were ordered to load again (orders went by id); others ran on engines 1.3 times slower and were moved after 0.9 s.

Change: of one model, engines that hold the oldest version load first.

Test: engines_with_the_oldest_weights_load_first failed before the change.

--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -235,19 +235,22 @@
 }
 
 std::vector<const InstanceRecord*> VersionOrders::oldestVersionFirst(
-    const DirectoryState& state) const {
+    const DirectoryState& state, const std::map<std::string, ReportedEngine>& engines) const {
   std::vector<const InstanceRecord*> records;
   for (const auto& [id, record] : state.instances()) {
     records.push_back(&record);
   }
-  const auto publishedAt = [this](const InstanceRecord* record) {
+  const auto rank = [&](const InstanceRecord* record) {
     const auto home = homes_.find(record->id);
     const auto published = home == homes_.end() ? published_.end() : published_.find(home->second);
-    return published == published_.end() ? base::TimePoint{} : published->second.seenAt;
+    if (published == published_.end()) {
+      return std::tuple(base::TimePoint{}, std::uint64_t{0});
+    }
+    return std::tuple(published->second.seenAt, versionOf(engines, record->id, home->second));
   };
   std::stable_sort(records.begin(), records.end(),
                    [&](const InstanceRecord* left, const InstanceRecord* right) {
-                     return publishedAt(left) < publishedAt(right);
+                     return rank(left) < rank(right);
                    });
   return records;
 }
@@ -287,7 +290,7 @@
   for (const auto& [model, load] : loads) {
     running += load.loading;
   }
-  for (const InstanceRecord* candidate : oldestVersionFirst(state)) {
+  for (const InstanceRecord* candidate : oldestVersionFirst(state, engines)) {
     const InstanceRecord& record = *candidate;
     const std::string& id = record.id;
     const auto home = homes_.find(id);
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -128,9 +128,10 @@
   void moveOneHome(const Service& service, const DirectoryState& state,
                    const std::map<std::string, std::size_t>& counts,
                    const std::map<std::string, std::size_t>& shares, base::TimePoint now);
-  /// All instances, those first whose model's version was published first.
+  /// All instances, those first whose model's version was published first; of one model, those
+  /// first that hold the oldest: new work may need more than they hold.
   [[nodiscard]] std::vector<const InstanceRecord*> oldestVersionFirst(
-      const DirectoryState& state) const;
+      const DirectoryState& state, const std::map<std::string, ReportedEngine>& engines) const;
   [[nodiscard]] bool mayOrder(const InstanceRecord& record,
                               const std::map<std::string, ReportedEngine>& engines,
                               base::TimePoint now) const;
--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "jobs/engine_cost.h"
+
 namespace tackpick::forwarding {
 namespace {
 
@@ -90,13 +92,7 @@
     constexpr double kUnknownLatencyMs = 10.0;
     return (occupied + away) * (entry.latencyMs > 0 ? entry.latencyMs : kUnknownLatencyMs);
   }
-  // A batching engine is hardly slower when fuller, until it is full.
-  constexpr double kSharing = 0.5;
-  constexpr double kQueueing = 4.0;
-  constexpr double kUnknownPaceMs = 1.0;
-  const double queued = std::max(0.0, occupied - 1.0);
-  return (entry.paceMs > 0 ? entry.paceMs : kUnknownPaceMs) *
-         (1.0 + kSharing * occupied + kQueueing * queued);
+  return jobs::engineCost(entry.paceMs, occupied);
 }
 
 bool InstanceTable::isSound(const InstanceEntry& entry, const InstanceNeed& need,
--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -3,15 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/engine_cost.h"
+
 namespace tackpick::jobs {
 namespace {
 
-/// A full batch slows an engine by about so much of its pace.
-constexpr double kSharing = 0.5;
-constexpr double kUnknownPaceMs = 1.0;
 constexpr double kPaceWeight = 0.3;
-/// Each item that waits costs as much as so many that run.
-constexpr double kQueueing = 4.0;
 /// One item may wait for so many places.
 constexpr std::uint32_t kPlacesPerWaiting = 8;
 
@@ -46,10 +43,8 @@
 
 double EnginePlacement::cost(const PlacementEngine& engine) const {
   const auto pace = m_paces.find(engine.id);
-  const double occupied = (load(engine.id) + 1.0) / engine.slots;
-  const double queued = std::max(0.0, occupied - 1.0);
-  return (pace == m_paces.end() ? kUnknownPaceMs : pace->second) *
-         (1.0 + kSharing * occupied + kQueueing * queued);
+  return engineCost(pace == m_paces.end() ? 0.0 : pace->second,
+                    (load(engine.id) + 1.0) / engine.slots);
 }
 
 bool EnginePlacement::isFull(const PlacementEngine& engine) const {
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -217,6 +217,23 @@
   cr_assert(fixture.step().empty());
 }
 
+Test(version_orders, engines_with_the_oldest_weights_load_first) {
+  OrdersFixture fixture(6);
+  for (auto& [id, engine] : fixture.engines) {
+    engine.versions["m"] = 2;
+  }
+  apply(fixture.state, directory::PublishVersion{"m", 3});
+  cr_assert(fixture.step().empty());
+  fixture.now += base::seconds(1);
+  fixture.engines["e3"].versions["m"] = 1;
+  fixture.engines["e5"].versions["m"] = 1;
+  std::set<std::string> ordered;
+  for (const directory::VersionOrder& order : fixture.step()) {
+    ordered.insert(order.instance);
+  }
+  cr_assert(ordered == (std::set<std::string>{"e3", "e5"}), "what needs version 2 waits for them");
+}
+
 Test(version_orders, a_fifth_of_a_large_fleet_loads_at_once) {
   OrdersFixture fixture(45);
   apply(fixture.state, directory::PublishVersion{"m", 2});
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -226,6 +226,17 @@
   cr_assert_eq(second[1].key.job, "k");
 }
 
+Test(engine_placement, fast_engines_fill_before_slow_ones) {
+  jobs::EnginePlacement placement;
+  placement.setEngines({{"slow", 4, {{"m", 5}}}, {"fast", 4, {{"m", 5}}}});
+  placement.notePace("slow", 50);
+  placement.notePace("fast", 38);
+  for (int i = 0; i < 4; ++i) {
+    cr_assert_eq(placement.place("m", 5), "fast");
+  }
+  cr_assert_eq(placement.place("m", 5), "slow", "what waits makes no progress");
+}
+
 Test(engine_placement, least_loaded_of_those_that_are_new_enough) {
   jobs::EnginePlacement placement;
   placement.setEngines({{"a", 2, {{"m", 5}}}, {"b", 2, {{"m", 6}}}, {"c", 2, {{"n", 9}}}});
