Results are read from the replica in the reader's zone

Change: the leader says how many results exist from a position on; a gateway fetches them from the ledger in its zone, which need not lead (positions never change). Small answers come directly. Ruled out: caches at the gateways (each of nine would read each job once).

--- a/src/cluster/cluster_member.cpp
+++ b/src/cluster/cluster_member.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr base::Duration kCallResend = base::milliseconds(300);
+/// Sets the calls to a near ledger apart from those to the ledgers' leader.
+constexpr std::uint64_t kNearbyCalls = std::uint64_t{1} << 62U;
 /// Ledgers silent for longer are not asked.
 constexpr base::Duration kLedgerSilence = base::milliseconds(2500);
 
@@ -25,24 +27,29 @@
     : self_(std::move(self)),
       settings_(std::move(settings)),
       directory_(clientSettings(settings_.directoryGroup, settings_.seeds), firstCall),
-      ledgers_(clientSettings(settings_.ledgerGroup, {}), firstCall) {}
+      ledgers_(clientSettings(settings_.ledgerGroup, {}), firstCall),
+      nearby_ledger_(clientSettings(settings_.ledgerGroup, {}),
+                     base::CallId{firstCall.value ^ kNearbyCalls}) {}
 
 void ClusterMember::onResponse(const transport::CommandResponse& response, base::TimePoint now) {
   if (response.group == settings_.directoryGroup) {
     directory_.onResponse(response, now, outbox_);
   } else if (response.group == settings_.ledgerGroup) {
     ledgers_.onResponse(response, now, outbox_);
+    nearby_ledger_.onResponse(response, now, outbox_);
   }
 }
 
 void ClusterMember::onPeerLost(std::uint32_t number) {
   directory_.onPeerLost(number);
   ledgers_.onPeerLost(number);
+  nearby_ledger_.onPeerLost(number);
 }
 
 void ClusterMember::tick(base::TimePoint now) {
   directory_.tick(now, outbox_);
   ledgers_.tick(now, outbox_);
+  nearby_ledger_.tick(now, outbox_);
   if (!watching_) {
     watch(now);
   }
@@ -107,6 +114,18 @@
   }
 }
 
+base::NodeId ClusterMember::nearbyLedger() const {
+  const directory::LedgerSight* nearest = nullptr;
+  for (const directory::LedgerSight& sight : view_.ledgers) {
+    const bool usable =
+        sight.zone == self_.zone && !sight.retiring && sight.silence < kLedgerSilence;
+    if (usable && (nearest == nullptr || sight.silence < nearest->silence)) {
+      nearest = &sight;
+    }
+  }
+  return nearest == nullptr ? base::NodeId{} : nearest->node;
+}
+
 void ClusterMember::call(const directory::DirectoryRequest& request, base::Duration deadline,
                          base::TimePoint now, DirectoryCallback callback) {
   directory_.call(
@@ -123,13 +142,26 @@
                          base::TimePoint now, JobCallback callback) {
   const auto* read = std::get_if<jobs::ReadJob>(&request);
   const base::Duration resend = kCallResend + (read == nullptr ? base::Duration{0} : read->hold);
-  ledgers_.call(
+  callLedgers(ledgers_, request, {resend, deadline}, now, std::move(callback));
+}
+
+void ClusterMember::callReplica(base::NodeId ledger, const jobs::JobRequest& request,
+                                base::Duration deadline, base::TimePoint now,
+                                JobCallback callback) {
+  nearby_ledger_.setReplicas({ledger});
+  callLedgers(nearby_ledger_, request, {deadline, deadline}, now, std::move(callback));
+}
+
+void ClusterMember::callLedgers(consensus::GroupClient& client, const jobs::JobRequest& request,
+                                consensus::CallTimes times, base::TimePoint now,
+                                JobCallback callback) {
+  client.call(
       transport::CommandKind::kService, base::encode(request), now, outbox_,
       [callback = std::move(callback)](const base::Bytes* result, base::TimePoint) {
         const auto reply = result == nullptr ? std::nullopt : base::decode<jobs::JobReply>(*result);
         callback(reply ? &*reply : nullptr);
       },
-      consensus::CallTimes{resend, deadline});
+      times);
 }
 
 }  // namespace tackpick::cluster
--- a/src/cluster/cluster_member.h
+++ b/src/cluster/cluster_member.h
@@ -54,10 +54,15 @@
   using JobCallback = std::function<void(const jobs::JobReply* reply)>;
   void call(const jobs::JobRequest& request, base::Duration deadline, base::TimePoint now,
             JobCallback callback);
+  /// Asks one ledger, whether it leads or not.
+  void callReplica(base::NodeId ledger, const jobs::JobRequest& request, base::Duration deadline,
+                   base::TimePoint now, JobCallback callback);
 
   /// Messages to send.
   [[nodiscard]] transport::Outbox takeMessages() { return std::exchange(outbox_, {}); }
   [[nodiscard]] const directory::DirectoryView& view() const { return view_; }
+  /// A ledger in this node's zone; invalid when none is heard there.
+  [[nodiscard]] base::NodeId nearbyLedger() const;
   /// The newest configuration known; version 0 before the first.
   [[nodiscard]] const directory::Configuration& configuration() const { return configuration_; }
   /// When the controllers were last heard.
@@ -65,12 +70,15 @@
 
  private:
   void watch(base::TimePoint now);
+  void callLedgers(consensus::GroupClient& client, const jobs::JobRequest& request,
+                   consensus::CallTimes times, base::TimePoint now, JobCallback callback);
   void accept(const directory::DirectoryView& view, base::TimePoint now);
 
   const directory::NodeRecord self_;
   const ClusterMemberSettings settings_;
   consensus::GroupClient directory_;
   consensus::GroupClient ledgers_;
+  consensus::GroupClient nearby_ledger_;  ///< calls that any replica may answer
   bool watching_ = false;
   directory::DirectoryView view_;
   directory::Configuration configuration_;
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -163,10 +163,11 @@
   base::NodeId node;
   base::Duration silence{0};
   bool retiring = false;
+  std::string zone = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(node, silence, retiring);
+    archive(node, silence, retiring, zone);
   }
 };
 
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -281,8 +281,8 @@
     if (heard.record.role == NodeRole::kGateway) {
       view.gateways += now - heard.heardAt < settings_.repair.silenceLimit ? 1 : 0;
     } else if (heard.record.role == NodeRole::kLedger) {
-      view.ledgers.push_back(
-          {node, now - heard.heardAt, state_.retirements().contains(heard.record.name)});
+      view.ledgers.push_back({node, now - heard.heardAt,
+                              state_.retirements().contains(heard.record.name), heard.record.zone});
     }
   }
   view.gateways = std::max(view.gateways, 1U);
--- a/src/jobs/call_name.cpp
+++ b/src/jobs/call_name.cpp
@@ -9,6 +9,7 @@
 CallName nameOfTyped(const EndJob& request) { return {"end", request.id}; }
 CallName nameOfTyped(const LeaseItems& /*request*/) { return {"lease", {}}; }
 CallName nameOfTyped(const CommitResults& /*request*/) { return {"commit", {}}; }
+CallName nameOfTyped(const FetchResults& request) { return {"fetch_results", request.id}; }
 CallName nameOfTyped(const SaveProgress& /*request*/) { return {"save_progress", {}}; }
 
 }  // namespace
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -154,9 +154,23 @@
   std::string id;
   std::uint64_t after = 0;
   base::Duration hold{0};
+  /// A replica from which the caller would rather fetch many results; invalid: none.
+  base::NodeId nearby = {};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, after, hold);
+    archive(id, after, hold, nearby);
+  }
+};
+
+/// Results at positions of which the leader has said that they exist. Any replica may answer: a
+/// position never changes.
+struct FetchResults {
+  std::string id;
+  std::uint64_t after = 0;
+  std::uint64_t count = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, after, count);
   }
 };
 
@@ -234,8 +248,8 @@
   }
 };
 
-using JobRequest =
-    std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults, SaveProgress>;
+using JobRequest = std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults,
+                                SaveProgress, FetchResults>;
 
 // Answers.
 
@@ -275,7 +289,8 @@
 struct JobReply {
   JobStatus status = JobStatus::kDone;
   std::uint64_t total = 0;          ///< items of the job
-  std::vector<ReadResult> results;  ///< ReadJob
+  std::vector<ReadResult> results;  ///< ReadJob, FetchResults
+  std::uint64_t elsewhere = 0;      ///< ReadJob: so many are to be fetched from its `nearby`
   std::string body;                 ///< ReadItem
   std::vector<LeasedItem> leased;   ///< LeaseItems
   std::vector<ItemKey> revoked;     ///< LeaseItems: held ones that need not be run any more
@@ -284,7 +299,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(status, total, results, body, leased, revoked, itemsByEngine);
+    archive(status, total, results, elsewhere, body, leased, revoked, itemsByEngine);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -12,11 +12,21 @@
 
 constexpr base::Duration kSlowWorkInterval = base::milliseconds(100);
 
+std::vector<ReadResult> resultsOf(const Job& job, std::uint64_t begin, std::uint64_t end) {
+  std::vector<ReadResult> results;
+  for (std::uint64_t at = begin; at < end; ++at) {
+    const ItemResult& result = job.results[at];
+    results.push_back({job.submission.items[result.item].id, result});
+  }
+  return results;
+}
+
 }  // namespace
 
 JobRole::JobRole(base::NodeId self, base::GroupId group, JobRoleSettings settings,
                  consensus::LogStore& log, base::Random& random, base::TimePoint now)
     : settings_(settings),
+      self_(self),
       replica_(self, group, settings.replica, log, state_, random, now),
       service_(self, replica_),
       leases_(settings.leaseTime) {}
@@ -33,7 +43,8 @@
   if (!request) {
     return;
   }
-  if (!replica_.canRead(now)) {
+  const bool anyReplica = std::holds_alternative<FetchResults>(*request);
+  if (!anyReplica && !replica_.canRead(now)) {
     service_.refuse(caller, CommandStatus::kNotLeader);
     return;
   }
@@ -131,6 +142,19 @@
   proposeFor(caller, request, now);
 }
 
+void JobRole::onRequest(const Caller& caller, const FetchResults& request,
+                        base::TimePoint /*now*/) {
+  JobReply reply;
+  const Job* job = state_.find(request.id);
+  const std::uint64_t end = request.after + request.count;
+  if (job == nullptr || end < request.after || end > job->results.size()) {
+    reply.status = JobStatus::kNotFound;  // this replica lags, or belongs to the group no more
+  } else {
+    reply.results = resultsOf(*job, request.after, end);
+  }
+  replyWith(caller, reply);
+}
+
 void JobRole::onPeerLost(std::uint32_t number, base::TimePoint now) {
   leases_.onGatewayLost(number, settings_.lostGatewayGrace, now);
 }
@@ -216,18 +240,30 @@
       reads_.push_back(std::move(pending));
       continue;
     }
-    reply.total = job->submission.items.size();
-    std::size_t bytes = 0;
-    for (std::size_t at = pending.read.after; at < job->results.size(); ++at) {
-      const ItemResult& result = job->results[at];
-      bytes += result.text.size();
-      if (!reply.results.empty() && bytes > settings_.answerBytes) {
-        break;
-      }
-      reply.results.push_back({job->submission.items[result.item].id, result});
+    answerRead(pending, *job);
+  }
+}
+
+void JobRole::answerRead(const PendingRead& pending, const Job& job) {
+  const std::uint64_t begin = std::min<std::uint64_t>(pending.read.after, job.results.size());
+  std::uint64_t end = begin;
+  std::size_t bytes = 0;
+  while (end < job.results.size()) {
+    bytes += job.results[end].text.size();
+    if (end > begin && bytes > settings_.answerBytes) {
+      break;
     }
-    replyWith(pending.caller, reply);
+    ++end;
+  }
+  JobReply reply;
+  reply.total = job.submission.items.size();
+  const base::NodeId nearby = pending.read.nearby;
+  if (nearby.valid() && nearby != self_ && bytes > settings_.directBytes) {
+    reply.elsewhere = end - begin;
+  } else {
+    reply.results = resultsOf(job, begin, end);
   }
+  replyWith(pending.caller, reply);
 }
 
 std::optional<consensus::Membership> JobRole::settledMembership(base::TimePoint now) const {
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -27,6 +27,8 @@
   base::Duration leaseGrace = base::milliseconds(350);
   /// Results in one answer.
   std::size_t answerBytes = 900U << 10U;
+  /// More than this is left to the replica that the reader names as near.
+  std::size_t directBytes = 4U << 10U;
 };
 
 /// Deterministic; owned by one thread. Only the leader answers, and only under its lease.
@@ -70,16 +72,20 @@
   void onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now);
   void onRequest(const Caller& caller, const CommitResults& request, base::TimePoint now);
   void onRequest(const Caller& caller, const SaveProgress& request, base::TimePoint now);
+  /// Also on replicas that do not lead.
+  void onRequest(const Caller& caller, const FetchResults& request, base::TimePoint now);
 
   void replyWith(const Caller& caller, const JobReply& reply);
   void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
   [[nodiscard]] LeasedItem describe(const GrantedItem& granted, base::TimePoint now) const;
   void observeLeadership(base::TimePoint now);
   void answerReads(base::TimePoint now);
+  void answerRead(const PendingRead& pending, const Job& job);
   void expireJobs(base::TimePoint now);
 
   const JobRoleSettings settings_;
   JobState state_;
+  const base::NodeId self_;
   consensus::Replica replica_;
   cluster::GroupService service_;
   ItemLeases leases_;
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -45,6 +45,7 @@
       instances_(instanceSettings(node)),
       forwarder_(node, instances_),
       ledgers_(node),
+      result_reader_(ledgers_, ledgers_, node.clock()),
       items_(node, instances_, routes_, ledgers_),
       traffic_(node.context(), node.settings().traffic.host, node.settings().traffic.port, {},
                [this](http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange) {
@@ -99,18 +100,18 @@
 
 void GatewayFront::callLedgers(const jobs::JobRequest& request,
                                const std::shared_ptr<http::Exchange>& exchange) {
-  base::Duration deadline = kLedgerDeadline;
+  const base::TimePoint begun = node_.now();
+  const auto onReply = [this, request, exchange, begun](const jobs::JobReply* reply) {
+    const edge::Answer answer = reply == nullptr ? edge::unansweredJobCall(request)
+                                                 : node_.dialect().jobAnswer(request, *reply);
+    exchange->respond(answer.status, answer.headers, answer.body);
+    onJobReply(request, reply, answer, node_.now() - begun);
+  };
   if (const auto* read = std::get_if<jobs::ReadJob>(&request)) {
-    deadline += read->hold;
+    result_reader_.read(*read, kLedgerDeadline + read->hold, onReply);
+  } else {
+    ledgers_.call(request, kLedgerDeadline, begun, onReply);
   }
-  ledgers_.call(request, deadline, node_.now(),
-                [this, request, exchange, begun = node_.now()](const jobs::JobReply* reply) {
-                  const edge::Answer answer = reply == nullptr
-                                                  ? edge::unansweredJobCall(request)
-                                                  : node_.dialect().jobAnswer(request, *reply);
-                  exchange->respond(answer.status, answer.headers, answer.body);
-                  onJobReply(request, reply, answer, node_.now() - begun);
-                });
 }
 
 void GatewayFront::onJobReply(const jobs::JobRequest& request, const jobs::JobReply* reply,
--- a/src/node/gateway_front.h
+++ b/src/node/gateway_front.h
@@ -43,6 +43,7 @@
   forwarding::InstanceTable instances_;
   Forwarder forwarder_;
   MemberLedgerClient ledgers_;
+  jobs::ResultReader result_reader_;
   ItemRunner items_;
   http::ExchangeServer traffic_;
   http::ExchangeServer readiness_;
--- a/src/node/member_ledger_client.h
+++ b/src/node/member_ledger_client.h
@@ -5,11 +5,12 @@
 #include <utility>
 
 #include "jobs/ledger_client.h"
+#include "jobs/result_reader.h"
 #include "node/node.h"
 
 namespace tackpick::node {
 
-class MemberLedgerClient final : public jobs::LedgerClient {
+class MemberLedgerClient final : public jobs::LedgerClient, public jobs::ReplicaClient {
  public:
   explicit MemberLedgerClient(Node& node) : m_node(node) {}
 
@@ -19,6 +20,15 @@
     m_node.wake();
   }
 
+  [[nodiscard]] base::NodeId nearby() const override { return m_node.member().nearbyLedger(); }
+
+  void fetch(base::NodeId ledger, const jobs::FetchResults& request, base::Duration deadline,
+             jobs::LedgerClient::Callback callback) override {
+    m_node.member().callReplica(ledger, jobs::JobRequest{request}, deadline, m_node.now(),
+                                std::move(callback));
+    m_node.wake();
+  }
+
  private:
   Node& m_node;
 };
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,6 +43,7 @@
 
   [[nodiscard]] asio::io_context& context() { return context_; }
   [[nodiscard]] base::TimePoint now() const { return clock_.now(); }
+  [[nodiscard]] const base::TimeSource& clock() const { return clock_; }
   [[nodiscard]] base::Random& random() { return *random_; }
   [[nodiscard]] const config::ClusterSettings& settings() const { return settings_; }
   [[nodiscard]] const edge::Dialect& dialect() const { return dialect_; }
