Items run at gateways in the zone of their engine

Cause: three quarters of the texts crossed zones between engine and gateway.

Change: the ledgers' leader plans all queued items over all engines, and leases to a gateway those whose engine is in its zone, or in a zone where no gateway has asked for 200 ms (jobs/zone_affinity).

Tests written with the change.

--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -51,6 +51,12 @@
   return load(engine.id) >= engine.slots + engine.slots / kPlacesPerWaiting;
 }
 
+std::string EnginePlacement::zoneOf(const std::string& engine) const {
+  const auto found = std::find_if(m_engines.begin(), m_engines.end(),
+                                  [&](const PlacementEngine& known) { return known.id == engine; });
+  return found == m_engines.end() ? std::string() : found->zone;
+}
+
 void EnginePlacement::takeBack(const std::string& engine) {
   const auto found = m_loads.find(engine);
   if (found != m_loads.end() && found->second > 0) {
--- a/src/jobs/engine_placement.h
+++ b/src/jobs/engine_placement.h
@@ -18,6 +18,7 @@
   std::string id;
   std::uint32_t slots = 0;
   std::map<std::string, std::uint64_t> versions;  ///< weights by model
+  std::string zone = {};
 };
 
 /// Deterministic. Items are counted at the engine where their gateway runs them, or where they were
@@ -32,6 +33,8 @@
   void setLoads(std::map<std::string, std::uint32_t> loads) { m_loads = std::move(loads); }
   /// False until setEngines() has told of some: gateways choose by themselves.
   [[nodiscard]] bool knowsEngines() const { return !m_engines.empty(); }
+  /// The zone of an engine that setEngines() told of; else empty.
+  [[nodiscard]] std::string zoneOf(const std::string& engine) const;
   /// The engine that will have run an item soonest, counting the item there from now on. A few
   /// items more than an engine has places wait there, so that it never stands idle between a result
   /// and the next lease. Empty when every engine that may run the item is full.
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -47,6 +47,7 @@
   last_number_ = term << kTermShift;
   queue_.clear();
   leases_.clear();
+  affinity_.clear();
   first_seen_.clear();
   seen_items_.clear();
   leasing_from_ = now + grace;
@@ -150,6 +151,7 @@
 
 void ItemLeases::onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace,
                                base::TimePoint now) {
+  affinity_.forget(gatewayNumber);
   for (auto& [key, lease] : leases_) {
     if (base::nodeNumber(lease.gateway) == gatewayNumber) {
       lease.until = std::min(lease.until, now + grace);
@@ -194,8 +196,10 @@
     }
     const std::string engine = placement_.place(job.model, job.minimumVersion);
     const bool noPlace = placement_.knowsEngines() && engine.empty();
-    if (noPlace || !wanted.take(job.model, job.minimumVersion)) {
-      placement_.takeBack(engine);
+    // What suits another gateway keeps its place, so that every gateway sees the same plan.
+    const bool foreign =
+        !engine.empty() && !affinity_.suits(gateway, placement_.zoneOf(engine), now);
+    if (noPlace || foreign || !wanted.take(job.model, job.minimumVersion)) {
       rest.push_back(std::move(key));
       continue;
     }
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "jobs/engine_placement.h"
 #include "jobs/job_state.h"
+#include "jobs/zone_affinity.h"
 
 namespace tackpick::jobs {
 
@@ -50,8 +51,13 @@
   void onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace, base::TimePoint now);
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
   void giveBack(base::NodeId gateway, const std::vector<HeldItem>& held);
-  /// Leases items to `gateway`, as many as find a place in `wanted`, and whole texts that only
-  /// their score is missing of.
+  /// A gateway asks for items, or for none any more.
+  void onAsked(base::NodeId gateway, const std::string& zone, bool takesItems,
+               base::TimePoint now) {
+    affinity_.note(gateway, zone, takesItems, now);
+  }
+  /// Leases items to `gateway` that should run at engines in its zone, as many as find a place in
+  /// `wanted`, and whole texts that only their score is missing of.
   [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, EngineRoom wanted,
                                                const JobState& state, base::TimePoint now);
   /// Leased items by the engine where they run or were placed.
@@ -80,6 +86,7 @@
   base::TimePoint leasing_from_{};
   std::uint64_t last_number_ = 0;  ///< of a lease
   EnginePlacement placement_;
+  ZoneAffinity affinity_;
   std::deque<ItemKey> queue_;
   std::map<ItemKey, Lease> leases_;
   std::map<std::string, base::TimePoint> first_seen_;
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -207,9 +207,10 @@
   std::map<std::string, double> paces;  ///< by engine: milliseconds between two events of a stream
   EngineRoom wanted;                    ///< for further items
   bool leaving = false;                 ///< all its other leases are given back
+  std::string zone;                     ///< the gateway's
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(held, paces, wanted, leaving);
+    archive(held, paces, wanted, leaving, zone);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -97,6 +97,7 @@
   if (request.leaving) {
     leases_.giveBack(caller.node, request.held);
   }
+  leases_.onAsked(caller.node, request.zone, !request.wanted.empty(), now);
   for (const GrantedItem& granted : leases_.lease(caller.node, request.wanted, state_, now)) {
     reply.leased.push_back(describe(granted, now));
   }
--- /dev/null
+++ b/src/jobs/zone_affinity.cpp
@@ -0,0 +1,37 @@
+#include "jobs/zone_affinity.h"
+
+#include <algorithm>
+
+namespace tackpick::jobs {
+namespace {
+
+/// Gateways ask about twice within this time; the items of a zone where none does go elsewhere.
+constexpr base::Duration kSilenceLimit = base::milliseconds(200);
+
+}  // namespace
+
+void ZoneAffinity::note(base::NodeId gateway, const std::string& zone, bool takesItems,
+                        base::TimePoint now) {
+  if (takesItems) {
+    m_gateways[gateway] = {zone, now};
+  } else {
+    m_gateways.erase(gateway);
+  }
+}
+
+void ZoneAffinity::forget(std::uint32_t gatewayNumber) {
+  std::erase_if(m_gateways,
+                [&](const auto& entry) { return base::nodeNumber(entry.first) == gatewayNumber; });
+}
+
+bool ZoneAffinity::suits(base::NodeId gateway, const std::string& zone, base::TimePoint now) const {
+  const auto own = m_gateways.find(gateway);
+  if (own == m_gateways.end() || own->second.zone == zone) {
+    return true;
+  }
+  return std::none_of(m_gateways.begin(), m_gateways.end(), [&](const auto& entry) {
+    return entry.second.zone == zone && now - entry.second.askedAt < kSilenceLimit;
+  });
+}
+
+}  // namespace tackpick::jobs
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -86,6 +86,7 @@
   jobs::LeaseItems request;
   request.wanted = wantedItems();
   request.leaving = released_;
+  request.zone = node_.settings().zone;
   for (const auto& [key, item] : items_) {
     request.held.push_back({key, item->exchange.valid() ? item->instance : item->next});
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,7 +40,8 @@
     const bool takesItems = !instance.record.leaving && !instance.loading &&
                             instance.silence < kEngineSilence && instance.record.slots > 0;
     if (takesItems && !instance.versions.empty()) {
-      engines.push_back({instance.record.id, instance.record.slots, instance.versions});
+      engines.push_back(
+          {instance.record.id, instance.record.slots, instance.versions, instance.record.zone});
     }
   }
   return engines;
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -226,6 +226,36 @@
   cr_assert_eq(second[1].key.job, "k");
 }
 
+Test(item_leases, items_run_at_gateways_in_the_zone_of_their_engine) {
+  LeaseFixture fixture;
+  fixture.leases.placement().setEngines({{"near", 2, {{"", 1}}, "a"}, {"far", 2, {{"", 1}}, "b"}});
+  fixture.leases.onAsked(kGateway, "a", true, fixture.now);
+  fixture.leases.onAsked(kOther, "b", true, fixture.now);
+  const auto own = fixture.leases.lease(kGateway, room({{"", 9}}), fixture.state, fixture.now);
+  cr_assert_eq(own.size(), 2U);
+  for (const jobs::GrantedItem& granted : own) {
+    cr_assert_eq(granted.engine, "near");
+  }
+  const base::TimePoint later = fixture.now + base::milliseconds(300);
+  fixture.leases.onAsked(kGateway, "a", true, later);
+  const auto foreign = fixture.leases.lease(kGateway, room({{"", 9}}), fixture.state, later);
+  cr_assert_eq(foreign.size(), 2U, "no gateway of the other zone asks any more");
+}
+
+Test(zone_affinity, gateways_that_are_lost_or_take_nothing_do_not_count) {
+  jobs::ZoneAffinity affinity;
+  const base::TimePoint now{base::seconds(1)};
+  cr_assert(affinity.suits(kGateway, "b", now), "unknown gateways may run anything");
+  affinity.note(kGateway, "a", true, now);
+  affinity.note(kOther, "b", true, now);
+  cr_assert_not(affinity.suits(kGateway, "b", now));
+  affinity.note(kOther, "b", false, now);
+  cr_assert(affinity.suits(kGateway, "b", now));
+  affinity.note(kOther, "b", true, now);
+  affinity.forget(base::nodeNumber(kOther));
+  cr_assert(affinity.suits(kGateway, "b", now));
+}
+
 Test(engine_placement, fast_engines_fill_before_slow_ones) {
   jobs::EnginePlacement placement;
   placement.setEngines({{"slow", 4, {{"m", 5}}}, {"fast", 4, {{"m", 5}}}});
