--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -2,10 +2,14 @@
 
 #include <utility>
 
+#include "base/compression.h"
+
 namespace tackpick::jobs {
 
 namespace {
 
+constexpr std::size_t kMostStateBytes = std::size_t{1} << 30U;
+
 /// An item that needs not run any more keeps its id only.
 void forgetRequest(Item& item) {
   item.path = {};
@@ -153,10 +157,13 @@
   return left;
 }
 
-base::Bytes JobState::takeSnapshot() const { return base::encode(jobs_); }
+base::Bytes JobState::takeSnapshot() const { return base::encodeCompressed(jobs_); }
 
 void JobState::loadSnapshot(const base::Bytes& snapshot) {
-  jobs_ = base::decode<std::map<std::string, Job>>(snapshot).value_or(std::map<std::string, Job>{});
+  using Jobs = std::map<std::string, Job>;
+  jobs_.clear();  // two states at once may not fit
+  const auto bytes = base::decompress(snapshot, kMostStateBytes);
+  jobs_ = bytes ? base::decode<Jobs>(*bytes).value_or(Jobs{}) : Jobs{};
   ++revision_;
 }
 
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -5,7 +5,7 @@
 
 #include <utility>
 
-#include "transport/frame_codec.h"
+#include "base/compression.h"
 #include "transport/shared_key.h"
 
 namespace tackpick::transport {
@@ -118,7 +118,7 @@
 }
 
 void Connection::onMessageFrame() {
-  const auto bytes = unpackFrame(payload_, network_.settings_.maximumFrameBytes);
+  const auto bytes = base::decompress(payload_, network_.settings_.maximumFrameBytes);
   auto message = bytes ? base::decode<InternalMessage>(*bytes) : std::nullopt;
   if (!message) {
     refuse();
@@ -183,7 +183,7 @@
 
 void Connection::send(const base::Bytes& message) {
   if (queued_bytes_ + message.size() <= network_.settings_.maximumQueuedBytes) {
-    enqueue(packFrame(message));
+    enqueue(base::compress(message));
   }
 }
 
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -12,8 +12,8 @@
 namespace tackpick::transport {
 
 /// Frames are `[length u32 little endian][payload]`. The first frame of each side is a Hello, the
-/// second a Proof over both Hellos; only then follow messages (see frame_codec.h). Lives as long as
-/// its asynchronous operations.
+/// second a Proof over both Hellos; only then follow messages (see base/compression.h). Lives as
+/// long as its asynchronous operations.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(PeerNetwork& network, asio::ip::tcp::socket socket, bool dialled,
--- /dev/null
+++ b/test/base/compression_test.cpp
@@ -0,0 +1,68 @@
+/// What our processes send and keep: round trips, and bytes that none of ours wrote.
+#include "base/compression.h"
+
+#include <criterion/criterion.h>
+
+#include "base/random.h"
+
+namespace base = tackpick::base;
+
+namespace {
+
+constexpr std::size_t kLimit = 1U << 20U;
+
+base::Bytes letters(std::size_t size, std::uint64_t alphabet, std::uint64_t seed) {
+  base::SeededRandom random(seed);
+  base::Bytes bytes;
+  for (std::size_t i = 0; i < size; ++i) {
+    bytes.push_back(static_cast<char>('a' + random.below(alphabet)));
+  }
+  return bytes;
+}
+
+}  // namespace
+
+Test(compression, every_message_comes_back) {
+  for (std::size_t size = 0; size < 5000; size += 37) {
+    const base::Bytes message = letters(size, 1 + size % 200, size);
+    const auto back = base::decompress(base::compress(message), kLimit);
+    cr_assert(back.has_value());
+    cr_assert_eq(*back, message);
+  }
+}
+
+Test(compression, random_letters_shrink_and_random_bytes_hardly_grow) {
+  const base::Bytes text = letters(100'000, 26, 1);
+  cr_assert_lt(base::compress(text).size(), text.size() * 2 / 3);
+  const base::Bytes noise = letters(100'000, 256, 1);
+  cr_assert_leq(base::compress(noise).size(), noise.size() + 1);
+}
+
+Test(compression, frames_over_the_limit_and_damaged_ones_are_refused) {
+  cr_assert_not(base::decompress({}, kLimit).has_value());
+  const base::Bytes message = letters(10'000, 2, 1);
+  const base::Bytes frame = base::compress(message);
+  cr_assert_not(base::decompress(frame, message.size() - 1).has_value());
+  base::SeededRandom random(7);
+  for (int i = 0; i < 20'000; ++i) {
+    base::Bytes bad = frame;
+    bad[random.below(bad.size())] = static_cast<char>(random.below(256));
+    bad.resize(1 + random.below(bad.size()));
+    const auto unpacked = base::decompress(bad, kLimit);
+    cr_assert(!unpacked || unpacked->size() <= kLimit);
+  }
+}
+
+Test(compression, large_values_are_compressed_while_they_are_encoded) {
+  std::vector<std::string> value;
+  for (std::uint64_t i = 0; i < 300; ++i) {
+    value.push_back(letters(i * 20, 26, i));
+  }
+  const base::Bytes compressed = base::encodeCompressed(value);
+  const base::Bytes encoded = base::encode(value);
+  cr_assert_lt(compressed.size(), encoded.size() * 2 / 3);
+  const auto back = base::decompress(compressed, encoded.size());
+  cr_assert(back.has_value());
+  cr_assert_eq(*back, encoded);
+  cr_assert(base::decompress(base::encodeCompressed(std::string()), kLimit).has_value());
+}
