--- a/test/jobs/progress_test.cpp
+++ b/test/jobs/progress_test.cpp
@@ -8,9 +8,11 @@
 #include "jobs/item_run.h"
 #include "jobs/job_state.h"
 #include "jobs/progress_saver.h"
+#include "jobs/recording_ledgers.h"
 
 namespace base = tackpick::base;
 namespace jobs = tackpick::jobs;
+using tackpick::test::RecordingLedgers;
 
 namespace {
 
@@ -65,23 +67,6 @@
   }
 }
 
-/// Keeps what it is asked; the test answers.
-class RecordingLedgers final : public jobs::LedgerClient {
- public:
-  void call(const jobs::JobRequest& request, base::Duration /*deadline*/, base::TimePoint /*now*/,
-            Callback callback) override {
-    requests.push_back(std::get<jobs::SaveProgress>(request));
-    callbacks.push_back(std::move(callback));
-  }
-  void answer(bool known) {
-    const jobs::JobReply reply;
-    std::exchange(callbacks, {}).back()(known ? &reply : nullptr);
-  }
-
-  std::vector<jobs::SaveProgress> requests;
-  std::vector<Callback> callbacks;
-};
-
 }  // namespace
 
 Test(job_state, progress_is_kept_where_it_follows) {
--- a/test/jobs/scoring_test.cpp
+++ b/test/jobs/scoring_test.cpp
@@ -5,10 +5,12 @@
 #include "jobs/item_run.h"
 #include "jobs/job_state.h"
 #include "jobs/progress_saver.h"
+#include "jobs/recording_ledgers.h"
 #include "jobs/scoring_attempts.h"
 
 namespace base = tackpick::base;
 namespace jobs = tackpick::jobs;
+using tackpick::test::RecordingLedgers;
 
 namespace {
 
@@ -61,23 +63,6 @@
   apply(state, jobs::CommitResults{{{"j", {result}}}});
 }
 
-/// Keeps what it is asked; the test answers.
-class RecordingLedgers final : public jobs::LedgerClient {
- public:
-  void call(const jobs::JobRequest& request, base::Duration /*deadline*/, base::TimePoint /*now*/,
-            Callback callback) override {
-    requests.push_back(std::get<jobs::SaveProgress>(request));
-    callbacks.push_back(std::move(callback));
-  }
-  void answer() {
-    const jobs::JobReply reply;
-    std::exchange(callbacks, {}).back()(&reply);
-  }
-
-  std::vector<jobs::SaveProgress> requests;
-  std::vector<Callback> callbacks;
-};
-
 jobs::ScorerAnswer answer(int status, const std::string& signature = "", bool notRun = false) {
   return {true, notRun, status, signature};
 }
@@ -183,7 +168,7 @@
   run.onWhole(kNow);
   run.onScore("s");
   run.onFinished();
-  ledgers.answer();
+  ledgers.answer(true);
   cr_assert_not(run.isSaving());
   saver.tick(kNow + base::seconds(1));
   cr_assert_eq(ledgers.requests.size(), 1U, "nothing of a finished item is kept");
