--- a/src/jobs/result_reader.cpp
+++ b/src/jobs/result_reader.cpp
@@ -35,7 +35,8 @@
 
 void ResultReader::fetch(ReadJob request, JobReply announced, LedgerClient::Callback callback) {
   const FetchResults fetch{request.id, request.after, announced.elsewhere};
-  m_replicas.fetch(request.nearby, fetch, kFetchDeadline,
+  const base::NodeId nearby = request.nearby;
+  m_replicas.fetch(nearby, fetch, kFetchDeadline,
                    [this, request = std::move(request), announced = std::move(announced),
                     callback = std::move(callback)](const JobReply* reply) mutable {
                      if (reply != nullptr && reply->results.size() == announced.elsewhere) {
