--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -30,8 +30,9 @@
 constexpr base::Duration kRetryDelay = base::milliseconds(40);
 /// How often the ledgers are told how fast engines are.
 constexpr base::Duration kPaceInterval = base::milliseconds(500);
-/// Items beyond the engines' places that may wait at them, in percent.
-constexpr std::uint32_t kOvercommitPercent = 110;
+/// A gateway takes up to this share of its part of all places, in percent: some items may wait at
+/// engines, and a zone's engines may have fewer gateways than their share, as when one is down.
+constexpr std::uint32_t kOvercommitPercent = 220;
 
 std::uint64_t parseVersion(const std::string& text) {
   std::uint64_t version = 0;
