Leases: one plan for all gateways, indexed by zone and job

Cause: at every call of every gateway the leader planned the whole queue over all engines, with look-ups by name (queue x engines x calls), and walked all leases to renew, to end and to count them. Items waited 2 to 8 s for a lease while engines were idle. Ruled out: engines (far from full), elections (none). Change: EnginePlacement keeps a heap of engines for each model and minimum version; ItemQueue keeps items by job; LeasePlan holds what is planned by zone and job and is made anew only after a change, each 5 ms at most; leases are indexed by gateway, items counted by engine as they change. Jobs are taken up only when some were added. Tests: two new ones; the others of item_leases and engine_placement pass unchanged but for two signatures.

--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -15,70 +15,109 @@
 }  // namespace
 
 void EnginePlacement::setEngines(std::vector<PlacementEngine> engines) {
-  m_engines = std::move(engines);
-  std::map<std::string, double> paces;
-  for (const PlacementEngine& engine : m_engines) {
-    const auto known = m_paces.find(engine.id);
-    if (known != m_paces.end()) {
-      paces.insert(*known);
+  std::vector<Engine> next;
+  std::map<std::string, std::size_t, std::less<>> indices;
+  next.reserve(engines.size());
+  for (PlacementEngine& told : engines) {
+    Engine engine;
+    if (const Engine* known = find(told.id)) {
+      engine.load = known->load;
+      engine.paceMs = known->paceMs;
     }
+    indices.emplace(told.id, next.size());
+    engine.told = std::move(told);
+    next.push_back(std::move(engine));
   }
-  m_paces = std::move(paces);
+  m_engines = std::move(next);
+  m_indices = std::move(indices);
+  m_heaps.clear();
 }
 
-void EnginePlacement::notePace(const std::string& engine, double paceMs) {
-  if (paceMs <= 0) {
+EnginePlacement::Engine* EnginePlacement::find(std::string_view id) {
+  const auto found = m_indices.find(id);
+  return found == m_indices.end() ? nullptr : &m_engines[found->second];
+}
+
+void EnginePlacement::notePace(const std::string& id, double paceMs) {
+  Engine* engine = find(id);
+  if (paceMs <= 0 || engine == nullptr) {
     return;
   }
-  const auto [pace, added] = m_paces.try_emplace(engine, paceMs);
-  if (!added) {
-    pace->second += kPaceWeight * (paceMs - pace->second);
-  }
+  engine->paceMs =
+      engine->paceMs > 0 ? engine->paceMs + kPaceWeight * (paceMs - engine->paceMs) : paceMs;
 }
 
-std::uint32_t EnginePlacement::load(const std::string& engine) const {
-  const auto found = m_loads.find(engine);
-  return found == m_loads.end() ? 0 : found->second;
+void EnginePlacement::setLoads(const std::map<std::string, std::uint32_t>& loads) {
+  for (Engine& engine : m_engines) {
+    const auto found = loads.find(engine.told.id);
+    engine.load = found == loads.end() ? 0 : found->second;
+  }
+  m_heaps.clear();
 }
 
-double EnginePlacement::cost(const PlacementEngine& engine) const {
-  const auto pace = m_paces.find(engine.id);
-  return engineCost(pace == m_paces.end() ? 0.0 : pace->second,
-                    (load(engine.id) + 1.0) / engine.slots);
+double EnginePlacement::cost(const Engine& engine) const {
+  return engineCost(engine.paceMs, (engine.load + 1.0) / engine.told.slots);
 }
 
-bool EnginePlacement::isFull(const PlacementEngine& engine) const {
-  return load(engine.id) >= engine.slots + engine.slots / kPlacesPerWaiting;
+bool EnginePlacement::isFull(const Engine& engine) {
+  return engine.load >= engine.told.slots + engine.told.slots / kPlacesPerWaiting;
 }
 
 std::string EnginePlacement::zoneOf(const std::string& engine) const {
-  const auto found = std::find_if(m_engines.begin(), m_engines.end(),
-                                  [&](const PlacementEngine& known) { return known.id == engine; });
-  return found == m_engines.end() ? std::string() : found->zone;
+  const auto found = m_indices.find(engine);
+  return found == m_indices.end() ? std::string() : m_engines[found->second].told.zone;
 }
 
-void EnginePlacement::takeBack(const std::string& engine) {
-  const auto found = m_loads.find(engine);
-  if (found != m_loads.end() && found->second > 0) {
-    --found->second;
+void EnginePlacement::takeBack(const std::string& id) {
+  Engine* engine = find(id);
+  if (engine != nullptr && engine->load > 0) {
+    --engine->load;
+    m_heaps.clear();
   }
 }
 
-std::string EnginePlacement::place(const std::string& model, std::uint64_t minimumVersion) {
-  const PlacementEngine* best = nullptr;
-  for (const PlacementEngine& engine : m_engines) {
-    const auto version = engine.versions.find(model);
-    const bool fits =
-        version != engine.versions.end() && version->second >= minimumVersion && !isFull(engine);
-    if (fits && (best == nullptr || cost(engine) < cost(*best))) {
-      best = &engine;
+EnginePlacement::Heap EnginePlacement::candidatesFor(const std::string& model,
+                                                     std::uint64_t minimumVersion) const {
+  Heap heap;
+  for (std::size_t i = 0; i < m_engines.size(); ++i) {
+    const auto& versions = m_engines[i].told.versions;
+    const auto version = versions.find(model);
+    if (version != versions.end() && version->second >= minimumVersion) {
+      heap.push_back({cost(m_engines[i]), i});
     }
   }
-  if (best == nullptr) {
-    return {};
+  std::make_heap(heap.begin(), heap.end());
+  return heap;
+}
+
+std::string EnginePlacement::place(const std::string& model, std::uint64_t minimumVersion) {
+  const auto key = std::pair(model, minimumVersion);
+  auto found = m_heaps.find(key);
+  if (found == m_heaps.end()) {
+    found = m_heaps.emplace(key, candidatesFor(model, minimumVersion)).first;
+  }
+  Heap& heap = found->second;
+  while (!heap.empty()) {
+    std::pop_heap(heap.begin(), heap.end());
+    const Candidate cheapest = heap.back();
+    heap.pop_back();
+    Engine& engine = m_engines[cheapest.engine];
+    if (isFull(engine)) {
+      continue;
+    }
+    // Its cost may have risen since: items of another model were placed there.
+    const double costNow = cost(engine);
+    const bool chosen = costNow <= cheapest.cost;
+    if (chosen) {
+      ++engine.load;
+    }
+    heap.push_back({chosen ? cost(engine) : costNow, cheapest.engine});
+    std::push_heap(heap.begin(), heap.end());
+    if (chosen) {
+      return engine.told.id;
+    }
   }
-  ++m_loads[best->id];
-  return best->id;
+  return {};
 }
 
 }  // namespace tackpick::jobs
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -5,6 +5,17 @@
 #include <tuple>
 
 namespace tackpick::jobs {
+namespace {
+
+std::set<ItemKey> keysOf(const std::vector<HeldItem>& held) {
+  std::set<ItemKey> keys;
+  for (const HeldItem& item : held) {
+    keys.insert(item.key);
+  }
+  return keys;
+}
+
+}  // namespace
 
 std::vector<std::uint32_t> leaseOrder(const JobSubmission& job,
                                       const std::set<std::string>& comesAgain) {
@@ -46,7 +57,11 @@
   constexpr unsigned kTermShift = 32;
   last_number_ = term << kTermShift;
   queue_.clear();
+  plan_.clear();
+  plan_outdated_ = true;
   leases_.clear();
+  leases_by_gateway_.clear();
+  items_by_engine_.clear();
   affinity_.clear();
   first_seen_.clear();
   seen_items_.clear();
@@ -66,9 +81,10 @@
   for (const std::uint32_t item : leaseOrder(job.submission, comesAgain)) {
     const ItemKey key{id, item};
     if (!job.listed[item] && !leases_.contains(key)) {
-      queue_.push_back(key);
+      queue_.append(job, key);
     }
   }
+  plan_outdated_ = true;
 }
 
 bool ItemLeases::isOpen(const JobState& state, const ItemKey& key) {
@@ -77,8 +93,46 @@
          !job->listed[key.item];
 }
 
+void ItemLeases::setEngines(std::vector<PlacementEngine> engines) {
+  placement_.setEngines(std::move(engines));
+  plan_outdated_ = true;
+}
+
+void ItemLeases::addLease(const ItemKey& key, Lease lease) {
+  if (!lease.engine.empty()) {
+    ++items_by_engine_[lease.engine];
+  }
+  leases_by_gateway_[lease.gateway].insert(key);
+  leases_.emplace(key, std::move(lease));
+}
+
+ItemLeases::Leases::iterator ItemLeases::eraseLease(Leases::iterator lease) {
+  setEngine(lease->second, {});
+  const auto owned = leases_by_gateway_.find(lease->second.gateway);
+  owned->second.erase(lease->first);
+  if (owned->second.empty()) {
+    leases_by_gateway_.erase(owned);
+  }
+  plan_outdated_ = true;
+  return leases_.erase(lease);
+}
+
+void ItemLeases::setEngine(Lease& lease, const std::string& engine) {
+  if (lease.engine == engine) {
+    return;
+  }
+  const auto former = items_by_engine_.find(lease.engine);
+  if (former != items_by_engine_.end() && --former->second == 0) {
+    items_by_engine_.erase(former);
+  }
+  if (!engine.empty()) {
+    ++items_by_engine_[engine];
+  }
+  lease.engine = engine;
+  plan_outdated_ = true;
+}
+
 void ItemLeases::refresh(const JobState& state, base::TimePoint now) {
-  std::erase_if(queue_, [&](const ItemKey& key) { return !isOpen(state, key); });
   for (auto it = leases_.begin(); it != leases_.end();) {
     const bool open = isOpen(state, it->first);
     if (open && now < it->second.until) {
@@ -86,21 +140,12 @@
       continue;
     }
     if (open) {
-      queue_.push_front(it->first);
+      queue_.putBack(state.find(it->first.job), it->first);
     }
-    it = leases_.erase(it);
+    it = eraseLease(it);
   }
 }
 
-namespace {
-
-bool holds(const std::vector<HeldItem>& held, const ItemKey& key) {
-  return std::any_of(held.begin(), held.end(),
-                     [&](const HeldItem& item) { return item.key == key; });
-}
-
-}  // namespace
-
 std::vector<ItemKey> ItemLeases::renew(base::NodeId gateway, const std::vector<HeldItem>& held,
                                        const JobState& state, base::TimePoint now) {
   endLeasesOfFormerRuns(gateway, now);
@@ -110,41 +155,47 @@
       revoked.push_back(key);
       continue;
     }
-    const auto [lease, added] = leases_.try_emplace(key, Lease{gateway, now + lease_time_, engine});
-    if (added) {
-      std::erase(queue_, key);  // held since before this leader's time
+    const auto lease = leases_.find(key);
+    if (lease == leases_.end()) {
+      // Held since before this leader's time. The queue drops it when it comes to it.
+      addLease(key, {gateway, now + lease_time_, engine});
     } else if (lease->second.gateway == gateway) {
       lease->second.until = now + lease_time_;
-      lease->second.engine = engine;
+      setEngine(lease->second, engine);
     } else {
       revoked.push_back(key);  // another runs it by now
     }
   }
-  // What it was given and does not hold did not reach it, or was given back.
-  for (auto& [key, lease] : leases_) {
-    constexpr int kHalf = 2;
-    const bool old = lease.until - now < lease_time_ / kHalf;
-    if (lease.gateway == gateway && old && !holds(held, key)) {
-      lease.until = now;
-    }
-  }
+  endUnheldLeases(gateway, held, now);
   return revoked;
 }
 
-std::map<std::string, std::uint32_t> ItemLeases::itemsByEngine() const {
-  std::map<std::string, std::uint32_t> items;
-  for (const auto& [key, lease] : leases_) {
-    if (!lease.engine.empty()) {
-      ++items[lease.engine];
+void ItemLeases::endUnheldLeases(base::NodeId gateway, const std::vector<HeldItem>& held,
+                                 base::TimePoint now) {
+  const auto owned = leases_by_gateway_.find(gateway);
+  if (owned == leases_by_gateway_.end()) {
+    return;
+  }
+  const std::set<ItemKey> keys = keysOf(held);
+  for (const ItemKey& key : owned->second) {
+    constexpr int kHalf = 2;
+    Lease& lease = leases_.at(key);
+    const bool old = lease.until - now < lease_time_ / kHalf;
+    if (old && !keys.contains(key)) {
+      lease.until = now;
     }
   }
-  return items;
 }
 
 void ItemLeases::endLeasesOfFormerRuns(base::NodeId gateway, base::TimePoint now) {
-  for (auto& [key, lease] : leases_) {
-    if (lease.gateway != gateway && base::nodeNumber(lease.gateway) == base::nodeNumber(gateway)) {
-      lease.until = now;
+  const std::uint32_t number = base::nodeNumber(gateway);
+  for (auto it = leases_by_gateway_.lower_bound(base::makeNodeId(number, 0));
+       it != leases_by_gateway_.end() && base::nodeNumber(it->first) == number; ++it) {
+    if (it->first == gateway) {
+      continue;
+    }
+    for (const ItemKey& key : it->second) {
+      leases_.at(key).until = now;
     }
   }
 }
@@ -152,62 +203,127 @@
 void ItemLeases::onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace,
                                base::TimePoint now) {
   affinity_.forget(gatewayNumber);
-  for (auto& [key, lease] : leases_) {
-    if (base::nodeNumber(lease.gateway) == gatewayNumber) {
+  for (auto it = leases_by_gateway_.lower_bound(base::makeNodeId(gatewayNumber, 0));
+       it != leases_by_gateway_.end() && base::nodeNumber(it->first) == gatewayNumber; ++it) {
+    for (const ItemKey& key : it->second) {
+      Lease& lease = leases_.at(key);
       lease.until = std::min(lease.until, now + grace);
     }
   }
 }
 
-void ItemLeases::giveBack(base::NodeId gateway, const std::vector<HeldItem>& held) {
-  for (auto it = leases_.begin(); it != leases_.end();) {
-    const bool kept = it->second.gateway != gateway || holds(held, it->first);
-    if (kept) {
-      ++it;
+void ItemLeases::giveBack(base::NodeId gateway, const std::vector<HeldItem>& held,
+                          const JobState& state) {
+  const auto owned = leases_by_gateway_.find(gateway);
+  if (owned == leases_by_gateway_.end()) {
+    return;
+  }
+  const std::set<ItemKey> kept = keysOf(held);
+  const std::set<ItemKey> given = owned->second;
+  for (const ItemKey& key : given) {
+    if (!kept.contains(key)) {
+      queue_.putBack(state.find(key.job), key);
+      eraseLease(leases_.find(key));
+    }
+  }
+}
+
+void ItemLeases::plan(const JobState& state, base::TimePoint now) {
+  const bool recent = planned_at_ != base::TimePoint{} && now - planned_at_ < plan_interval_;
+  if (!plan_outdated_ || recent) {
+    return;
+  }
+  planned_at_ = now;
+  plan_outdated_ = false;
+  plan_.clear();
+  queue_.dropSettled(state);
+  placement_.setLoads(items_by_engine_);
+  std::size_t age = 0;
+  for (QueuedJob& queued : queue_.jobs()) {
+    planJob(queued, age, *state.find(queued.id));
+    ++age;
+  }
+}
+
+void ItemLeases::planJob(QueuedJob& queued, std::size_t age, const Job& job) {
+  std::vector<std::uint32_t> planned;
+  std::vector<bool> seen(job.listed.size());  // an item that was put back may stand there twice
+  while (!queued.items.empty()) {
+    const std::uint32_t item = queued.items.front();
+    const ItemKey key{queued.id, item};
+    if (job.listed[item] || seen[item] || leases_.contains(key)) {
+      queued.items.pop_front();
       continue;
     }
-    queue_.push_front(it->first);
-    it = leases_.erase(it);
+    if (job.hasWholeText(item)) {
+      queued.whole.push_back(item);
+      queued.items.pop_front();
+      continue;
+    }
+    std::string engine = placement_.place(job.submission.model, job.submission.minimumVersion);
+    if (engine.empty() && placement_.knowsEngines()) {
+      break;
+    }
+    const std::string zone = placement_.zoneOf(engine);
+    plan_.add(zone, age, job, {key, std::move(engine)});
+    seen[item] = true;
+    planned.push_back(item);
+    queued.items.pop_front();
   }
+  // They stay queued until they are leased.
+  queued.items.insert(queued.items.begin(), planned.begin(), planned.end());
 }
 
 std::vector<GrantedItem> ItemLeases::lease(base::NodeId gateway, EngineRoom wanted,
                                            const JobState& state, base::TimePoint now) {
   std::vector<GrantedItem> leased;
-  if (now < leasing_from_ || queue_.empty()) {
+  if (now < leasing_from_) {
     return leased;
   }
-  placement_.setLoads(itemsByEngine());
-  std::deque<ItemKey> rest;
-  for (ItemKey& key : queue_) {
-    if (!isOpen(state, key)) {
+  plan(state, now);
+  leaseWhole(gateway, state, now, leased);
+  for (auto& [zone, jobs] : plan_.zones()) {
+    // What suits another gateway keeps its place, so that every gateway sees the same plan.
+    if (!zone.empty() && !affinity_.suits(gateway, zone, now)) {
       continue;
     }
-    const Job& owner = *state.find(key.job);
-    const JobSubmission& job = owner.submission;
-    if (leases_.contains(key)) {
-      continue;
+    for (auto& [age, planned] : jobs) {
+      leasePlanned(gateway, planned, wanted, state, now, leased);
     }
-    if (owner.hasWholeText(key.item)) {
-      // Needs no place at an engine.
-      leases_.emplace(key, Lease{gateway, now + lease_time_, {}});
-      leased.push_back({std::move(key), ++last_number_, {}});
-      continue;
+  }
+  return leased;
+}
+
+void ItemLeases::leaseWhole(base::NodeId gateway, const JobState& state, base::TimePoint now,
+                            std::vector<GrantedItem>& leased) {
+  for (QueuedJob& queued : queue_.jobs()) {
+    while (!queued.whole.empty()) {
+      const ItemKey key{queued.id, queued.whole.front()};
+      queued.whole.pop_front();
+      if (isOpen(state, key) && !leases_.contains(key)) {
+        addLease(key, {gateway, now + lease_time_, {}});
+        leased.push_back({key, ++last_number_, {}});
+      }
     }
-    const std::string engine = placement_.place(job.model, job.minimumVersion);
-    const bool noPlace = placement_.knowsEngines() && engine.empty();
-    // What suits another gateway keeps its place, so that every gateway sees the same plan.
-    const bool foreign =
-        !engine.empty() && !affinity_.suits(gateway, placement_.zoneOf(engine), now);
-    if (noPlace || foreign || !wanted.take(job.model, job.minimumVersion)) {
-      rest.push_back(std::move(key));
+  }
+}
+
+void ItemLeases::leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
+                              const JobState& state, base::TimePoint now,
+                              std::vector<GrantedItem>& leased) {
+  while (!planned.items.empty()) {
+    PlannedItem& next = planned.items.front();
+    if (!isOpen(state, next.key) || leases_.contains(next.key)) {
+      planned.items.pop_front();
       continue;
     }
-    leases_.emplace(key, Lease{gateway, now + lease_time_, engine});
-    leased.push_back({std::move(key), ++last_number_, engine});
+    if (!wanted.take(planned.model, planned.minimumVersion)) {
+      return;
+    }
+    addLease(next.key, {gateway, now + lease_time_, next.engine});
+    leased.push_back({std::move(next.key), ++last_number_, std::move(next.engine)});
+    planned.items.pop_front();
   }
-  queue_ = std::move(rest);
-  return leased;
 }
 
 base::TimePoint ItemLeases::firstSeen(const std::string& job, base::TimePoint now) const {
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -2,7 +2,6 @@
 /// Which gateway runs which item: the memory of the ledgers' leader.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -11,7 +10,9 @@
 #include "base/identifiers.h"
 #include "base/time.h"
 #include "jobs/engine_placement.h"
+#include "jobs/item_queue.h"
 #include "jobs/job_state.h"
+#include "jobs/lease_plan.h"
 #include "jobs/zone_affinity.h"
 
 namespace tackpick::jobs {
@@ -33,9 +34,14 @@
 /// Deterministic. Items are leased oldest job first and, within a job, in the order of
 /// leaseOrder(). A lease that its gateway stops renewing returns to the front of the queue. An item
 /// may run twice (the first result counts), so nothing here needs to be durable.
+///
+/// Which item goes where is planned for all gateways at once, when something has changed and at
+/// most once in each `planInterval`: the cost of a gateway's call does not grow with the queue, the
+/// engines or the other gateways' leases.
 class ItemLeases {
  public:
-  explicit ItemLeases(base::Duration leaseTime) : lease_time_(leaseTime) {}
+  explicit ItemLeases(base::Duration leaseTime, base::Duration planInterval = {})
+      : lease_time_(leaseTime), plan_interval_(planInterval) {}
 
   /// Forgets everything; call when this ledger becomes leader in `term`. Every open item can be
   /// leased again after `grace`, in which gateways tell what they hold.
@@ -50,7 +56,7 @@
   /// The connection to a gateway broke: its leases end after `grace` unless it renews them.
   void onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace, base::TimePoint now);
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
-  void giveBack(base::NodeId gateway, const std::vector<HeldItem>& held);
+  void giveBack(base::NodeId gateway, const std::vector<HeldItem>& held, const JobState& state);
   /// A gateway asks for items, or for none any more.
   void onAsked(base::NodeId gateway, const std::string& zone, bool takesItems,
                base::TimePoint now) {
@@ -61,9 +67,12 @@
   [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, EngineRoom wanted,
                                                const JobState& state, base::TimePoint now);
   /// Leased items by the engine where they run or were placed.
-  [[nodiscard]] std::map<std::string, std::uint32_t> itemsByEngine() const;
+  [[nodiscard]] const std::map<std::string, std::uint32_t>& itemsByEngine() const {
+    return items_by_engine_;
+  }
+  /// Engines that may take new items now.
+  void setEngines(std::vector<PlacementEngine> engines);
   [[nodiscard]] EnginePlacement& placement() { return placement_; }
-  [[nodiscard]] bool hasQueued() const { return !queue_.empty(); }
   /// When the leader first saw the job; it was submitted no later.
   [[nodiscard]] base::TimePoint firstSeen(const std::string& job, base::TimePoint now) const;
   [[nodiscard]] const std::map<std::string, base::TimePoint>& knownJobs() const {
@@ -78,17 +87,38 @@
     std::string engine;  ///< where it runs, or was placed
   };
 
+  using Leases = std::map<ItemKey, Lease>;
+
   /// Another process runs at the gateway's address by now: what the former held is free.
   void endLeasesOfFormerRuns(base::NodeId gateway, base::TimePoint now);
+  /// What the gateway was given and does not hold did not reach it, or was given back.
+  void endUnheldLeases(base::NodeId gateway, const std::vector<HeldItem>& held,
+                       base::TimePoint now);
+  void addLease(const ItemKey& key, Lease lease);
+  Leases::iterator eraseLease(Leases::iterator lease);
+  void setEngine(Lease& lease, const std::string& engine);
+  /// Plans what is queued, when the plan is no longer up to date.
+  void plan(const JobState& state, base::TimePoint now);
+  void planJob(QueuedJob& queued, std::size_t age, const Job& job);
+  void leaseWhole(base::NodeId gateway, const JobState& state, base::TimePoint now,
+                  std::vector<GrantedItem>& leased);
+  void leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
+                    const JobState& state, base::TimePoint now, std::vector<GrantedItem>& leased);
   [[nodiscard]] static bool isOpen(const JobState& state, const ItemKey& key);
 
   const base::Duration lease_time_;
+  const base::Duration plan_interval_;
   base::TimePoint leasing_from_{};
   std::uint64_t last_number_ = 0;  ///< of a lease
   EnginePlacement placement_;
   ZoneAffinity affinity_;
-  std::deque<ItemKey> queue_;
-  std::map<ItemKey, Lease> leases_;
+  ItemQueue queue_;
+  LeasePlan plan_;
+  base::TimePoint planned_at_{};
+  bool plan_outdated_ = true;
+  Leases leases_;
+  std::map<base::NodeId, std::set<ItemKey>> leases_by_gateway_;
+  std::map<std::string, std::uint32_t> items_by_engine_;
   std::map<std::string, base::TimePoint> first_seen_;
   std::set<std::string> seen_items_;  ///< ids, to know those that come again
 };
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -29,7 +29,7 @@
       self_(self),
       replica_(self, group, settings.replica, log, state_, random, now),
       service_(self, replica_),
-      leases_(settings.leaseTime) {}
+      leases_(settings.leaseTime, settings.planInterval) {}
 
 void JobRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
                      base::TimePoint now) {
@@ -95,7 +95,7 @@
   JobReply reply;
   reply.revoked = leases_.renew(caller.node, request.held, state_, now);
   if (request.leaving) {
-    leases_.giveBack(caller.node, request.held);
+    leases_.giveBack(caller.node, request.held, state_);
   }
   leases_.onAsked(caller.node, request.zone, !request.wanted.empty(), now);
   for (const GrantedItem& granted : leases_.lease(caller.node, request.wanted, state_, now)) {
@@ -201,11 +201,7 @@
   transport::Outbox messages;
   replica_.finish(now, messages);
   observeLeadership(now);
-  if (replica_.canRead(now)) {
-    for (const auto& [id, job] : state_.jobs()) {
-      leases_.addJob(id, job, now);
-    }
-  }
+  takeUpJobs(now);
   answerReads(now);
   transport::Outbox answers = std::exchange(service_.outbox(), {});
   messages.insert(messages.end(), std::make_move_iterator(answers.begin()),
@@ -213,11 +209,22 @@
   return messages;
 }
 
+void JobRole::takeUpJobs(base::TimePoint now) {
+  if (seen_jobs_ == state_.jobChanges() || !replica_.canRead(now)) {
+    return;
+  }
+  seen_jobs_ = state_.jobChanges();
+  for (const auto& [id, job] : state_.jobs()) {
+    leases_.addJob(id, job, now);
+  }
+}
+
 void JobRole::observeLeadership(base::TimePoint now) {
   const consensus::RaftConsensus& raft = replica_.raft();
   if (raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm())) {
     leader_since_ = now;
     leases_.reset(raft.currentTerm(), now, settings_.leaseGrace);
+    seen_jobs_.reset();
   }
   was_leader_ = raft.isLeader();
   observed_term_ = raft.currentTerm();
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -25,6 +25,9 @@
   base::Duration lostGatewayGrace = base::milliseconds(350);
   /// Of a new leader: gateways tell what they hold before anything is leased again.
   base::Duration leaseGrace = base::milliseconds(350);
+  /// Least time between two plans of what runs where: a plan costs about as much as the answers to
+  /// ten calls of gateways, which come each 80 ms and more.
+  base::Duration planInterval = base::milliseconds(5);
   /// Results in one answer.
   std::size_t answerBytes = 900U << 10U;
   /// More than this is left to the replica that the reader names as near.
@@ -44,9 +47,7 @@
   /// The connection to a node broke.
   void onPeerLost(std::uint32_t number, base::TimePoint now);
   /// Engines that may take new items.
-  void setEngines(std::vector<PlacementEngine> engines) {
-    leases_.placement().setEngines(std::move(engines));
-  }
+  void setEngines(std::vector<PlacementEngine> engines) { leases_.setEngines(std::move(engines)); }
   void tick(base::TimePoint now);
   /// Ends a turn: syncs, applies, and returns what to send.
   [[nodiscard]] transport::Outbox finish(base::TimePoint now);
@@ -79,6 +80,8 @@
   void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
   [[nodiscard]] LeasedItem describe(const GrantedItem& granted, base::TimePoint now) const;
   void observeLeadership(base::TimePoint now);
+  /// Hands jobs that are new to this leader to the leases.
+  void takeUpJobs(base::TimePoint now);
   void answerReads(base::TimePoint now);
   void answerRead(const PendingRead& pending, const Job& job);
   void expireJobs(base::TimePoint now);
@@ -93,6 +96,7 @@
   bool was_leader_ = false;
   consensus::Term observed_term_ = 0;
   base::TimePoint leader_since_{};
+  std::optional<std::uint64_t> seen_jobs_;  ///< JobState::jobChanges() when they were taken up
   base::TimePoint slow_work_at_{};
   std::vector<PendingRead> reads_;
 };
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -92,6 +92,7 @@
   if (added) {
     entry->second.submission = command.job;
     entry->second.listed.assign(command.job.items.size(), false);
+    ++job_changes_;
   }
 }
 
@@ -170,6 +171,7 @@
   const auto bytes = base::decompress(snapshot, kMostStateBytes);
   jobs_ = bytes ? base::decode<Jobs>(*bytes).value_or(Jobs{}) : Jobs{};
   ++revision_;
+  ++job_changes_;
 }
 
 }  // namespace tackpick::jobs
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -52,6 +52,8 @@
   [[nodiscard]] CommitResults withoutKnown(const CommitResults& results) const;
   /// Rises with every change.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  /// Rises whenever jobs were added.
+  [[nodiscard]] std::uint64_t jobChanges() const { return job_changes_; }
 
  private:
   void applyTyped(const SubmitJob& command);
@@ -62,6 +64,7 @@
 
   std::map<std::string, Job> jobs_;
   std::uint64_t revision_ = 0;
+  std::uint64_t job_changes_ = 0;
 };
 
 }  // namespace tackpick::jobs
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -228,7 +228,7 @@
 
 Test(item_leases, items_run_at_gateways_in_the_zone_of_their_engine) {
   LeaseFixture fixture;
-  fixture.leases.placement().setEngines({{"near", 2, {{"", 1}}, "a"}, {"far", 2, {{"", 1}}, "b"}});
+  fixture.leases.setEngines({{"near", 2, {{"", 1}}, "a"}, {"far", 2, {{"", 1}}, "b"}});
   fixture.leases.onAsked(kGateway, "a", true, fixture.now);
   fixture.leases.onAsked(kOther, "b", true, fixture.now);
   const auto own = fixture.leases.lease(kGateway, room({{"", 9}}), fixture.state, fixture.now);
@@ -296,7 +296,7 @@
 
 Test(item_leases, items_of_all_gateways_count_where_they_run) {
   LeaseFixture fixture;
-  fixture.leases.placement().setEngines({{"a", 2, {{"", 1}}}, {"b", 2, {{"", 1}}}});
+  fixture.leases.setEngines({{"a", 2, {{"", 1}}}, {"b", 2, {{"", 1}}}});
   const auto first = fixture.leases.lease(kGateway, room({{"", 2}}), fixture.state, fixture.now);
   cr_assert_neq(first[0].engine, first[1].engine);
   // Both went on at the same engine.
@@ -309,6 +309,40 @@
             "both engines are full");
 }
 
+Test(item_leases, what_frees_a_place_is_planned_anew_at_the_next_interval) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 4)});
+  base::TimePoint now{base::seconds(1)};
+  jobs::ItemLeases leases(base::seconds(2), base::milliseconds(5));
+  leases.reset(1, now, base::Duration{0});
+  leases.addJob("j", *state.find("j"), now);
+  leases.setEngines({{"a", 2, {{"", 1}}}});
+  const auto first = leases.lease(kGateway, room({{"", 9}}), state, now);
+  cr_assert_eq(first.size(), 2U);
+  apply(state, jobs::CommitResults{{{"j", {result(3, "t"), result(2, "t")}}}});
+  leases.refresh(state, now);
+  cr_assert(leases.itemsByEngine().empty());
+  now += base::milliseconds(4);
+  cr_assert(leases.lease(kGateway, room({{"", 9}}), state, now).empty());
+  now += base::milliseconds(1);
+  const auto second = leases.lease(kGateway, room({{"", 9}}), state, now);
+  cr_assert_eq(second.size(), 2U);
+  cr_assert_eq(second[0].key.item, 1U);
+}
+
+Test(item_leases, item_that_came_back_twice_is_leased_once) {
+  LeaseFixture fixture;
+  for (int i = 0; i < 2; ++i) {
+    const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
+    cr_assert_eq(leased.size(), 4U);
+    cr_assert_eq(leased[0].key.item, 3U, "they keep their order");
+    fixture.now += base::seconds(3);
+    fixture.leases.refresh(fixture.state, fixture.now);
+  }
+  cr_assert_eq(fixture.leases.lease(kOther, room({{"", 9}}), fixture.state, fixture.now).size(),
+               4U);
+}
+
 Test(lease_order, what_the_caller_waits_for_comes_first) {
   jobs::JobSubmission job;
   const auto add = [&](const std::string& group, std::uint32_t tokens) {
@@ -342,7 +376,7 @@
 Test(item_leases, leaving_gateway_gives_back_what_it_does_not_hold) {
   LeaseFixture fixture;
   const auto leased = fixture.leases.lease(kGateway, room({{"", 4}}), fixture.state, fixture.now);
-  fixture.leases.giveBack(kGateway, heldOf({leased[0]}));
+  fixture.leases.giveBack(kGateway, heldOf({leased[0]}), fixture.state);
   const auto again = fixture.leases.lease(kOther, room({{"", 4}}), fixture.state, fixture.now);
   cr_assert_eq(again.size(), 3U);
 }
