Logs are written and synced by a thread of their own

Change: SegmentedLog gathers records and hands them to a DiskExecutor (DiskThread); RaftConsensus holds back what depends on a write until a sync begun after it has ended, and lets a leader's entries travel while its own disk writes (section 10.2.1 of the dissertation). To others that looks like a slower network. Tests: power lost at any point between with three servers and 40 seeds, the mutant that acknowledges before the sync is caught; a hanging disk of the leader does not keep the others from committing; records written during a sync go with the next.

--- a/src/consensus/log_store.h
+++ b/src/consensus/log_store.h
@@ -9,8 +9,8 @@
 
 namespace tackpick::consensus {
 
-/// Durable log, hard state and snapshot of one server in one group. Writes become durable at
-/// sync(); RaftConsensus sends no message that depends on a write before sync() has returned.
+/// Durable log, hard state and snapshot of one server in one group. Writes become durable by a
+/// sync; RaftConsensus sends no message that depends on a write before a sync begun after it ended.
 /// Every failed write is final: the server must stop.
 class LogStore {
  public:
@@ -38,7 +38,13 @@
   /// Stores the snapshot durably and drops the entries it covers; also drops the whole log when
   /// it does not continue from the snapshot.
   [[nodiscard]] virtual base::Result<void> saveSnapshot(const Snapshot& snapshot) = 0;
+  /// Makes all writes durable before it returns.
   [[nodiscard]] virtual base::Result<void> sync() = 0;
+  /// Begins to make durable what has been written until now; syncEnded() says when that is done.
+  /// Writes may go on meanwhile. Not while an earlier sync is under way.
+  [[nodiscard]] virtual base::Result<void> beginSync() { return sync(); }
+  /// True when no sync is under way; an error when the last one failed.
+  [[nodiscard]] virtual base::Result<bool> syncEnded() { return true; }
 };
 
 }  // namespace tackpick::consensus
--- a/src/consensus/raft_consensus.cpp
+++ b/src/consensus/raft_consensus.cpp
@@ -71,20 +71,62 @@
     broadcast(now);
   }
   broadcast_wanted_ = false;
-  if (needs_sync_ && !settings_.mutants.acknowledgeBeforeSync) {
-    check(log_.sync());
-    if (failed_) {
-      outbox_.clear();
-      return {};
-    }
-    needs_sync_ = false;
+  advanceSync();
+  if (failed_) {
+    outbox_.clear();
+    return {};
   }
-  synced_index_ = log_.lastIndex();
   if (state_ == RaftState::kLeader) {
     confirmRounds();
     advanceCommit();
   }
-  return std::exchange(outbox_, {});
+  return takeSendable();
+}
+
+void RaftConsensus::advanceSync() {
+  if (failed_) {
+    return;
+  }
+  noteSyncEnd();
+  if (sync_ || failed_ || writes_ == durable_writes_) {
+    return;
+  }
+  sync_ = Sync{writes_, log_.lastIndex()};
+  if (!settings_.mutants.acknowledgeBeforeSync) {
+    check(log_.beginSync());
+  }
+  noteSyncEnd();
+}
+
+void RaftConsensus::noteSyncEnd() {
+  if (!sync_ || failed_) {
+    return;
+  }
+  bool ended = settings_.mutants.acknowledgeBeforeSync;
+  if (!ended) {
+    const auto result = log_.syncEnded();
+    failed_ = !result;
+    ended = result && *result;
+  }
+  if (ended) {
+    durable_writes_ = sync_->writes;
+    synced_index_ = sync_->index;
+    sync_.reset();
+  }
+}
+
+std::vector<OutgoingRaftMessage> RaftConsensus::takeSendable() {
+  std::vector<OutgoingRaftMessage> sendable;
+  std::vector<HeldMessage> held;
+  for (HeldMessage& message : outbox_) {
+    if (message.writes <= durable_writes_) {
+      sendable.push_back(std::move(message.outgoing));
+    } else {
+      held.push_back(std::move(message));
+    }
+  }
+  outbox_ = std::move(held);
+  return sendable;
 }
 
 std::optional<Snapshot> RaftConsensus::takeReceivedSnapshot() {
@@ -146,14 +188,19 @@
   entry.kind = kind;
   entry.payload = std::move(payload);
   check(log_.append(entry));
-  needs_sync_ = true;
+  ++writes_;
   if (kind == EntryKind::kMembership) {
     reloadMembership();
   }
 }
 
 void RaftConsensus::send(base::NodeId to, RaftMessage message) {
-  outbox_.push_back({to, std::move(message)});
+  // Answers and requests for votes speak of this server's own log. A leader's entries may travel
+  // while its own disk writes them (section 10.2.1): it counts itself only once they are durable.
+  const bool leaders = std::holds_alternative<AppendRequest>(message) ||
+                       std::holds_alternative<InstallSnapshotRequest>(message) ||
+                       std::holds_alternative<TimeoutNowRequest>(message);
+  outbox_.push_back({leaders ? hard_state_write_ : writes_, {to, std::move(message)}});
 }
 
 void RaftConsensus::check(base::Result<void> result) {
@@ -167,7 +214,7 @@
     return;
   }
   check(log_.saveHardState(state));
-  needs_sync_ = true;
+  hard_state_write_ = ++writes_;
 }
 
 }  // namespace tackpick::consensus
--- a/src/consensus/raft_consensus.h
+++ b/src/consensus/raft_consensus.h
@@ -46,9 +46,11 @@
 /// Raft as in the dissertation: pre-vote (9.6), check-quorum (6.2), leader lease (6.4.1),
 /// single-server membership change with learners (4), snapshots (5), leadership transfer (3.10).
 ///
-/// Use: feed messages, ticks and proposals; then call flush(), which syncs the log, and send what
-/// it returns; then apply takeCommitted(). Owned by one thread. After a storage failure failed()
-/// is true and the server neither sends nor accepts anything.
+/// Use: feed messages, ticks and proposals; then call flush(), which begins to sync the log, and
+/// send what it returns; then apply takeCommitted(). A message that depends on a write is held back
+/// until that is durable: call flush() again when a sync has ended. To the others that looks like a
+/// slower network; after a crash what was held back was never sent. Owned by one thread. After a
+/// storage failure failed() is true and the server neither sends nor accepts anything.
 class RaftConsensus {
  public:
   RaftConsensus(base::NodeId self, RaftSettings settings, LogStore& log, base::Random& random,
@@ -68,7 +70,8 @@
   /// Hands leadership to the most up-to-date voter (section 3.10). False when there is none.
   bool transferLeadership(base::TimePoint now);
 
-  /// Syncs what was written and returns the messages that may now be sent.
+  /// Begins to sync what was written, unless a sync is under way, and returns the messages that may
+  /// now be sent.
   [[nodiscard]] std::vector<OutgoingRaftMessage> flush(base::TimePoint now);
   /// A snapshot received from the leader that the state machine must load first, if any.
   [[nodiscard]] std::optional<Snapshot> takeReceivedSnapshot();
@@ -141,6 +144,8 @@
   void refuseStaleLeader(base::NodeId from);
   void acceptLeader(base::NodeId from, Term term, base::TimePoint now);
   bool appendFollowing(const AppendRequest& request);
+  /// Entries from `firstRemoved` on are no longer what a sync made or makes durable.
+  void noteTruncated(LogIndex firstRemoved);
   void broadcast(base::TimePoint now);
   void sendAppend(base::NodeId to, Progress& progress, base::TimePoint now);
   void sendSnapshot(base::NodeId to);
@@ -156,6 +161,10 @@
 
   void appendLocally(EntryKind kind, base::Bytes payload);
   void send(base::NodeId to, RaftMessage message);
+  /// Notes the end of a sync and begins the next one when something was written since.
+  void advanceSync();
+  void noteSyncEnd();
+  [[nodiscard]] std::vector<OutgoingRaftMessage> takeSendable();
   void check(base::Result<void> result);
   void saveHardState(const HardState& state);
 
@@ -170,9 +179,22 @@
   LogIndex commit_index_ = 0;
   LogIndex delivered_index_ = 0;  ///< last entry handed out by takeCommitted()
   std::optional<Snapshot> received_snapshot_;
-  bool needs_sync_ = false;
+  /// A sync under way.
+  struct Sync {
+    std::uint64_t writes = 0;  ///< it makes these durable
+    LogIndex index = 0;        ///< ... and with them the entries up to here
+  };
+  /// A message that may be sent once so many writes are durable.
+  struct HeldMessage {
+    std::uint64_t writes = 0;
+    OutgoingRaftMessage outgoing;
+  };
+  std::uint64_t writes_ = 0;            ///< to the log, so far
+  std::uint64_t durable_writes_ = 0;    ///< of them
+  std::uint64_t hard_state_write_ = 0;  ///< the last of the hard state
+  std::optional<Sync> sync_;
   LogIndex synced_index_ = 0;  ///< own entries up to here are durable
-  std::vector<OutgoingRaftMessage> outbox_;
+  std::vector<HeldMessage> outbox_;
 
   Membership membership_;  ///< the latest in the log, committed or not (section 4.1)
   LogIndex membership_index_ = 0;
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -52,10 +52,12 @@
         return false;
       }
       check(log_.truncateSuffix(entry.index));
+      ++writes_;
+      noteTruncated(entry.index);
       membershipTouched = true;
     }
     check(log_.append(entry));
-    needs_sync_ = true;
+    ++writes_;
     membershipTouched = membershipTouched || entry.kind == EntryKind::kMembership;
   }
   if (membershipTouched) {
@@ -64,6 +66,13 @@
   return !failed_;
 }
 
+void RaftConsensus::noteTruncated(LogIndex firstRemoved) {
+  synced_index_ = std::min(synced_index_, firstRemoved - 1);
+  if (sync_) {
+    sync_->index = std::min(sync_->index, firstRemoved - 1);
+  }
+}
+
 void RaftConsensus::onMessage(base::NodeId from, const AppendResponse& response,
                               base::TimePoint now) {
   if (response.term > currentTerm()) {
@@ -108,6 +117,7 @@
   const Snapshot& snapshot = request.snapshot;
   if (snapshot.lastIndex > commit_index_) {
     check(log_.saveSnapshot(snapshot));
+    noteTruncated(log_.lastIndex() + 1);
     commit_index_ = snapshot.lastIndex;
     delivered_index_ = snapshot.lastIndex;
     received_snapshot_ = snapshot;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -163,7 +163,10 @@
     initial.voters = founders;
   }
   const storage::FolderIdentity identity{settings_.cluster, self_, group};
-  BOOST_LEAF_ASSIGN(log_, storage::SegmentedLog::open(*folders_.back(), identity, initial));
+  disk_thread_ =
+      std::make_unique<storage::DiskThread>([this] { asio::post(context_, [this] { wake(); }); });
+  BOOST_LEAF_ASSIGN(
+      log_, storage::SegmentedLog::open(*folders_.back(), identity, initial, disk_thread_.get()));
   return {};
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "http/exchange_server.h"
 #include "http/upstream_client.h"
 #include "jobs/job_role.h"
+#include "storage/disk_thread.h"
 #include "storage/file_system.h"
 #include "storage/segmented_log.h"
 #include "telemetry/prometheus_metrics.h"
@@ -95,6 +96,7 @@
   base::NodeId self_;
 
   std::vector<std::unique_ptr<storage::FileSystem>> folders_;
+  std::unique_ptr<storage::DiskThread> disk_thread_;
   std::unique_ptr<storage::SegmentedLog> log_;
   std::unique_ptr<directory::DirectoryRole> directory_;
   std::unique_ptr<jobs::JobRole> ledger_;
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 #include "base/random.h"
@@ -109,9 +110,11 @@
   return readChecked<FolderIdentity>(files, kIdentityFile);
 }
 
-base::Result<std::unique_ptr<SegmentedLog>> SegmentedLog::open(
-    FileSystem& files, const FolderIdentity& identity, const consensus::Membership& initial) {
-  std::unique_ptr<SegmentedLog> log(new SegmentedLog(files));
+base::Result<std::unique_ptr<SegmentedLog>> SegmentedLog::open(FileSystem& files,
+                                                               const FolderIdentity& identity,
+                                                               const consensus::Membership& initial,
+                                                               DiskExecutor* executor) {
+  std::unique_ptr<SegmentedLog> log(new SegmentedLog(files, executor));
   BOOST_LEAF_AUTO(names, files.list());
   bool initialised = false;
   for (const std::string& name : names) {
@@ -133,6 +136,12 @@
   return log;
 }
 
+SegmentedLog::~SegmentedLog() {
+  if (executor_ != nullptr) {
+    executor_->wait();
+  }
+}
+
 base::Result<void> SegmentedLog::load() {
   BOOST_LEAF_ASSIGN(snapshot_, readChecked<consensus::Snapshot>(files_, kSnapshotFile));
   snapshot_bytes_ = snapshot_.state.size();
@@ -230,7 +239,11 @@
 }
 
 base::Result<void> SegmentedLog::writeRecord(const base::Bytes& payload) {
-  return segment_->append(frameRecord(payload));
+  if (executor_ == nullptr) {
+    return segment_->append(frameRecord(payload));
+  }
+  gathered_ += frameRecord(payload);
+  return {};
 }
 
 base::Result<void> SegmentedLog::append(const consensus::LogEntry& entry) {
@@ -272,6 +285,10 @@
 }
 
 base::Result<void> SegmentedLog::rewrite() {
+  if (executor_ != nullptr) {
+    executor_->wait();
+    gathered_.clear();  // the new segment holds all entries
+  }
   const std::uint64_t number = segment_number_ + 1;
   base::Bytes content = frameRecord(base::encode(Record{hard_state_}));
   for (const consensus::LogEntry& entry : entries_) {
@@ -290,6 +307,34 @@
   return {};
 }
 
-base::Result<void> SegmentedLog::sync() { return segment_->sync(); }
+base::Result<void> SegmentedLog::sync() {
+  if (executor_ != nullptr) {
+    executor_->wait();
+    BOOST_LEAF_CHECK(segment_->append(std::exchange(gathered_, {})));
+  }
+  return segment_->sync();
+}
+
+base::Result<void> SegmentedLog::beginSync() {
+  if (executor_ == nullptr) {
+    return sync();
+  }
+  executor_->start([this, bytes = std::exchange(gathered_, {})]() -> base::Result<void> {
+    BOOST_LEAF_CHECK(segment_->append(bytes));
+    return segment_->sync();
+  });
+  return {};
+}
+
+base::Result<bool> SegmentedLog::syncEnded() {
+  if (executor_ == nullptr) {
+    return true;
+  }
+  if (executor_->running()) {
+    return false;
+  }
+  BOOST_LEAF_CHECK(executor_->outcome());
+  return true;
+}
 
 }  // namespace tackpick::storage
--- a/src/storage/segmented_log.h
+++ b/src/storage/segmented_log.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "consensus/log_store.h"
+#include "storage/disk_executor.h"
 #include "storage/file_system.h"
 
 namespace tackpick::storage {
@@ -42,12 +43,20 @@
 /// at the very end of the last segment is cut off on opening, because it was never synced and so
 /// never acknowledged. Damage anywhere before a readable record is reported as kCorrupt and the
 /// folder is refused. Owned by one thread.
+///
+/// With a DiskExecutor, records are gathered in memory and written and synced there: a slow disk
+/// delays what depends on a write and nothing else. Snapshots are still written by the caller.
 class SegmentedLog final : public consensus::LogStore {
  public:
   /// Opens a folder; an empty one is initialised with `identity` and, for the first servers of a
-  /// new group, their `initial` membership.
+  /// new group, their `initial` membership. `executor`, if any, is used by this log alone.
   [[nodiscard]] static base::Result<std::unique_ptr<SegmentedLog>> open(
-      FileSystem& files, const FolderIdentity& identity, const consensus::Membership& initial);
+      FileSystem& files, const FolderIdentity& identity, const consensus::Membership& initial,
+      DiskExecutor* executor = nullptr);
+  SegmentedLog(const SegmentedLog&) = delete;
+  SegmentedLog& operator=(const SegmentedLog&) = delete;
+  /// Waits for the executor, which may still be writing.
+  ~SegmentedLog() override;
 
   [[nodiscard]] const consensus::HardState& hardState() const override { return hard_state_; }
   [[nodiscard]] const consensus::Snapshot& snapshot() const override { return snapshot_; }
@@ -66,9 +75,11 @@
   [[nodiscard]] base::Result<void> saveHardState(const consensus::HardState& state) override;
   [[nodiscard]] base::Result<void> saveSnapshot(const consensus::Snapshot& snapshot) override;
   [[nodiscard]] base::Result<void> sync() override;
+  [[nodiscard]] base::Result<void> beginSync() override;
+  [[nodiscard]] base::Result<bool> syncEnded() override;
 
  private:
-  explicit SegmentedLog(FileSystem& files) : files_(files) {}
+  SegmentedLog(FileSystem& files, DiskExecutor* executor) : files_(files), executor_(executor) {}
 
   [[nodiscard]] base::Result<void> load();
   [[nodiscard]] base::Result<void> replaySegment(const std::string& name);
@@ -81,6 +92,8 @@
   [[nodiscard]] base::Result<void> rewrite();
 
   FileSystem& files_;
+  DiskExecutor* const executor_;  ///< null: the caller's thread writes and syncs
+  base::Bytes gathered_;          ///< records that the executor has not been given yet
   consensus::HardState hard_state_;
   consensus::Snapshot snapshot_;  ///< without its state
   std::size_t snapshot_bytes_ = 0;
--- /dev/null
+++ b/test/consensus/background_sync_test.cpp
@@ -0,0 +1,213 @@
+/// Raft with syncs that end later than they begin: power may be lost at any point between.
+#include <criterion/criterion.h>
+
+#include <deque>
+
+#include "consensus/raft_consensus.h"
+#include "simulation/simulated_disk.h"
+#include "storage/held_executor.h"
+#include "storage/segmented_log.h"
+
+namespace base = tackpick::base;
+namespace consensus = tackpick::consensus;
+namespace simulation = tackpick::simulation;
+namespace storage = tackpick::storage;
+
+namespace {
+
+constexpr base::GroupId kGroup{1};
+constexpr std::uint32_t kServers = 3;
+
+std::set<base::NodeId> allVoters() {
+  std::set<base::NodeId> voters;
+  for (std::uint32_t i = 1; i <= kServers; ++i) {
+    voters.insert(base::makeNodeId(i, 0));
+  }
+  return voters;
+}
+
+/// One server with a disk and an executor that are the test's.
+struct Server {
+  explicit Server(std::uint32_t number) : id(base::makeNodeId(number, 0)), random(number) {}
+
+  void start(base::TimePoint now, consensus::RaftSettings settings) {
+    log = base::recover(
+        [&] {
+          return storage::SegmentedLog::open(disk, {"cluster", id, kGroup}, {allVoters(), {}},
+                                             &executor);
+        },
+        [](const base::Error&) { return std::unique_ptr<storage::SegmentedLog>(); });
+    raft = std::make_unique<consensus::RaftConsensus>(id, settings, *log, random, now);
+  }
+
+  void losePower(base::Random& chance) {
+    raft.reset();
+    executor.drop();
+    log.reset();
+    disk.crash(chance);
+  }
+
+  base::NodeId id;
+  base::SeededRandom random;
+  simulation::SimulatedDisk disk;
+  storage::HeldExecutor executor;
+  std::unique_ptr<storage::SegmentedLog> log;
+  std::unique_ptr<consensus::RaftConsensus> raft;
+};
+
+struct Travelling {
+  base::NodeId from;
+  base::NodeId to;
+  consensus::RaftMessage message;
+};
+
+/// Three servers whose messages, syncs and losses of power come in an order drawn from a seed.
+class World {
+ public:
+  World(std::uint64_t seed, consensus::RaftSettings settings)
+      : m_chance(seed), m_settings(settings) {
+    for (std::uint32_t i = 1; i <= kServers; ++i) {
+      m_servers.push_back(std::make_unique<Server>(i));
+      m_servers.back()->start(m_now, m_settings);
+    }
+  }
+
+  /// False when two servers took different commands for committed at one index.
+  bool run(int steps) {
+    for (int i = 0; i < steps && m_agreed; ++i) {
+      step();
+    }
+    return m_agreed;
+  }
+  [[nodiscard]] std::size_t committed() const { return m_committed.size(); }
+
+ private:
+  Server& drawServer() { return *m_servers[m_chance.below(kServers)]; }
+
+  void step() {
+    constexpr std::uint64_t kKinds = 100;
+    constexpr std::uint64_t kSync = 30;
+    constexpr std::uint64_t kDeliver = 80;
+    constexpr std::uint64_t kPropose = 90;
+    constexpr std::uint64_t kTick = 99;
+    const std::uint64_t kind = m_chance.below(kKinds);
+    Server& server = drawServer();
+    if (kind < kSync) {
+      server.executor.finish();
+    } else if (kind < kDeliver) {
+      deliver();
+    } else if (kind < kPropose) {
+      server.raft->propose("command" + std::to_string(++m_proposed), m_now);
+    } else if (kind < kTick) {
+      m_now += base::milliseconds(20);
+      server.raft->tick(m_now);
+    } else {
+      server.losePower(m_chance);
+      server.start(m_now, m_settings);
+    }
+    collect(server);
+  }
+
+  void deliver() {
+    if (m_network.empty()) {
+      return;
+    }
+    Travelling next = std::move(m_network.front());
+    m_network.pop_front();
+    for (const auto& server : m_servers) {
+      if (server->id == next.to) {
+        server->raft->handle(next.from, next.message, m_now);
+        collect(*server);
+      }
+    }
+  }
+
+  void collect(Server& server) {
+    for (consensus::OutgoingRaftMessage& outgoing : server.raft->flush(m_now)) {
+      m_network.push_back({server.id, outgoing.to, std::move(outgoing.message)});
+    }
+    for (const consensus::LogEntry& entry : server.raft->takeCommitted()) {
+      const auto [known, added] = m_committed.try_emplace(entry.index, entry.payload);
+      m_agreed = m_agreed && known->second == entry.payload;
+    }
+  }
+
+  base::SeededRandom m_chance;
+  consensus::RaftSettings m_settings;
+  base::TimePoint m_now{};
+  std::vector<std::unique_ptr<Server>> m_servers;
+  std::deque<Travelling> m_network;
+  std::map<consensus::LogIndex, base::Bytes> m_committed;
+  int m_proposed = 0;
+  bool m_agreed = true;
+};
+
+constexpr int kSteps = 6000;
+
+}  // namespace
+
+Test(background_sync, committed_entries_survive_power_loss_at_any_point) {
+  std::size_t committed = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    World world(seed, {});
+    cr_assert(world.run(kSteps), "seed %lu", static_cast<unsigned long>(seed));
+    committed += world.committed();
+  }
+  cr_assert_gt(committed, 400U, "the servers got something done");
+}
+
+Test(background_sync, acknowledgement_before_the_sync_is_caught) {
+  consensus::RaftSettings settings;
+  settings.mutants.acknowledgeBeforeSync = true;
+  bool caught = false;
+  for (std::uint64_t seed = 1; seed <= 40 && !caught; ++seed) {
+    World world(seed, settings);
+    caught = !world.run(kSteps);
+  }
+  cr_assert(caught);
+}
+
+Test(background_sync, entries_travel_before_the_leaders_own_disk_has_them) {
+  std::vector<std::unique_ptr<Server>> servers;
+  base::TimePoint now{};
+  for (std::uint32_t i = 1; i <= kServers; ++i) {
+    servers.push_back(std::make_unique<Server>(i));
+    servers.back()->start(now, {});
+  }
+  const auto exchange = [&](bool leaderDisk) {
+    for (const auto& server : servers) {
+      if (leaderDisk || !server->raft->isLeader()) {
+        server->executor.finish();
+      }
+      for (consensus::OutgoingRaftMessage& outgoing : server->raft->flush(now)) {
+        servers[base::nodeNumber(outgoing.to) - 1]->raft->handle(server->id, outgoing.message, now);
+      }
+    }
+  };
+  const auto leader = [&]() -> Server* {
+    for (const auto& server : servers) {
+      if (server->raft->isLeader()) {
+        return server.get();
+      }
+    }
+    return nullptr;
+  };
+  for (int i = 0; i < 200 && leader() == nullptr; ++i) {
+    now += base::milliseconds(20);
+    for (const auto& server : servers) {
+      server->raft->tick(now);
+    }
+    exchange(true);
+  }
+  cr_assert_not_null(leader());
+  for (int i = 0; i < 10; ++i) {
+    exchange(true);
+  }
+  const auto index = leader()->raft->propose("one", now);
+  cr_assert(index.has_value());
+  for (int i = 0; i < 10; ++i) {
+    exchange(false);
+  }
+  cr_assert(leader()->executor.running(), "its disk hangs");
+  cr_assert_geq(leader()->raft->commitIndex(), *index, "the two others are a quorum");
+}
--- a/test/storage/segmented_log_test.cpp
+++ b/test/storage/segmented_log_test.cpp
@@ -3,14 +3,19 @@
 #include <criterion/criterion.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
+#include "simulation/simulated_disk.h"
+#include "storage/disk_thread.h"
+#include "storage/held_executor.h"
 #include "storage/posix_file_system.h"
 
 namespace base = tackpick::base;
 namespace consensus = tackpick::consensus;
+namespace simulation = tackpick::simulation;
 namespace storage = tackpick::storage;
 
 namespace {
@@ -134,3 +139,47 @@
     cr_assert(log.firstIndex() == 21 && log.lastIndex() == 20);
   });
 }
+
+Test(segmented_log, records_written_during_a_sync_go_with_the_next) {
+  simulation::SimulatedDisk disk;
+  storage::HeldExecutor executor;
+  base::SeededRandom chance(1);
+  const auto open = [&] {
+    return base::recover(
+        [&] { return storage::SegmentedLog::open(disk, kIdentity, {}, &executor); },
+        [](const base::Error&) { return std::unique_ptr<storage::SegmentedLog>(); });
+  };
+  auto log = open();
+  cr_assert(log->append({1, 1, consensus::EntryKind::kCommand, "a"}));
+  cr_assert(log->beginSync());
+  cr_assert(log->append({1, 2, consensus::EntryKind::kCommand, "b"}));
+  cr_assert_not(log->syncEnded().value(), "the disk is at it");
+  executor.finish();
+  cr_assert(log->syncEnded().value());
+  executor.drop();
+  log.reset();
+  disk.crash(chance);
+  log = open();
+  cr_assert_eq(log->lastIndex(), 1U, "the second record was never given to the disk");
+  cr_assert(log->append({1, 2, consensus::EntryKind::kCommand, "c"}));
+  cr_assert(log->beginSync());
+  cr_assert(log->append({1, 3, consensus::EntryKind::kCommand, "d"}));
+  // A snapshot waits for the disk and makes all entries durable.
+  cr_assert(log->saveSnapshot({1, 1, {}, "state"}));
+  log.reset();
+  disk.crash(chance);
+  cr_assert_eq(open()->lastIndex(), 3U);
+}
+
+Test(disk_thread, failed_work_is_told_and_the_next_is_not) {
+  std::atomic<int> ended = 0;
+  storage::DiskThread thread([&] { ++ended; });
+  thread.start(
+      []() -> base::Result<void> { return base::fail(base::ErrorCode::kStorage, "full"); });
+  thread.wait();
+  cr_assert_not(thread.running());
+  cr_assert_not(thread.outcome());
+  thread.start([]() -> base::Result<void> { return {}; });
+  thread.wait();
+  cr_assert(thread.outcome());
+}
