Only as many gateways run items as the engines need

Cause: 250 gateways asked for leases, each with its own connections to engines and its own commits, for 128 engines with 768 places. Change: GatewayRoster: in each zone the gateways with the lowest numbers run items, one for each 24 places and two more; the others stand by and ask once a second. It adapts to the places that the engines tell and to who asks; where gateways are few all run items.

--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -68,6 +68,14 @@
   return found == m_indices.end() ? std::string() : m_engines[found->second].told.zone;
 }
 
+std::map<std::string, std::uint32_t> EnginePlacement::placesByZone() const {
+  std::map<std::string, std::uint32_t> places;
+  for (const Engine& engine : m_engines) {
+    places[engine.told.zone] += engine.told.slots;
+  }
+  return places;
+}
+
 void EnginePlacement::takeBack(const std::string& id) {
   Engine* engine = find(id);
   if (engine != nullptr && engine->load > 0) {
--- a/src/jobs/engine_placement.h
+++ b/src/jobs/engine_placement.h
@@ -40,6 +40,8 @@
   [[nodiscard]] bool knowsEngines() const { return !m_engines.empty(); }
   /// The zone of an engine that setEngines() told of; else empty.
   [[nodiscard]] std::string zoneOf(const std::string& engine) const;
+  /// Places at all engines, by zone.
+  [[nodiscard]] std::map<std::string, std::uint32_t> placesByZone() const;
   /// The engine that will have run an item soonest, counting the item there from now on. A few
   /// items more than an engine has places wait there, so that it never stands idle between a result
   /// and the next lease. Empty when every engine that may run the item is full.
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -63,6 +63,8 @@
   leases_by_gateway_.clear();
   items_by_engine_.clear();
   affinity_.clear();
+  roster_.clear();
+  roster_.setPlaces(placement_.placesByZone());
   first_seen_.clear();
   seen_items_.clear();
   leasing_from_ = now + grace;
@@ -95,6 +97,7 @@
 
 void ItemLeases::setEngines(std::vector<PlacementEngine> engines) {
   placement_.setEngines(std::move(engines));
+  roster_.setPlaces(placement_.placesByZone());
   plan_outdated_ = true;
 }
 
@@ -203,6 +206,7 @@
 void ItemLeases::onGatewayLost(std::uint32_t gatewayNumber, base::Duration grace,
                                base::TimePoint now) {
   affinity_.forget(gatewayNumber);
+  roster_.forget(gatewayNumber);
   for (auto it = leases_by_gateway_.lower_bound(base::makeNodeId(gatewayNumber, 0));
        it != leases_by_gateway_.end() && base::nodeNumber(it->first) == gatewayNumber; ++it) {
     for (const ItemKey& key : it->second) {
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -10,6 +10,7 @@
 #include "base/identifiers.h"
 #include "base/time.h"
 #include "jobs/engine_placement.h"
+#include "jobs/gateway_roster.h"
 #include "jobs/item_queue.h"
 #include "jobs/job_state.h"
 #include "jobs/lease_plan.h"
@@ -61,9 +62,13 @@
   void onAsked(base::NodeId gateway, const std::string& zone, bool takesItems,
                base::TimePoint now) {
     affinity_.note(gateway, zone, takesItems, now);
+    roster_.note(gateway, zone, takesItems, now);
   }
+  /// Which gateways run items.
+  [[nodiscard]] const GatewayRoster& roster() const { return roster_; }
   /// Leases items to `gateway` that should run at engines in its zone, as many as find a place in
-  /// `wanted`, and whole texts that only their score is missing of.
+  /// `wanted`, and whole texts that only their score is missing of. The caller asks the roster
+  /// first whether the gateway runs items.
   [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, EngineRoom wanted,
                                                const JobState& state, base::TimePoint now);
   /// Leased items by the engine where they run or were placed.
@@ -112,6 +117,7 @@
   std::uint64_t last_number_ = 0;  ///< of a lease
   EnginePlacement placement_;
   ZoneAffinity affinity_;
+  GatewayRoster roster_;
   ItemQueue queue_;
   LeasePlan plan_;
   base::TimePoint planned_at_{};
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -295,12 +295,16 @@
   std::string body;                 ///< ReadItem
   std::vector<LeasedItem> leased;   ///< LeaseItems
   std::vector<ItemKey> revoked;     ///< LeaseItems: held ones that need not be run any more
+  /// LeaseItems: other gateways run the items of this one's zone; it need not ask often.
+  bool standby = false;
+  std::uint32_t sharers = 0;  ///< LeaseItems: gateways that share the places of all engines
   /// LeaseItems that tell paces: items of all gateways, by the engine where they run.
   std::map<std::string, std::uint32_t> itemsByEngine;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(status, total, results, elsewhere, body, leased, revoked, itemsByEngine);
+    archive(status, total, results, elsewhere, body, leased, revoked, standby, sharers,
+            itemsByEngine);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -98,8 +98,12 @@
     leases_.giveBack(caller.node, request.held, state_);
   }
   leases_.onAsked(caller.node, request.zone, !request.wanted.empty(), now);
-  for (const GrantedItem& granted : leases_.lease(caller.node, request.wanted, state_, now)) {
-    reply.leased.push_back(describe(granted, now));
+  reply.standby = !leases_.roster().isActive(caller.node, request.zone, now);
+  reply.sharers = leases_.roster().activeCount(now);
+  if (!reply.standby) {
+    for (const GrantedItem& granted : leases_.lease(caller.node, request.wanted, state_, now)) {
+      reply.leased.push_back(describe(granted, now));
+    }
   }
   if (!request.paces.empty()) {
     reply.itemsByEngine = leases_.itemsByEngine();
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -24,6 +24,8 @@
 /// but often enough for a new leader to hear in time what runs where.
 constexpr base::Duration kLeaseIntervalPerGateway = base::microseconds(2800);
 constexpr base::Duration kLongestLeaseInterval = base::milliseconds(220);
+/// Of a gateway that stands by: others run the items of its zone.
+constexpr base::Duration kStandbyInterval = base::milliseconds(1000);
 constexpr base::Duration kCallDeadline = base::seconds(2);
 /// Without a renewal for so long nothing new is sent: its job may have ended.
 constexpr base::Duration kLeaseTrust = base::milliseconds(2000);
@@ -43,7 +45,9 @@
 }  // namespace
 
 void ItemRunner::onView(const directory::DirectoryView& view) {
-  gateways_ = std::max(view.gateways, 1U);
+  if (!sharers_told_) {
+    sharers_ = std::max(view.gateways, 1U);
+  }
   engine_models_.clear();
   for (const directory::Service& service : node_.member().configuration().services) {
     for (const std::string& model : service.models) {
@@ -69,8 +73,11 @@
 }
 
 base::Duration ItemRunner::leaseInterval() const {
+  if (standby_ && items_.empty()) {
+    return kStandbyInterval;
+  }
   const base::Duration shared =
-      std::min(kLongestLeaseInterval, kLeaseIntervalPerGateway * static_cast<int>(gateways_));
+      std::min(kLongestLeaseInterval, kLeaseIntervalPerGateway * static_cast<int>(sharers_));
   return std::max(shared, items_.empty() ? kIdleLeaseInterval : kLeaseInterval);
 }
 
@@ -79,7 +86,7 @@
     return {};
   }
   jobs::EngineRoom wanted = instances_.engineRoom(engine_models_);
-  wanted.share(gateways_, kOvercommitPercent);
+  wanted.share(sharers_, kOvercommitPercent);
   for (const auto& [key, item] : items_) {
     if (needsEngine(*item)) {
       wanted.occupy(item->run.leased().model, item->run.leased().minimumVersion);
@@ -149,6 +156,11 @@
       items_.erase(found);
     }
   }
+  standby_ = reply.standby;
+  if (reply.sharers > 0) {
+    sharers_ = reply.sharers;
+    sharers_told_ = true;
+  }
   const base::TimePoint now = node_.now();
   noteLeased(reply.leased);
   for (const auto& [engine, items] : reply.itemsByEngine) {
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -133,7 +133,9 @@
   jobs::ProgressSaver progress_;
   ScoreCaller scores_;
   std::map<jobs::ItemKey, std::unique_ptr<Running>> items_;
-  std::uint32_t gateways_ = 1;
+  std::uint32_t sharers_ = 1;  ///< gateways that run items
+  bool sharers_told_ = false;  ///< ... as the ledgers say; until then all gateways count
+  bool standby_ = false;       ///< others run the items of this gateway's zone
   forwarding::ServiceModels engine_models_;
   bool leasing_ = false;
   bool committing_ = false;
