Members ask only ledgers that may know the leader

Change: the ledgers' leader's report of its members is told in the controllers' views; members ask its voters, all ledgers only while no voter is heard. Tests: cluster_member (four, written with the change).

--- a/src/cluster/cluster_member.cpp
+++ b/src/cluster/cluster_member.cpp
@@ -104,18 +104,32 @@
     }
   }
   directory_.setReplicas(std::move(controllers));
-  std::vector<base::NodeId> ledgers;
-  for (const directory::LedgerSight& sight : view.ledgers) {
-    if (sight.silence < kLedgerSilence) {
-      ledgers.push_back(sight.node);
-    }
-  }
-  ledgers_.setReplicas(std::move(ledgers));
+  ledgers_.setReplicas(ledgersToAsk());
   if (on_view_) {
     on_view_(view_);
   }
 }
 
+std::vector<base::NodeId> ClusterMember::ledgersToAsk() {
+  if (!view_.ledgerVoters.empty()) {
+    ledger_voters_ = view_.ledgerVoters;  // a new leader of the controllers knows none for a moment
+  } else if (ledger_voters_.empty()) {
+    ledger_voters_ = view_.ledgerFounders;
+  }
+  std::vector<base::NodeId> voters;
+  std::vector<base::NodeId> heard;
+  for (const directory::LedgerSight& sight : view_.ledgers) {
+    if (sight.silence >= kLedgerSilence) {
+      continue;
+    }
+    heard.push_back(sight.node);
+    if (ledger_voters_.contains(sight.node)) {
+      voters.push_back(sight.node);
+    }
+  }
+  return voters.empty() ? heard : voters;
+}
+
 bool ClusterMember::mergeView(const directory::DirectoryView& news) {
   if (news.whole) {
     view_ = news;
--- a/src/cluster/cluster_member.h
+++ b/src/cluster/cluster_member.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/random.h"
@@ -73,6 +74,9 @@
   void callLedgers(consensus::GroupClient& client, const jobs::JobRequest& request,
                    consensus::CallTimes times, base::TimePoint now, JobCallback callback);
   void accept(const directory::DirectoryView& view, base::TimePoint now);
+  /// The voters of the ledgers' group that are heard: the others know no leader, and to ask one
+  /// after the other takes seconds where there are many. All that are heard while no voter is.
+  [[nodiscard]] std::vector<base::NodeId> ledgersToAsk();
   /// Takes in a view or the changes to the one that is held; false when they follow another.
   bool mergeView(const directory::DirectoryView& news);
 
@@ -83,6 +87,7 @@
   consensus::GroupClient nearby_ledger_;  ///< calls that any replica may answer
   bool watching_ = false;
   directory::DirectoryView view_;
+  std::set<base::NodeId> ledger_voters_;  ///< the last that were told
   directory::Configuration configuration_;
   std::optional<base::TimePoint> heard_at_;
   ViewHandler on_view_;
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -186,13 +186,16 @@
   std::vector<base::NodeId> controllers;
   std::vector<LedgerSight> ledgers;
   std::set<base::NodeId> ledgerFounders;  ///< first voters; empty until decided
-  std::uint32_t gateways = 1;             ///< heard of lately
-  bool nodesSettled = false;  ///< the leader has led long enough to have heard of every node
+  /// Of the ledgers' group, as its leader last reported them; empty until it has.
+  std::set<base::NodeId> ledgerVoters;
+  std::uint32_t gateways = 1;  ///< heard of lately
+  bool nodesSettled = false;   ///< the leader has led long enough to have heard of every node
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(revision, whole, since, removed, configuration, configurationVersion, instances,
-            publishedVersions, controllers, ledgers, ledgerFounders, gateways, nodesSettled);
+            publishedVersions, controllers, ledgers, ledgerFounders, ledgerVoters, gateways,
+            nodesSettled);
   }
 };
 
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -137,6 +137,7 @@
 void DirectoryRole::onRequest(const Caller& caller, const Watch& request, base::TimePoint now) {
   nodes_[request.node.node] = {request.node, now, request.recentWork};
   if (request.ledgerMembership) {
+    ledger_voters_ = request.ledgerMembership->voters;
     completeRetirements(*request.ledgerMembership, now);
   }
   watches_.add(caller, request, now);
@@ -271,6 +272,7 @@
   view.instances = presentInstances(now);
   view.publishedVersions = state_.versions();
   view.ledgerFounders = state_.ledgerFounders();
+  view.ledgerVoters = ledger_voters_;
   const auto& voters = replica_.raft().membership().voters;
   view.controllers.assign(voters.begin(), voters.end());
   view.gateways = 0;
@@ -447,6 +449,7 @@
     begun_ = false;
     beat_sequences_.clear();
     nodes_.clear();
+    ledger_voters_.clear();
     views_.reset(raft.currentTerm() << kTermShift);
     views_at_ = {};
   }
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,7 @@
   std::map<std::string, ReportedEngine> reports_;
   std::map<std::string, std::uint64_t> beat_sequences_;
   std::map<base::NodeId, HeardNode> nodes_;
+  std::set<base::NodeId> ledger_voters_;  ///< as the ledgers' leader last reported them
   VersionOrders orders_;
   OrderLease order_lease_;
   std::vector<VersionOrder> noted_orders_;  ///< to be given at the end of this turn
--- /dev/null
+++ b/test/cluster/cluster_member_test.cpp
@@ -0,0 +1,151 @@
+/// What a process makes of the controllers' views.
+#include "cluster/cluster_member.h"
+
+#include <criterion/criterion.h>
+
+namespace base = tackpick::base;
+namespace cluster = tackpick::cluster;
+namespace directory = tackpick::directory;
+namespace jobs = tackpick::jobs;
+namespace transport = tackpick::transport;
+
+namespace {
+
+constexpr base::GroupId kDirectory{1};
+constexpr base::GroupId kLedgers{2};
+constexpr std::uint32_t kFirstLedger = 100;
+
+base::NodeId ledger(std::uint32_t index) { return base::makeNodeId(kFirstLedger + index, 1); }
+
+struct Fixture {
+  Fixture() : member(record(), settings(), base::CallId{1}) { member.tick(now); }
+
+  static directory::NodeRecord record() {
+    directory::NodeRecord own;
+    own.node = base::makeNodeId(1, 1);
+    return own;
+  }
+  static cluster::ClusterMemberSettings settings() {
+    cluster::ClusterMemberSettings made;
+    made.directoryGroup = kDirectory;
+    made.ledgerGroup = kLedgers;
+    made.seeds = {base::makeNodeId(2, 0)};
+    return made;
+  }
+
+  /// The controllers answer the watch under way.
+  void tell(const directory::DirectoryView& view) {
+    for (const transport::OutgoingMessage& outgoing : member.takeMessages()) {
+      const auto* request = std::get_if<transport::CommandRequest>(&outgoing.message);
+      if (request != nullptr && request->group == kDirectory) {
+        watch = *base::decode<directory::DirectoryRequest>(request->payload);
+        transport::CommandResponse response;
+        response.group = kDirectory;
+        response.call = request->call;
+        response.status = transport::CommandStatus::kOk;
+        response.payload =
+            base::encode(directory::DirectoryReply{directory::DirectoryStatus::kDone, {}, view});
+        member.onResponse(response, now);
+      }
+    }
+  }
+
+  [[nodiscard]] std::uint64_t watchedRevision() {
+    for (const transport::OutgoingMessage& outgoing : member.takeMessages()) {
+      const auto* request = std::get_if<transport::CommandRequest>(&outgoing.message);
+      if (request != nullptr && request->group == kDirectory) {
+        watch = *base::decode<directory::DirectoryRequest>(request->payload);
+      }
+    }
+    return std::get<directory::Watch>(watch).revision;
+  }
+
+  base::TimePoint now{};
+  cluster::ClusterMember member;
+  directory::DirectoryRequest watch;
+};
+
+directory::DirectoryView viewOfLedgers(std::uint32_t count) {
+  directory::DirectoryView view;
+  view.revision = 1;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    view.ledgers.push_back({ledger(i), {}, false, "a"});
+  }
+  return view;
+}
+
+/// Whom a call that nobody answers is sent to, one after the other.
+std::set<base::NodeId> askedLedgers(Fixture& fixture) {
+  std::set<base::NodeId> asked;
+  fixture.member.call(jobs::JobRequest{jobs::EndJob{"j"}}, base::seconds(20), fixture.now,
+                      [](const jobs::JobReply*) {});
+  for (int i = 0; i < 40; ++i) {
+    for (const transport::OutgoingMessage& outgoing : fixture.member.takeMessages()) {
+      const auto* request = std::get_if<transport::CommandRequest>(&outgoing.message);
+      if (request != nullptr && request->group == kLedgers) {
+        asked.insert(outgoing.to);
+      }
+    }
+    fixture.now += base::milliseconds(300);
+    fixture.member.tick(fixture.now);
+  }
+  return asked;
+}
+
+}  // namespace
+
+Test(cluster_member, only_ledgers_that_may_know_the_leader_are_asked) {
+  Fixture fixture;
+  directory::DirectoryView view = viewOfLedgers(45);
+  view.ledgerVoters = {ledger(7), ledger(20), ledger(44)};
+  fixture.tell(view);
+  cr_assert(askedLedgers(fixture) == view.ledgerVoters);
+}
+
+Test(cluster_member, all_ledgers_are_asked_while_no_voter_is_heard) {
+  Fixture fixture;
+  directory::DirectoryView view = viewOfLedgers(4);
+  view.ledgerVoters = {ledger(50)};
+  fixture.tell(view);
+  cr_assert_eq(askedLedgers(fixture).size(), 4U);
+}
+
+Test(cluster_member, voters_are_remembered_while_the_controllers_know_none) {
+  Fixture fixture;
+  directory::DirectoryView view = viewOfLedgers(9);
+  view.ledgerVoters = {ledger(3), ledger(4)};
+  fixture.tell(view);
+  view.ledgerVoters.clear();
+  view.revision = 2;
+  fixture.tell(view);
+  cr_assert_eq(askedLedgers(fixture).size(), 2U);
+}
+
+Test(cluster_member, changes_join_the_view_that_they_follow) {
+  Fixture fixture;
+  directory::DirectoryView view = viewOfLedgers(1);
+  for (const char* id : {"a", "b"}) {
+    directory::InstanceView instance;
+    instance.record.id = id;
+    view.instances.push_back(instance);
+  }
+  fixture.tell(view);
+  directory::DirectoryView news = viewOfLedgers(1);
+  news.whole = false;
+  news.since = 1;
+  news.revision = 2;
+  news.removed = {"a"};
+  news.instances.push_back(view.instances[1]);
+  news.instances[0].versions["m"] = 5;
+  fixture.tell(news);
+  cr_assert_eq(fixture.member.view().instances.size(), 1U);
+  cr_assert_eq(fixture.member.view().instances[0].versions.at("m"), 5U);
+  // What follows another view is not taken: the whole is asked for.
+  news.since = 7;
+  news.revision = 8;
+  news.removed = {"b"};
+  news.instances.clear();
+  fixture.tell(news);
+  cr_assert_eq(fixture.member.view().instances.size(), 1U);
+  cr_assert_eq(fixture.watchedRevision(), 0U);
+}
