Raft: entries and commits go to those that have answered the last

Cause: each proposal and each commit sent a message to every follower, also to those that had not answered the last: most were empty, and each was answered. Change: tellNews() passes over followers with entries under way; they get the next entries when they answer, many at once. Heartbeats go to all as before. Tests: consensus, cluster and simulator pass unchanged.

--- a/src/consensus/raft_consensus.cpp
+++ b/src/consensus/raft_consensus.cpp
@@ -58,7 +58,7 @@
     return std::nullopt;
   }
   appendLocally(EntryKind::kCommand, std::move(command));
-  broadcast_wanted_ = true;
+  news_ = true;
   return log_.lastIndex();
 }
 
@@ -67,10 +67,10 @@
     outbox_.clear();
     return {};
   }
-  if (broadcast_wanted_ && state_ == RaftState::kLeader) {
-    broadcast(now);
+  if (news_ && state_ == RaftState::kLeader) {
+    tellNews(now);
   }
-  broadcast_wanted_ = false;
+  news_ = false;
   advanceSync();
   if (failed_) {
     outbox_.clear();
--- a/src/consensus/raft_consensus.h
+++ b/src/consensus/raft_consensus.h
@@ -146,7 +146,14 @@
   bool appendFollowing(const AppendRequest& request);
   /// Entries from `firstRemoved` on are no longer what a sync made or makes durable.
   void noteTruncated(LogIndex firstRemoved);
+  /// Sends to all: begins a round that confirms the lease.
   void broadcast(base::TimePoint now);
+  /// Sends entries and the commit index to those that have answered the last. The others get them
+  /// when they answer: under load many entries travel together, and no message is empty.
+  void tellNews(base::TimePoint now);
+  /// The other members.
+  [[nodiscard]] std::vector<base::NodeId> peers() const;
+  [[nodiscard]] Progress& progressOf(base::NodeId node);
   void sendAppend(base::NodeId to, Progress& progress, base::TimePoint now);
   void sendSnapshot(base::NodeId to);
   void confirmRounds();
@@ -216,7 +223,7 @@
   LogIndex term_start_index_ = 0;
   base::TimePoint transfer_deadline_{};
   bool transferring_ = false;
-  bool broadcast_wanted_ = false;
+  bool news_ = false;  ///< entries or a commit that the others have not been sent
 };
 
 }  // namespace tackpick::consensus
--- a/src/consensus/raft_membership.cpp
+++ b/src/consensus/raft_membership.cpp
@@ -31,7 +31,7 @@
     return false;
   }
   appendLocally(EntryKind::kMembership, base::encode(next));
-  broadcast_wanted_ = true;
+  news_ = true;
   return true;
 }
 
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -144,22 +144,34 @@
   if (rounds_.size() > kMaximumUnconfirmedRounds) {
     rounds_.pop_front();
   }
-  const auto addPeer = [&](base::NodeId node) {
-    if (node == self_) {
-      return;
-    }
-    const auto [entry, added] = progress_.try_emplace(node);
-    if (added) {
-      entry->second.nextIndex = log_.lastIndex() + 1;
+  for (const base::NodeId node : peers()) {
+    sendAppend(node, progressOf(node), now);
+  }
+}
+
+void RaftConsensus::tellNews(base::TimePoint now) {
+  for (const base::NodeId node : peers()) {
+    Progress& progress = progressOf(node);
+    const bool underWay = progress.outstanding || progress.awaitingSnapshot;
+    if (!underWay) {
+      sendAppend(node, progress, now);
     }
-    sendAppend(node, entry->second, now);
-  };
-  for (const base::NodeId node : membership_.voters) {
-    addPeer(node);
   }
-  for (const base::NodeId node : membership_.learners) {
-    addPeer(node);
+}
+
+std::vector<base::NodeId> RaftConsensus::peers() const {
+  std::vector<base::NodeId> nodes(membership_.voters.begin(), membership_.voters.end());
+  nodes.insert(nodes.end(), membership_.learners.begin(), membership_.learners.end());
+  std::erase(nodes, self_);
+  return nodes;
+}
+
+RaftConsensus::Progress& RaftConsensus::progressOf(base::NodeId node) {
+  const auto [entry, added] = progress_.try_emplace(node);
+  if (added) {
+    entry->second.nextIndex = log_.lastIndex() + 1;
   }
+  return entry->second;
 }
 
 void RaftConsensus::sendAppend(base::NodeId to, Progress& progress, base::TimePoint now) {
@@ -253,7 +265,7 @@
     return;
   }
   commit_index_ = agreed;
-  broadcast_wanted_ = true;
+  news_ = true;
   if (membership_index_ <= commit_index_ && !membership_.contains(self_)) {
     stepDown(currentTerm(), last_broadcast_at_);
   }
