--- /dev/null
+++ b/bench/leases/main.cpp
@@ -0,0 +1,98 @@
+/// \file
+/// What a gateway's call for items costs the ledgers' leader, by queued items and engines.
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "jobs/item_leases.h"
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+
+namespace {
+
+constexpr std::uint32_t kModels = 6;
+constexpr std::uint32_t kItemsPerJob = 200;
+constexpr std::uint32_t kSlots = 6;
+constexpr std::uint32_t kPlacesPerGateway = 24;
+constexpr std::uint32_t kCallsPerGateway = 40;
+constexpr std::uint32_t kRoom = 1000000;
+
+std::string modelName(std::uint32_t index) { return "model" + std::to_string(index % kModels); }
+
+jobs::JobState stateWith(std::uint32_t items) {
+  jobs::JobState state;
+  for (std::uint32_t first = 0; first < items; first += kItemsPerJob) {
+    const std::uint32_t number = first / kItemsPerJob;
+    jobs::SubmitJob submit;
+    submit.job.id = "job" + std::to_string(number);
+    submit.job.model = modelName(number);
+    submit.job.minimumVersion = 1;
+    for (std::uint32_t i = 0; i < kItemsPerJob && first + i < items; ++i) {
+      submit.job.items.push_back({submit.job.id + "-" + std::to_string(i), "/", {}, "", "g", i});
+    }
+    (void)state.apply(1, jobs::encodeCommand(jobs::JobCommand{submit}));
+  }
+  return state;
+}
+
+std::vector<jobs::PlacementEngine> makeEngines(std::uint32_t count, std::uint32_t zones) {
+  std::vector<jobs::PlacementEngine> engines;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    engines.push_back({"engine" + std::to_string(i),
+                       kSlots,
+                       {{modelName(i), 1}},
+                       "zone" + std::to_string(i / kModels % zones)});
+  }
+  return engines;
+}
+
+/// Mean microseconds of a call in which a gateway renews what it holds and asks for more; before
+/// each its oldest item is done, so that a place has become free.
+double measure(std::uint32_t items, std::uint32_t engines) {
+  constexpr std::uint32_t kZones = 5;
+  const jobs::JobState state = stateWith(items);
+  base::TimePoint now{base::seconds(1)};
+  jobs::ItemLeases leases(base::milliseconds(1500), base::milliseconds(5));
+  leases.reset(1, now, base::Duration{0});
+  for (const auto& [id, job] : state.jobs()) {
+    leases.addJob(id, job, now);
+  }
+  leases.setEngines(makeEngines(engines, kZones));
+  const std::uint32_t gateways = std::max(kZones, engines * kSlots / kPlacesPerGateway);
+  jobs::EngineRoom room;
+  for (std::uint32_t model = 0; model < kModels; ++model) {
+    room.add(modelName(model), 1, kRoom);
+  }
+  std::vector<std::vector<jobs::HeldItem>> held(gateways);
+  const auto begun = std::chrono::steady_clock::now();
+  for (std::uint32_t call = 0; call < gateways * kCallsPerGateway; ++call) {
+    const std::uint32_t index = call % gateways;
+    const base::NodeId gateway = base::makeNodeId(index + 1, 1);
+    now += base::microseconds(126000 / gateways);
+    std::vector<jobs::HeldItem>& own = held[index];
+    if (!own.empty()) {
+      own.erase(own.begin());
+    }
+    (void)leases.renew(gateway, own, state, now);
+    leases.giveBack(gateway, own, state);
+    leases.onAsked(gateway, "zone" + std::to_string(index % kZones), true, now);
+    for (const jobs::GrantedItem& granted : leases.lease(gateway, room, state, now)) {
+      own.push_back({granted.key, granted.engine});
+    }
+  }
+  const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begun;
+  return took.count() / (gateways * kCallsPerGateway);
+}
+
+}  // namespace
+
+int main() {
+  std::printf("microseconds a call, plans included\n%8s %8s %8s %8s\n", "items", "30", "300", "3000");
+  for (const std::uint32_t items : {100U, 1000U, 10000U}) {
+    std::printf("%8u %8.1f %8.1f %8.1f\n", items, measure(items, 30), measure(items, 300),
+                measure(items, 3000));
+  }
+  return 0;
+}
