Texts are packed by the gateway that made them

Change: PackedText, packed where the text is made and unpacked where it is read; joining needs no unpacking.

--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -58,7 +58,13 @@
   if (!leased_.progress) {
     return;
   }
-  text_ = std::move(leased_.progress->text);
+  auto text = leased_.progress->text.unpack();
+  if (!text) {
+    leased_.progress.reset();  // damaged: the text begins anew
+    begun_anew_ = true;
+    return;
+  }
+  text_ = std::move(*text);
   versions_ = std::move(leased_.progress->versions);
   last_event_ = leased_.progress->point.event;
   kept_ = Kept{leased_.progress->point, text_.size(), leased_.progress->whole};
@@ -80,7 +86,7 @@
   progress.item = leased_.key.item;
   progress.added.point = {leased_.lease, *last_event_};
   progress.added.versions = versions_;
-  progress.added.text = text_.substr(kept_ ? kept_->bytes : 0);
+  progress.added.text = base::PackedText(std::string_view(text_).substr(kept_ ? kept_->bytes : 0));
   if (kept_) {
     progress.after = kept_->point;
   }
@@ -141,15 +147,17 @@
 }
 
 ItemResult ItemRun::completed() const {
-  return {leased_.key.item, ItemState::kCompleted, text_, versions_, score_};
+  return {leased_.key.item, ItemState::kCompleted, base::PackedText(text_), versions_, score_};
 }
 
 ItemResult ItemRun::completedAfterKept() const {
-  ItemResult result = completed();
-  if (kept_ && !begun_anew_) {
-    result.text.erase(0, kept_->bytes);
-    result.after = kept_->point;
+  if (!kept_ || begun_anew_) {
+    return completed();
   }
+  const std::string_view added = std::string_view(text_).substr(kept_->bytes);
+  ItemResult result{leased_.key.item, ItemState::kCompleted, base::PackedText(added), versions_,
+                    score_};
+  result.after = kept_->point;
   return result;
 }
 
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/identifiers.h"
+#include "base/packed_text.h"
 #include "base/serialization.h"
 #include "base/time.h"
 #include "jobs/engine_room.h"
@@ -87,7 +88,7 @@
 struct ItemResult {
   std::uint32_t item = 0;  ///< its index in the job
   ItemState state = ItemState::kCompleted;
-  std::string text;
+  base::PackedText text;
   std::set<std::uint64_t> versions;  ///< that made the text
   std::string score = {};            ///< of the item's scoring call; empty when it has none
   /// While the result is on its way: `text` follows the kept text, which reaches this point.
@@ -104,7 +105,7 @@
 /// continue it behind its last event.
 struct PartialText {
   ProgressPoint point;
-  std::string text;
+  base::PackedText text;
   std::set<std::uint64_t> versions;  ///< that made the text
   bool whole = false;                ///< only its score is missing
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -261,7 +261,7 @@
   std::uint64_t end = begin;
   std::size_t bytes = 0;
   while (end < job.results.size()) {
-    bytes += job.results[end].text.size();
+    bytes += job.results[end].text.length();
     if (end > begin && bytes > settings_.answerBytes) {
       break;
     }
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -41,7 +41,7 @@
     return;
   }
   kept.point = progress.added.point;
-  kept.text += progress.added.text;
+  kept.text.append(progress.added.text);
   kept.whole = progress.added.whole;
   kept.versions.insert(progress.added.versions.begin(), progress.added.versions.end());
 }
@@ -55,7 +55,9 @@
   if (kept == job.partial.end() || kept->second.point != *result.after) {
     return false;
   }
-  result.text.insert(0, kept->second.text);
+  base::PackedText whole = kept->second.text;
+  whole.append(result.text);
+  result.text = std::move(whole);
   result.after.reset();
   return true;
 }
--- a/test/cluster/cluster_world_test.cpp
+++ b/test/cluster/cluster_world_test.cpp
@@ -131,7 +131,8 @@
                            std::vector<std::string>& seen = positions_[id];
                            for (std::size_t at = 0; at < reply->results.size(); ++at) {
                              const std::string text =
-                                 reply->results[at].itemId + " " + reply->results[at].result.text;
+                                 reply->results[at].itemId + " " +
+                                 reply->results[at].result.text.unpack().value();
                              if (at >= seen.size()) {
                                seen.push_back(text);
                                ++results_seen_;
@@ -154,7 +155,8 @@
           for (const jobs::LeasedItem& leased : reply->leased) {
             const std::string text = "run" + std::to_string(++runs_);
             commit.jobs.push_back(
-                {leased.key.job, {{leased.key.item, jobs::ItemState::kCompleted, text, {1}}}});
+                {leased.key.job,
+                 {{leased.key.item, jobs::ItemState::kCompleted, base::PackedText(text), {1}}}});
           }
           gateway.member->call(jobs::JobRequest{commit}, base::seconds(4), world_.now(),
                                [](const jobs::JobReply*) {});
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -27,7 +27,7 @@
 }
 
 jobs::ItemResult result(std::uint32_t item, const std::string& text) {
-  return {item, jobs::ItemState::kCompleted, text, {1}};
+  return {item, jobs::ItemState::kCompleted, base::PackedText(text), {1}};
 }
 
 /// Places at engines that hold version 1.
--- a/test/jobs/scoring_test.cpp
+++ b/test/jobs/scoring_test.cpp
@@ -116,7 +116,7 @@
   cr_assert(successor.isWhole());
   successor.onScore("s");
   const jobs::ItemResult result = successor.completedAfterKept();
-  cr_assert(result.text.empty());
+  cr_assert_eq(result.text.length(), 0U);
   commit(state, result);
   cr_assert_eq(state.find("j")->results.at(0).text, "a\na");
 }
