--- a/src/consensus/log_store.h
+++ b/src/consensus/log_store.h
@@ -21,6 +21,9 @@
   [[nodiscard]] virtual const Snapshot& snapshot() const = 0;
   /// The state of the snapshot; empty when none was ever taken.
   [[nodiscard]] virtual base::Result<base::Bytes> readSnapshotState() const = 0;
+  /// Up to `size` bytes of it from `offset` on.
+  [[nodiscard]] virtual base::Result<base::Bytes> readSnapshotPart(std::size_t offset,
+                                                                   std::size_t size) const = 0;
   /// Bytes of the snapshot's state, and of the entries kept beside it.
   [[nodiscard]] virtual std::size_t snapshotBytes() const = 0;
   [[nodiscard]] virtual std::size_t logBytes() const = 0;
--- a/src/consensus/raft_consensus.h
+++ b/src/consensus/raft_consensus.h
@@ -28,8 +28,10 @@
   std::size_t maximumEntriesPerMessage = 512;
   /// A message carries no further entry once it holds this many bytes.
   std::size_t maximumBytesPerMessage = 256U << 10U;
-  /// A snapshot without an answer is sent again after this time.
-  base::Duration snapshotResend = base::seconds(3);
+  /// A part of a snapshot without an answer is sent again after this time.
+  base::Duration snapshotResend = base::milliseconds(800);
+  /// A snapshot travels in parts of this many bytes.
+  std::size_t snapshotPartBytes = 256U << 10U;
   /// A learner is promoted when it lags by at most this many entries.
   LogIndex promotionLag = 16;
 
@@ -113,10 +115,12 @@
     LogIndex nextIndex = 1;
     LogIndex matchIndex = 0;
     std::uint64_t acknowledgedRound = 0;
-    base::TimePoint probedAt{};     ///< when entries were last sent
-    bool awaitingSnapshot = false;  ///< a snapshot is under way; only heartbeats are sent
-    bool outstanding = false;       ///< entries were sent and not yet answered
-    LogIndex sentIndex = 0;         ///< the last of them
+    base::TimePoint probedAt{};       ///< when entries were last sent
+    bool awaitingSnapshot = false;    ///< a snapshot is under way; only heartbeats are sent
+    bool outstanding = false;         ///< entries were sent and not yet answered
+    LogIndex sentIndex = 0;           ///< the last of them
+    LogIndex snapshotIndex = 0;       ///< of the snapshot under way
+    std::uint64_t snapshotBytes = 0;  ///< of its state that have arrived
   };
   struct Round {
     std::uint64_t number = 0;
@@ -155,7 +159,12 @@
   [[nodiscard]] std::vector<base::NodeId> peers() const;
   [[nodiscard]] Progress& progressOf(base::NodeId node);
   void sendAppend(base::NodeId to, Progress& progress, base::TimePoint now);
-  void sendSnapshot(base::NodeId to);
+  /// Sends the next part of the newest snapshot.
+  void sendSnapshot(base::NodeId to, Progress& progress);
+  void onSnapshotPart(base::NodeId from, const AppendResponse& response, base::TimePoint now);
+  /// Adds a part to the snapshot that arrives; what is not the next part is passed over.
+  void takeSnapshotPart(const InstallSnapshotRequest& request);
+  void install(Snapshot snapshot);
   void confirmRounds();
   void advanceCommit();
   void checkQuorum(base::TimePoint now);
@@ -186,6 +195,7 @@
   LogIndex commit_index_ = 0;
   LogIndex delivered_index_ = 0;  ///< last entry handed out by takeCommitted()
   std::optional<Snapshot> received_snapshot_;
+  std::optional<Snapshot> arriving_snapshot_;  ///< its state as far as it has arrived
   /// A sync under way.
   struct Sync {
     std::uint64_t writes = 0;  ///< it makes these durable
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -85,6 +85,10 @@
   }
   Progress& progress = found->second;
   progress.acknowledgedRound = std::max(progress.acknowledgedRound, response.round);
+  if (response.snapshotPart) {
+    onSnapshotPart(from, response, now);
+    return;
+  }
   // Heartbeats are answered while entries or a snapshot are still on their way: only the answer to
   // those ends the wait. Else each heartbeat would send them once more.
   const bool movesBack = !response.success && response.lastIndex + 1 < progress.nextIndex;
@@ -93,6 +97,7 @@
   }
   if (response.success && response.lastIndex + 1 >= log_.firstIndex()) {
     progress.awaitingSnapshot = false;
+    progress.snapshotBytes = 0;
   }
   if (response.success) {
     progress.matchIndex = std::max(progress.matchIndex, response.lastIndex);
@@ -102,7 +107,8 @@
   } else if (movesBack) {
     progress.nextIndex = std::max(response.lastIndex, progress.matchIndex) + 1;
   }
-  if (progress.nextIndex <= log_.lastIndex()) {
+  // While a snapshot travels, heartbeats keep the follower; answering each answer would not help.
+  if (progress.nextIndex <= log_.lastIndex() && !progress.awaitingSnapshot) {
     sendAppend(from, progress, now);
   }
 }
@@ -114,19 +120,44 @@
     return;
   }
   acceptLeader(from, request.term, now);
-  const Snapshot& snapshot = request.snapshot;
-  if (snapshot.lastIndex > commit_index_) {
-    check(log_.saveSnapshot(snapshot));
-    noteTruncated(log_.lastIndex() + 1);
-    commit_index_ = snapshot.lastIndex;
-    delivered_index_ = snapshot.lastIndex;
-    received_snapshot_ = snapshot;
-    reloadMembership();
+  const LogIndex index = request.snapshot.lastIndex;
+  AppendResponse response{currentTerm(), true, index, request.round};
+  if (index > commit_index_) {
+    takeSnapshotPart(request);
+    if (arriving_snapshot_->state.size() < request.totalBytes) {
+      response.success = false;
+      response.lastIndex = log_.lastIndex();
+      response.snapshotPart = true;
+      response.snapshotBytes = arriving_snapshot_->state.size();
+    } else {
+      install(std::move(*arriving_snapshot_));
+      arriving_snapshot_.reset();
+    }
   }
-  AppendResponse response{currentTerm(), true, snapshot.lastIndex, request.round};
   send(from, response);
 }
 
+void RaftConsensus::takeSnapshotPart(const InstallSnapshotRequest& request) {
+  const Snapshot& part = request.snapshot;
+  const bool same = arriving_snapshot_ && arriving_snapshot_->lastIndex == part.lastIndex &&
+                    arriving_snapshot_->lastTerm == part.lastTerm;
+  if (!same || request.offset == 0) {
+    arriving_snapshot_ = Snapshot{part.lastIndex, part.lastTerm, part.membership, {}};
+  }
+  if (request.offset == arriving_snapshot_->state.size()) {
+    arriving_snapshot_->state += part.state;
+  }
+}
+
+void RaftConsensus::install(Snapshot snapshot) {
+  check(log_.saveSnapshot(snapshot));
+  noteTruncated(log_.lastIndex() + 1);
+  commit_index_ = snapshot.lastIndex;
+  delivered_index_ = snapshot.lastIndex;
+  received_snapshot_ = std::move(snapshot);
+  reloadMembership();
+}
+
 void RaftConsensus::acceptLeader(base::NodeId from, Term term, base::TimePoint now) {
   if (term > currentTerm() || state_ != RaftState::kFollower) {
     stepDown(term, now);
@@ -181,7 +212,7 @@
     if (!progress.awaitingSnapshot || waited >= settings_.snapshotResend) {
       progress.awaitingSnapshot = true;
       progress.probedAt = now;
-      sendSnapshot(to);
+      sendSnapshot(to, progress);
       return;
     }
     // A heartbeat that cannot match only keeps the follower from starting an election.
@@ -218,15 +249,35 @@
   send(from, AppendResponse{currentTerm(), false, log_.lastIndex(), 0});
 }
 
-void RaftConsensus::sendSnapshot(base::NodeId to) {
-  Snapshot snapshot = log_.snapshot();
-  auto state = log_.readSnapshotState();
-  if (!state) {
+void RaftConsensus::sendSnapshot(base::NodeId to, Progress& progress) {
+  if (progress.snapshotIndex != log_.snapshot().lastIndex) {
+    progress.snapshotIndex = log_.snapshot().lastIndex;
+    progress.snapshotBytes = 0;
+  }
+  InstallSnapshotRequest request{currentTerm(), last_round_, log_.snapshot(),
+                                 progress.snapshotBytes, log_.snapshotBytes()};
+  auto part = log_.readSnapshotPart(progress.snapshotBytes, settings_.snapshotPartBytes);
+  if (!part) {
     failed_ = true;
     return;
   }
-  snapshot.state = std::move(*state);
-  send(to, InstallSnapshotRequest{currentTerm(), last_round_, std::move(snapshot)});
+  request.snapshot.state = std::move(*part);
+  send(to, std::move(request));
+}
+
+void RaftConsensus::onSnapshotPart(base::NodeId from, const AppendResponse& response,
+                                   base::TimePoint now) {
+  confirmRounds();
+  Progress& progress = progress_.at(from);
+  const bool same = progress.snapshotIndex == log_.snapshot().lastIndex;
+  if (!progress.awaitingSnapshot || (same && response.snapshotBytes == progress.snapshotBytes)) {
+    return;  // it came twice
+  }
+  if (same) {
+    progress.snapshotBytes = response.snapshotBytes;
+  }
+  progress.probedAt = now;
+  sendSnapshot(from, progress);
 }
 
 void RaftConsensus::confirmRounds() {
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -125,21 +125,26 @@
   bool success = false;
   LogIndex lastIndex = 0;  ///< matched index on success, else where the leader should try next
   std::uint64_t round = 0;
+  bool snapshotPart = false;        ///< answers a part of a snapshot that is not whole yet
+  std::uint64_t snapshotBytes = 0;  ///< ... of whose state so many bytes have arrived
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(term, success, lastIndex, round);
+    archive(term, success, lastIndex, round, snapshotPart, snapshotBytes);
   }
 };
 
+/// A part of a snapshot. The next follows when this one is answered.
 struct InstallSnapshotRequest {
   Term term = 0;
   std::uint64_t round = 0;
-  Snapshot snapshot;
+  Snapshot snapshot;             ///< its state is the part
+  std::uint64_t offset = 0;      ///< of the part
+  std::uint64_t totalBytes = 0;  ///< of the whole state
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(term, round, snapshot);
+    archive(term, round, snapshot, offset, totalBytes);
   }
 };
 
--- a/src/simulation/simulated_disk.cpp
+++ b/src/simulation/simulated_disk.cpp
@@ -47,6 +47,12 @@
   return file->bytes;
 }
 
+base::Result<base::Bytes> SimulatedDisk::readPart(const std::string& name, std::size_t offset,
+                                                  std::size_t size) {
+  BOOST_LEAF_AUTO(file, find(name));
+  return offset < file->bytes.size() ? file->bytes.substr(offset, size) : base::Bytes();
+}
+
 base::Result<std::unique_ptr<storage::AppendFile>> SimulatedDisk::open(const std::string& name) {
   FilePointer& file = names_[name];
   if (!file) {
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -57,12 +57,13 @@
 
 }  // namespace
 
-base::Result<void> writeDurably(FileSystem& files, const std::string& name,
-                                std::string_view bytes) {
+base::Result<void> writeDurably(FileSystem& files, const std::string& name, std::string_view bytes,
+                                std::string_view rest) {
   const std::string temporary = name + ".tmp";
   BOOST_LEAF_CHECK(files.remove(temporary));
   BOOST_LEAF_AUTO(file, files.open(temporary));
   BOOST_LEAF_CHECK(file->append(bytes));
+  BOOST_LEAF_CHECK(file->append(rest));
   BOOST_LEAF_CHECK(file->sync());
   file.reset();
   BOOST_LEAF_CHECK(files.rename(temporary, name));
@@ -103,6 +104,19 @@
   return std::move(content).str();
 }
 
+base::Result<base::Bytes> PosixFileSystem::readPart(const std::string& name, std::size_t offset,
+                                                    std::size_t size) {
+  std::ifstream stream(path(name), std::ios::binary);
+  stream.seekg(static_cast<std::streamoff>(offset));
+  if (!stream) {
+    return base::fail(base::ErrorCode::kNotFound, describe("read", path(name)));
+  }
+  base::Bytes part(size, '\0');
+  stream.read(part.data(), static_cast<std::streamsize>(size));
+  part.resize(static_cast<std::size_t>(stream.gcount()));
+  return part;
+}
+
 base::Result<std::unique_ptr<AppendFile>> PosixFileSystem::open(const std::string& name) {
   const int descriptor =
       ::open(path(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -1,5 +1,6 @@
 #include "storage/segmented_log.h"
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <optional>
@@ -30,6 +31,18 @@
   }
 };
 
+/// What stands before a snapshot's state in its file.
+struct SnapshotRecord {
+  consensus::Snapshot snapshot;  ///< without its state
+  std::uint64_t stateBytes = 0;
+  std::uint64_t stateHash = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(snapshot, stateBytes, stateHash);
+  }
+};
+
 using Record = std::variant<consensus::LogEntry, consensus::HardState, TruncateRecord>;
 
 template <typename Integer>
@@ -123,7 +136,7 @@
   if (!initialised) {
     consensus::Snapshot first;
     first.membership = initial;
-    BOOST_LEAF_CHECK(writeDurably(files, kSnapshotFile, frameRecord(base::encode(first))));
+    BOOST_LEAF_CHECK(log->writeSnapshot(first));
     BOOST_LEAF_CHECK(writeDurably(files, kIdentityFile, frameRecord(base::encode(identity))));
   } else {
     BOOST_LEAF_AUTO(found, readIdentity(files));
@@ -143,9 +156,7 @@
 }
 
 base::Result<void> SegmentedLog::load() {
-  BOOST_LEAF_ASSIGN(snapshot_, readChecked<consensus::Snapshot>(files_, kSnapshotFile));
-  snapshot_bytes_ = snapshot_.state.size();
-  snapshot_.state = base::Bytes();
+  BOOST_LEAF_CHECK(loadSnapshot());
   BOOST_LEAF_AUTO(names, files_.list());
   std::vector<std::string> segments;
   for (const std::string& name : names) {
@@ -171,12 +182,52 @@
   }
 }
 
+base::Result<void> SegmentedLog::loadSnapshot() {
+  BOOST_LEAF_AUTO(head, files_.readPart(kSnapshotFile, 0, kHeaderSize));
+  const std::size_t length = head.size() < kHeaderSize ? 0 : getInteger<std::uint32_t>(head, 4);
+  if (length == 0 || length > kMaximumRecordSize) {
+    return base::fail(base::ErrorCode::kCorrupt, kSnapshotFile + ": damaged");
+  }
+  BOOST_LEAF_AUTO(framed, files_.readPart(kSnapshotFile, 0, kHeaderSize + length));
+  const auto payload = recordAt(framed, 0);
+  auto record = payload ? base::decode<SnapshotRecord>(base::Bytes(*payload)) : std::nullopt;
+  if (!record) {
+    return base::fail(base::ErrorCode::kCorrupt, kSnapshotFile + ": damaged");
+  }
+  snapshot_ = std::move(record->snapshot);
+  snapshot_bytes_ = record->stateBytes;
+  snapshot_offset_ = framed.size();
+  BOOST_LEAF_AUTO(state, readSnapshotState());
+  if (state.size() != record->stateBytes || base::hashBytes(state) != record->stateHash) {
+    return base::fail(base::ErrorCode::kCorrupt, kSnapshotFile + ": its state is damaged");
+  }
+  return {};
+}
+
+base::Result<void> SegmentedLog::writeSnapshot(const consensus::Snapshot& snapshot) {
+  SnapshotRecord record;
+  record.snapshot = {snapshot.lastIndex, snapshot.lastTerm, snapshot.membership, {}};
+  record.stateBytes = snapshot.state.size();
+  record.stateHash = base::hashBytes(snapshot.state);
+  const base::Bytes framed = frameRecord(base::encode(record));
+  BOOST_LEAF_CHECK(writeDurably(files_, kSnapshotFile, framed, snapshot.state));
+  snapshot_ = std::move(record.snapshot);
+  snapshot_bytes_ = record.stateBytes;
+  snapshot_offset_ = framed.size();
+  return {};
+}
+
 base::Result<base::Bytes> SegmentedLog::readSnapshotState() const {
-  if (snapshot_bytes_ == 0) {
+  return readSnapshotPart(0, snapshot_bytes_);
+}
+
+base::Result<base::Bytes> SegmentedLog::readSnapshotPart(std::size_t offset,
+                                                         std::size_t size) const {
+  const std::size_t left = snapshot_bytes_ - std::min(offset, snapshot_bytes_);
+  if (left == 0 || size == 0) {
     return base::Bytes();
   }
-  BOOST_LEAF_AUTO(snapshot, readChecked<consensus::Snapshot>(files_, kSnapshotFile));
-  return std::move(snapshot.state);
+  return files_.readPart(kSnapshotFile, snapshot_offset_ + offset, std::min(size, left));
 }
 
 void SegmentedLog::dropEntriesCoveredBySnapshot() {
@@ -271,15 +322,13 @@
 base::Result<void> SegmentedLog::saveSnapshot(const consensus::Snapshot& snapshot) {
   const bool continues = snapshot.lastIndex >= firstIndex() && snapshot.lastIndex <= lastIndex() &&
                          entry(snapshot.lastIndex).term == snapshot.lastTerm;
-  BOOST_LEAF_CHECK(writeDurably(files_, kSnapshotFile, frameRecord(base::encode(snapshot))));
   if (continues) {
     entries_.erase(entries_.begin(), entries_.begin() + static_cast<std::ptrdiff_t>(
                                                             snapshot.lastIndex + 1 - firstIndex()));
   } else {
     entries_.clear();
   }
-  snapshot_ = {snapshot.lastIndex, snapshot.lastTerm, snapshot.membership, {}};
-  snapshot_bytes_ = snapshot.state.size();
+  BOOST_LEAF_CHECK(writeSnapshot(snapshot));
   countLogBytes();
   return rewrite();
 }
--- a/src/storage/segmented_log.h
+++ b/src/storage/segmented_log.h
@@ -18,7 +18,7 @@
   std::string cluster;
   base::NodeId node;
   base::GroupId group;
-  std::uint32_t formatVersion = 1;
+  std::uint32_t formatVersion = 2;
 
   bool operator==(const FolderIdentity&) const = default;
 
@@ -39,7 +39,9 @@
 /// Files: `identity`, `snapshot`, and segments `segment-NNNNNNNNNN` of records
 /// `[magic u32][length u32][checksum u64][payload]`, little endian. A new segment begins with the
 /// whole state, so only the newest one counts. The log after the snapshot is
-/// also kept in memory, the snapshot's state is not; compaction keeps the log short. A torn record
+/// also kept in memory, the snapshot's state is not; compaction keeps the log short. The snapshot's
+/// file holds a record that describes it, and then its state, which may be long and is copied as
+/// seldom as possible. A torn record
 /// at the very end of the last segment is cut off on opening, because it was never synced and so
 /// never acknowledged. Damage anywhere before a readable record is reported as kCorrupt and the
 /// folder is refused. Owned by one thread.
@@ -61,6 +63,8 @@
   [[nodiscard]] const consensus::HardState& hardState() const override { return hard_state_; }
   [[nodiscard]] const consensus::Snapshot& snapshot() const override { return snapshot_; }
   [[nodiscard]] base::Result<base::Bytes> readSnapshotState() const override;
+  [[nodiscard]] base::Result<base::Bytes> readSnapshotPart(std::size_t offset,
+                                                           std::size_t size) const override;
   [[nodiscard]] std::size_t snapshotBytes() const override { return snapshot_bytes_; }
   [[nodiscard]] std::size_t logBytes() const override { return log_bytes_; }
   [[nodiscard]] consensus::LogIndex lastIndex() const override {
@@ -82,6 +86,8 @@
   SegmentedLog(FileSystem& files, DiskExecutor* executor) : files_(files), executor_(executor) {}
 
   [[nodiscard]] base::Result<void> load();
+  [[nodiscard]] base::Result<void> loadSnapshot();
+  [[nodiscard]] base::Result<void> writeSnapshot(const consensus::Snapshot& snapshot);
   [[nodiscard]] base::Result<void> replaySegment(const std::string& name);
   [[nodiscard]] bool applyRecord(const base::Bytes& payload);
   void countLogBytes();
@@ -97,7 +103,8 @@
   consensus::HardState hard_state_;
   consensus::Snapshot snapshot_;  ///< without its state
   std::size_t snapshot_bytes_ = 0;
-  std::size_t log_bytes_ = 0;  ///< payloads of entries_
+  std::size_t snapshot_offset_ = 0;  ///< of the state in the snapshot's file
+  std::size_t log_bytes_ = 0;        ///< payloads of entries_
   std::deque<consensus::LogEntry> entries_;
   std::uint64_t segment_number_ = 0;
   std::unique_ptr<AppendFile> segment_;
--- a/test/consensus/replica_test.cpp
+++ b/test/consensus/replica_test.cpp
@@ -286,3 +286,54 @@
   }
   cr_assert_geq(soon, 38, "%d of 40", soon);
 }
+
+Test(replica, snapshot_travels_in_parts_and_begins_anew_after_a_restart) {
+  const std::set<base::NodeId> voters{base::makeNodeId(1, 0), base::makeNodeId(2, 0),
+                                      base::makeNodeId(3, 0)};
+  Server first(base::makeNodeId(1, 0), voters);
+  Server second(base::makeNodeId(2, 0), voters);
+  base::TimePoint now{};
+  run({&first, &second}, now, base::seconds(3));
+  Server* leader = leaderAmong({&first, &second});
+  cr_assert_not_null(leader);
+  constexpr std::size_t kCommandBytes = 100U << 10U;
+  constexpr int kCommands = 12;
+  for (int i = 0; i < kCommands; ++i) {
+    const base::Bytes command(kCommandBytes, static_cast<char>('a' + i));
+    cr_assert(leader->replica->propose(command, now, [](const base::Bytes*, auto) {}));
+    run({&first, &second}, now, base::milliseconds(100));
+  }
+  leader->replica->raft().compact(leader->replica->appliedIndex(), leader->machine.takeSnapshot());
+  // The third has an empty log. It restarts while the snapshot is on its way.
+  auto third = std::make_unique<Server>(base::makeNodeId(3, 0), voters, now);
+  std::size_t largest = 0;
+  int parts = 0;
+  const auto deliver = [&](int most) {
+    for (int step = 0; step < 400 && parts < most; ++step) {
+      now += base::milliseconds(10);
+      for (Server* server : {&first, &second, third.get()}) {
+        server->replica->tick(now);
+        transport::Outbox outbox;
+        server->replica->finish(now, outbox);
+        for (const transport::OutgoingMessage& outgoing : outbox) {
+          const auto* raft = std::get_if<transport::RaftEnvelope>(&outgoing.message);
+          const auto* part = std::get_if<consensus::InstallSnapshotRequest>(&raft->message);
+          parts += part != nullptr ? 1 : 0;
+          largest = std::max(largest, part != nullptr ? part->snapshot.state.size() : 0);
+          for (Server* to : {&first, &second, third.get()}) {
+            if (to->id == outgoing.to) {
+              to->replica->handle(server->id, *raft, now);
+            }
+          }
+        }
+      }
+    }
+  };
+  deliver(3);
+  cr_assert_eq(parts, 3, "the snapshot takes more");
+  third = std::make_unique<Server>(base::makeNodeId(3, 0), voters, now);
+  deliver(1000);
+  cr_assert_eq(third->machine.commands.size(), static_cast<std::size_t>(kCommands));
+  cr_assert(third->machine.commands == leader->machine.commands);
+  cr_assert_leq(largest, consensus::RaftSettings{}.snapshotPartBytes);
+}
