Ledgers: less memory at a start and beside a long log

Change: files are read without a second copy, a segment is written in parts, the log is compacted at 12 MB, large blocks go back to the system (M_MMAP_THRESHOLD).

--- a/apps/tackpickd/main.cpp
+++ b/apps/tackpickd/main.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// tackpickd: the daemon. Exit codes: 0 stopped as planned, 1 failed while running, 2 refused its
 /// flags, settings or data folder.
+#include <malloc.h>
+
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -116,9 +118,17 @@
   return daemon->run();
 }
 
+/// Blocks of snapshots and long messages go back to the system when they are freed. The C library
+/// would keep more of them with each that it sees, and memory is limited.
+void returnLargeBlocks() {
+  constexpr int kLargeBytes = 256 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBytes);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  returnLargeBlocks();
   telemetry::initialiseLogging("tackpickd");
   try {
     const Options options = parseOptions(argc, argv);
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -17,8 +17,9 @@
   RaftSettings raft;
   /// A snapshot replaces the log when it has grown to this many entries.
   LogIndex compactionThreshold = 8192;
-  /// ... or to this many bytes, and to half of the last snapshot.
-  std::size_t compactionBytes = 32U << 20U;
+  /// ... or to this many bytes, and to half of the last snapshot. The log is also held in memory,
+  /// beside the state that it leads to.
+  std::size_t compactionBytes = 12U << 20U;
   /// A leader hands over before it compacts when its last snapshot was this large: to encode it
   /// holds a replica up for about 2 ms a megabyte of a whole core's time.
   std::size_t handOverBytes = 64U << 20U;
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -8,7 +8,6 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <system_error>
 #include <utility>
 
@@ -95,13 +94,12 @@
 }
 
 base::Result<base::Bytes> PosixFileSystem::read(const std::string& name) {
-  std::ifstream stream(path(name), std::ios::binary);
-  if (!stream) {
-    return base::fail(base::ErrorCode::kNotFound, describe("open", path(name)));
+  std::error_code error;
+  const std::uintmax_t size = std::filesystem::file_size(path(name), error);
+  if (error) {
+    return base::fail(base::ErrorCode::kNotFound, "open " + path(name) + ": " + error.message());
   }
-  std::ostringstream content;
-  content << stream.rdbuf();
-  return std::move(content).str();
+  return readPart(name, 0, size);  // never held twice: a log's files are large
 }
 
 base::Result<base::Bytes> PosixFileSystem::readPart(const std::string& name, std::size_t offset,
--- a/src/storage/segmented_log.cpp
+++ b/src/storage/segmented_log.cpp
@@ -125,11 +125,8 @@
   return record;
 }
 
-/// Writes a new segment that holds all that counts, and removes the others. The open segment.
-base::Result<std::unique_ptr<AppendFile>> replaceSegments(FileSystem& files,
-                                                          const std::string& name,
-                                                          std::string_view content) {
-  BOOST_LEAF_CHECK(writeDurably(files, name, content));
+/// Removes all segments but `name`, which holds all that counts, and opens that one.
+base::Result<std::unique_ptr<AppendFile>> openAlone(FileSystem& files, const std::string& name) {
   BOOST_LEAF_AUTO(names, files.list());
   for (const std::string& other : names) {
     if (other.starts_with(kSegmentPrefix) && other != name) {
@@ -378,8 +375,8 @@
   gathered_.clear();  // the new segment holds these records
   executor_->start([&files = files_, work = compaction_]() -> base::Result<void> {
     BOOST_LEAF_CHECK(writeDurably(files, kSnapshotFile, work->framed, work->snapshot.state));
-    BOOST_LEAF_ASSIGN(work->segment,
-                      replaceSegments(files, segmentName(work->segmentNumber), work->content));
+    BOOST_LEAF_CHECK(writeDurably(files, segmentName(work->segmentNumber), work->content));
+    BOOST_LEAF_ASSIGN(work->segment, openAlone(files, segmentName(work->segmentNumber)));
     return {};
   });
   return {};
@@ -422,12 +419,29 @@
   gathered_.clear();  // the new segment holds all entries
   const std::uint64_t number = segment_number_ + 1;
   segment_.reset();
-  BOOST_LEAF_ASSIGN(
-      segment_, replaceSegments(files_, segmentName(number), contentAfter(snapshot_.lastIndex)));
+  BOOST_LEAF_CHECK(writeAllEntries(segmentName(number) + ".tmp"));
+  BOOST_LEAF_CHECK(files_.rename(segmentName(number) + ".tmp", segmentName(number)));
+  BOOST_LEAF_CHECK(files_.syncDirectory());
+  BOOST_LEAF_ASSIGN(segment_, openAlone(files_, segmentName(number)));
   segment_number_ = number;
   return {};
 }
 
+base::Result<void> SegmentedLog::writeAllEntries(const std::string& name) {
+  constexpr std::size_t kPartBytes = 256U << 10U;  // the whole may be too large to be held twice
+  BOOST_LEAF_CHECK(files_.remove(name));
+  BOOST_LEAF_AUTO(file, files_.open(name));
+  base::Bytes part = frameRecord(base::encode(Record{hard_state_}));
+  for (const consensus::LogEntry& entry : entries_) {
+    part += frameRecord(base::encode(Record{entry}));
+    if (part.size() >= kPartBytes) {
+      BOOST_LEAF_CHECK(file->append(std::exchange(part, {})));
+    }
+  }
+  BOOST_LEAF_CHECK(file->append(part));
+  return file->sync();
+}
+
 base::Result<void> SegmentedLog::sync() {
   BOOST_LEAF_CHECK(settle());
   BOOST_LEAF_CHECK(segment_->append(std::exchange(gathered_, {})));
--- a/src/storage/segmented_log.h
+++ b/src/storage/segmented_log.h
@@ -96,6 +96,8 @@
   /// Drops the entries that the snapshot under way covers, and goes on in the new segment.
   [[nodiscard]] base::Result<void> finishCompaction();
   void startSync();
+  /// Writes and syncs a file with the hard state and all entries.
+  [[nodiscard]] base::Result<void> writeAllEntries(const std::string& name);
   /// A segment's first records: the hard state and the entries behind `index`.
   [[nodiscard]] base::Bytes contentAfter(consensus::LogIndex index) const;
   [[nodiscard]] base::Result<void> replaySegment(const std::string& name);
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -114,7 +114,7 @@
   reply.results.push_back(
       {"i", {0, jobs::ItemState::kCompleted, base::PackedText("a\nb"), {6, 7}}});
   reply.results.push_back({"k", {1, jobs::ItemState::kTerminated, {}, {}}});
-  const Json answer = Json::parse(platform::resultsJson(5, reply));
+  const Json answer = Json::parse(platform::resultsJson(5, reply).value());
   cr_assert_eq(answer["nextPageToken"].get<int>(), 7);
   cr_assert_eq(answer["results"][0]["message"].get<std::string>(), "a\nb");
   cr_assert_eq(answer["results"][0]["versions"].dump(), "[6,7]");
