--- a/src/base/compression.cpp
+++ b/src/base/compression.cpp
@@ -2,8 +2,7 @@
 
 #include <zstd.h>
 
-#include <array>
-#include <ostream>
+#include <memory>
 
 namespace tackpick::base {
 namespace {
@@ -81,54 +80,4 @@
   return bytes;
 }
 
-/// The compressor's state behind a CompressingBuffer.
-class CompressingBuffer::Stream {
- public:
-  explicit Stream(std::size_t size) : m_context(makeContext()), m_bytes(1, kCompressed) {
-    ZSTD_CCtx_setPledgedSrcSize(m_context.get(), size);
-  }
-
-  void write(const char* data, std::size_t size, ZSTD_EndDirective directive) {
-    constexpr std::size_t kChunk = 32U << 10U;
-    std::array<char, kChunk> chunk{};
-    ZSTD_inBuffer input{data, size, 0};
-    for (bool more = true; more && !m_failed;) {
-      ZSTD_outBuffer output{chunk.data(), chunk.size(), 0};
-      const std::size_t left = ZSTD_compressStream2(m_context.get(), &output, &input, directive);
-      m_failed = ZSTD_isError(left) != 0;
-      m_bytes.append(chunk.data(), output.pos);
-      more = directive == ZSTD_e_end ? left != 0 : input.pos < input.size;
-    }
-  }
-
-  [[nodiscard]] std::optional<Bytes> take() {
-    return m_failed ? std::nullopt : std::optional(std::move(m_bytes));
-  }
-
- private:
-  const Context m_context;
-  Bytes m_bytes;
-  bool m_failed = false;
-};
-
-CompressingBuffer::CompressingBuffer(std::size_t size) : m_stream(std::make_unique<Stream>(size)) {}
-
-CompressingBuffer::~CompressingBuffer() = default;
-
-std::streamsize CompressingBuffer::xsputn(const char* data, std::streamsize size) {
-  m_stream->write(data, static_cast<std::size_t>(size), ZSTD_e_continue);
-  return size;
-}
-
-int CompressingBuffer::overflow(int character) {
-  const char byte = static_cast<char>(character);
-  m_stream->write(&byte, 1, ZSTD_e_continue);
-  return character;
-}
-
-std::optional<Bytes> CompressingBuffer::finish() {
-  m_stream->write(nullptr, 0, ZSTD_e_end);
-  return m_stream->take();
-}
-
 }  // namespace tackpick::base
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/compression.h"
+#include "base/large_value.h"
 
 namespace tackpick::jobs {
 
@@ -167,7 +168,7 @@
 
 // Nearly all of it are texts, which are packed: compressing them again takes five times as long as
 // the rest and saves 3 percent.
-base::Bytes JobState::takeSnapshot() const { return base::encode(jobs_); }
+base::Bytes JobState::takeSnapshot() const { return base::encodeLarge(jobs_); }
 
 void JobState::loadSnapshot(const base::Bytes& snapshot) {
   using Jobs = std::map<std::string, Job>;
--- a/test/base/compression_test.cpp
+++ b/test/base/compression_test.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include "base/large_value.h"
 #include "base/random.h"
 
 namespace base = tackpick::base;
@@ -53,16 +54,14 @@
   }
 }
 
-Test(compression, large_values_are_compressed_while_they_are_encoded) {
+Test(large_value, encoded_in_exactly_its_room) {
   std::vector<std::string> value;
   for (std::uint64_t i = 0; i < 300; ++i) {
     value.push_back(letters(i * 20, 26, i));
   }
-  const base::Bytes compressed = base::encodeCompressed(value);
-  const base::Bytes encoded = base::encode(value);
-  cr_assert_lt(compressed.size(), encoded.size() * 2 / 3);
-  const auto back = base::decompress(compressed, encoded.size());
-  cr_assert(back.has_value());
-  cr_assert_eq(*back, encoded);
-  cr_assert(base::decompress(base::encodeCompressed(std::string()), kLimit).has_value());
+  const base::Bytes large = base::encodeLarge(value);
+  cr_assert_eq(large, base::encode(value));
+  cr_assert_eq(large.capacity(), large.size());
+  cr_assert(base::decode<std::vector<std::string>>(large) == value);
+  cr_assert_eq(base::encodeLarge(std::string()), base::encode(std::string()));
 }
