--- a/src/consensus/log_store.h
+++ b/src/consensus/log_store.h
@@ -44,9 +44,7 @@
   /// Like saveSnapshot() with a snapshot of this log's own entries, but may return before it is
   /// done: until compacting() is false again, snapshot() and firstIndex() are the former ones, and
   /// parts of the snapshot must not be read.
-  [[nodiscard]] virtual base::Result<void> beginCompaction(Snapshot snapshot) {
-    return saveSnapshot(snapshot);
-  }
+  [[nodiscard]] virtual base::Result<void> beginCompaction(Snapshot snapshot) = 0;
   /// A compaction is under way. It ends within a call of syncEnded().
   [[nodiscard]] virtual bool compacting() const { return false; }
   /// Makes all writes durable before it returns.
