--- a/bench/leases/main.cpp
+++ b/bench/leases/main.cpp
@@ -89,7 +89,8 @@
 }  // namespace
 
 int main() {
-  std::printf("microseconds a call, plans included\n%8s %8s %8s %8s\n", "items", "30", "300", "3000");
+  std::printf("microseconds a call, plans included\n%8s %8s %8s %8s\n", "items", "30", "300",
+              "3000");
   for (const std::uint32_t items : {100U, 1000U, 10000U}) {
     std::printf("%8u %8.1f %8.1f %8.1f\n", items, measure(items, 30), measure(items, 300),
                 measure(items, 3000));
