Tenants: requests and jobs belong to the tenant whose key they bring

Change: src/tenancy judges each request by its own key against the configuration in force (digests of keys, not keys, leave the operator's document); the caller's key and whatever it says of tenants are not sent on; jobs carry their tenant in the replicated state, and exist for it only; items and scoring calls go out under it.

Tests: tenancy, platform, job_role, posix_file_system. Written with the change.

--- a/src/directory/configuration.cpp
+++ b/src/directory/configuration.cpp
@@ -39,6 +39,7 @@
 }  // namespace
 
 base::Result<void> validate(const Configuration& configuration) {
+  BOOST_LEAF_CHECK(tenancy::validate(configuration.tenants));
   std::set<std::string> services;
   for (const Service& service : configuration.services) {
     if (service.name.empty() || !services.insert(service.name).second) {
--- a/src/directory/configuration.h
+++ b/src/directory/configuration.h
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/serialization.h"
 #include "base/time.h"
+#include "tenancy/tenant.h"
 
 namespace tackpick::directory {
 
@@ -37,6 +38,7 @@
   RouteKind kind = RouteKind::kOnce;
   bool streaming = false;  ///< answers are passed on as they come
   bool resumable = false;  ///< a broken stream may go on at another engine
+  bool open = false;       ///< needs no key of a tenant
   base::Duration timeout{0};
   base::Duration targetLatency{0};
   std::uint32_t priority = 0;  ///< 0 is the highest
@@ -49,8 +51,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(name, host, pathPrefix, kind, streaming, resumable, timeout, targetLatency, priority,
-            splits, attempts, queueTimeout, resultDeadline, singleVersion);
+    archive(name, host, pathPrefix, kind, streaming, resumable, open, timeout, targetLatency,
+            priority, splits, attempts, queueTimeout, resultDeadline, singleVersion);
   }
 };
 
@@ -86,16 +88,17 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
-  std::string document;  ///< as the operator sent it
+  std::vector<tenancy::Tenant> tenants;  ///< none: requests need no key
+  std::string document;                  ///< as the operator sent it
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(version, routes, services, limits, document);
+    archive(version, routes, services, limits, tenants, document);
   }
 };
 
 /// Fails with what is wrong: a route names an unknown service, two routes share host and prefix, a
-/// route's weights add up to zero, a time-out is zero.
+/// route's weights add up to zero, a time-out is zero, a tenant is invalid.
 [[nodiscard]] base::Result<void> validate(const Configuration& configuration);
 
 }  // namespace tackpick::directory
--- a/src/edge/dialect.h
+++ b/src/edge/dialect.h
@@ -30,6 +30,8 @@
   std::string weightsField;      ///< the same as a field of a stream's event
   std::string lastEvent;         ///< continue a stream behind this event
   std::string signature;         ///< in an answer: the instance's signature of it
+  std::string credential;        ///< carries the caller's key; never sent on
+  std::string tenant;            ///< the tenant for whom a request is sent on
 };
 
 /// An answer of our own.
@@ -61,6 +63,8 @@
   virtual ~Dialect() = default;
   [[nodiscard]] virtual const HeaderNames& headers() const = 0;
 
+  /// The key that a request brings; empty when it brings none.
+  [[nodiscard]] virtual std::string apiKey(const http::HeaderList& headers) const = 0;
   /// `route` is the request's route, or null.
   [[nodiscard]] virtual GatewayCall gatewayCall(const http::RawRequest& request,
                                                 const directory::Route* route) const = 0;
@@ -85,9 +89,9 @@
   /// The call that runs an item, continuing behind `lastEvent`.
   [[nodiscard]] virtual http::UpstreamRequest itemRequest(
       const jobs::LeasedItem& item, std::optional<std::uint64_t> lastEvent) const = 0;
-  /// The call that has an item's text judged.
-  [[nodiscard]] virtual http::UpstreamRequest scoringRequest(
-      const jobs::ScoringCall& call) const = 0;
+  /// The call that has the text of an item of `tenant` judged; empty: of nobody in particular.
+  [[nodiscard]] virtual http::UpstreamRequest scoringRequest(const jobs::ScoringCall& call,
+                                                             const std::string& tenant) const = 0;
 };
 
 }  // namespace tackpick::edge
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -9,6 +9,7 @@
 inline constexpr int kNoContent = 204;
 inline constexpr int kNotModified = 304;
 inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
 inline constexpr int kNotFound = 404;
 inline constexpr int kRequestTimeout = 408;
 inline constexpr int kConflict = 409;
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -53,6 +53,7 @@
 /// A job as its caller submits it.
 struct JobSubmission {
   std::string id;
+  std::string tenant;  ///< whose it is; empty: nobody's in particular
   std::string host;
   std::string model;
   std::uint64_t minimumVersion = 0;  ///< oldest weights that may make its texts
@@ -64,8 +65,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, host, model, minimumVersion, wantedGroups, attempts, queueTimeout, singleVersion,
-            items);
+    archive(id, tenant, host, model, minimumVersion, wantedGroups, attempts, queueTimeout,
+            singleVersion, items);
   }
 };
 
@@ -157,9 +158,10 @@
   base::Duration hold{0};
   /// A replica from which the caller would rather fetch many results; invalid: none.
   base::NodeId nearby = {};
+  std::string tenant = {};  ///< on whose behalf
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, after, hold, nearby);
+    archive(id, after, hold, nearby, tenant);
   }
 };
 
@@ -178,17 +180,19 @@
 struct ReadItem {
   std::string job;
   std::string item;
+  std::string tenant = {};  ///< on whose behalf
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(job, item);
+    archive(job, item, tenant);
   }
 };
 
 struct EndJob {
   std::string id;
+  std::string tenant = {};  ///< on whose behalf
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id);
+    archive(id, tenant);
   }
 };
 
@@ -253,9 +257,16 @@
 using JobRequest = std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults,
                                 SaveProgress, FetchResults>;
 
+/// Says on whose behalf a caller's request is made.
+void setTenant(JobRequest& request, const std::string& tenant);
+
 // Answers.
 
-enum class JobStatus : std::uint8_t { kDone, kNotFound };
+enum class JobStatus : std::uint8_t {
+  kDone,
+  kNotFound,
+  kNotOwner,  ///< a submission whose id another tenant uses
+};
 
 struct ReadResult {
   std::string itemId;
@@ -273,6 +284,7 @@
   std::optional<PartialText> progress;  ///< of earlier leases
   std::string engine;                   ///< where it should run; empty: all are full
   Item item;
+  std::string tenant;  ///< of its job; empty: nobody in particular
   std::string host;
   std::string model;
   std::uint64_t minimumVersion = 0;
@@ -283,7 +295,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, lease, progress, engine, item, host, model, minimumVersion, singleVersion,
+    archive(key, lease, progress, engine, item, tenant, host, model, minimumVersion, singleVersion,
             attempts, age, queueTimeout);
   }
 };
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -52,8 +52,10 @@
 }
 
 void JobRole::onRequest(const Caller& caller, const SubmitJob& request, base::TimePoint now) {
-  if (state_.find(request.job.id) != nullptr) {
-    replyWith(caller, {});
+  if (const Job* known = state_.find(request.job.id)) {
+    JobReply reply;
+    reply.status = known->belongsTo(request.job.tenant) ? JobStatus::kDone : JobStatus::kNotOwner;
+    replyWith(caller, reply);
     return;
   }
   proposeFor(caller, request, now);
@@ -66,7 +68,7 @@
 void JobRole::onRequest(const Caller& caller, const ReadItem& request, base::TimePoint /*now*/) {
   JobReply reply;
   reply.status = JobStatus::kNotFound;
-  const Job* job = state_.find(request.job);
+  const Job* job = state_.findFor(request.tenant, request.job);
   if (job != nullptr && !job->ended) {
     for (std::size_t i = 0; i < job->listed.size(); ++i) {
       const Item& item = job->submission.items[i];
@@ -80,7 +82,7 @@
 }
 
 void JobRole::onRequest(const Caller& caller, const EndJob& request, base::TimePoint now) {
-  const Job* job = state_.find(request.id);
+  const Job* job = state_.findFor(request.tenant, request.id);
   if (job == nullptr || job->ended) {
     replyWith(caller, {});
     return;
@@ -124,6 +126,7 @@
     leased.progress = partial->second;
   }
   leased.item = job.items[key.item];
+  leased.tenant = job.tenant;
   leased.host = job.host;
   leased.model = job.model;
   leased.minimumVersion = job.minimumVersion;
@@ -237,7 +240,7 @@
 void JobRole::answerReads(base::TimePoint now) {
   const bool readable = replica_.canRead(now);
   for (PendingRead& pending : std::exchange(reads_, {})) {
-    const Job* job = state_.find(pending.read.id);
+    const Job* job = state_.findFor(pending.read.tenant, pending.read.id);
     if (!readable) {
       service_.refuse(pending.caller, CommandStatus::kNotLeader);
       continue;
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -147,6 +147,11 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+const Job* JobState::findFor(const std::string& tenant, const std::string& id) const {
+  const Job* job = find(id);
+  return job != nullptr && job->belongsTo(tenant) ? job : nullptr;
+}
+
 CommitResults JobState::withoutKnown(const CommitResults& results) const {
   CommitResults left;
   for (const JobResults& job : results.jobs) {
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -18,6 +18,10 @@
   std::map<std::uint32_t, PartialText> partial;  ///< texts under way, by item
   bool ended = false;
 
+  /// Only its tenant may read, end or submit it again. To others it does not exist.
+  [[nodiscard]] bool belongsTo(const std::string& tenant) const {
+    return submission.tenant.empty() || submission.tenant == tenant;
+  }
   [[nodiscard]] bool complete() const { return results.size() == submission.items.size(); }
   /// Nothing of it needs to run any more.
   [[nodiscard]] bool settled() const { return ended || complete(); }
@@ -48,6 +52,8 @@
 
   [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
   [[nodiscard]] const Job* find(const std::string& id) const;
+  /// The job, unless it belongs to another tenant.
+  [[nodiscard]] const Job* findFor(const std::string& tenant, const std::string& id) const;
   /// `results` without those that would change nothing.
   [[nodiscard]] CommitResults withoutKnown(const CommitResults& results) const;
   /// Rises with every change.
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -35,12 +35,14 @@
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
  public:
   ForwardedRequest(Node& node, forwarding::InstanceTable& instances, http::RawRequest request,
-                   std::shared_ptr<http::Exchange> exchange, const directory::Route& route)
+                   std::shared_ptr<http::Exchange> exchange, const directory::Route& route,
+                   std::string tenant)
       : node_(node),
         instances_(instances),
         request_(std::move(request)),
         exchange_(std::move(exchange)),
         route_(route),
+        tenant_(std::move(tenant)),
         deadline_timer_(node.context()),
         hedge_timer_(node.context()),
         policy_(route, request_.receivedAt, callerDeadline()) {}
@@ -96,6 +98,7 @@
   const http::RawRequest request_;
   std::shared_ptr<http::Exchange> exchange_;
   const directory::Route route_;
+  const std::string tenant_;  ///< empty: nobody in particular
   asio::steady_timer deadline_timer_;
   asio::steady_timer hedge_timer_;
   forwarding::AttemptPolicy policy_;
@@ -133,6 +136,9 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(policy_.deadline() - node_.now());
   upstream.headers.set(names.deadline, std::to_string(left.count()));
   upstream.headers.set(names.expectedInstance, to.record.id);
+  if (!tenant_.empty()) {
+    upstream.headers.set(names.tenant, tenant_);
+  }
   upstream.body = request_.body;
   upstream.echoName = names.requestId;
   upstream.echoValue = request_.headers.value(names.requestId);
@@ -333,8 +339,8 @@
 }  // namespace
 
 void Forwarder::forward(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange,
-                        const directory::Route& route) {
-  std::make_shared<ForwardedRequest>(node_, instances_, std::move(request), exchange, route)
+                        const directory::Route& route, const std::string& tenant) {
+  std::make_shared<ForwardedRequest>(node_, instances_, std::move(request), exchange, route, tenant)
       ->start();
 }
 
--- a/src/node/forwarder.h
+++ b/src/node/forwarder.h
@@ -19,7 +19,7 @@
       : node_(node), instances_(instances) {}
 
   void forward(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange,
-               const directory::Route& route);
+               const directory::Route& route, const std::string& tenant);
 
  private:
   Node& node_;
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -68,6 +68,7 @@
   // Routes in use are copied by those that use them, so the old configuration may go.
   configuration_ = std::make_unique<directory::Configuration>(newest);
   routes_ = directory::RouteTable(*configuration_);
+  tenants_ = tenancy::TenantTable(configuration_->tenants);
   traffic_.setLimits(toExchangeLimits(configuration_->limits));
   telemetry::logEvent(telemetry::EventId::kConfigurationInForce,
                       "version=" + std::to_string(configuration_->version));
@@ -86,16 +87,55 @@
     return;
   }
   const directory::Route* route = routes_.find(request.headers.value("Host"), request.target);
-  const edge::GatewayCall call = node_.dialect().gatewayCall(request, route);
-  if (const auto* job = std::get_if<edge::JobCall>(&call)) {
-    callLedgers(job->request, exchange);
+  edge::GatewayCall call = node_.dialect().gatewayCall(request, route);
+  if (route == nullptr && std::holds_alternative<edge::ForwardCall>(call)) {
+    exchange->respond(kNotFound, {}, {});
+    return;
+  }
+  const std::optional<std::string> tenant = identifyTenant(request, route, exchange);
+  if (!tenant) {
+    return;
+  }
+  if (auto* job = std::get_if<edge::JobCall>(&call)) {
+    takeJobCall(std::move(job->request), *tenant, exchange);
   } else if (std::holds_alternative<edge::MalformedCall>(call)) {
     exchange->respond(kBadRequest, {}, {});
-  } else if (route == nullptr) {
-    exchange->respond(kNotFound, {}, {});
   } else {
-    forwarder_.forward(std::move(request), exchange, *route);
+    std::erase_if(request.headers.fields(),
+                  [&](const http::HeaderField& field) { return isTenantField(field.name); });
+    forwarder_.forward(std::move(request), exchange, *route, *tenant);
+  }
+}
+
+std::optional<std::string> GatewayFront::identifyTenant(
+    const http::RawRequest& request, const directory::Route* route,
+    const std::shared_ptr<http::Exchange>& exchange) const {
+  const bool needsKey = route == nullptr || !route->open;
+  const tenancy::TenantTable::Verdict verdict =
+      tenants_.judge(node_.dialect().apiKey(request.headers), needsKey);
+  if (verdict.allowed) {
+    return verdict.tenant;
+  }
+  node_.metrics().count(telemetry::CounterId::kRequestsAnswered, std::to_string(kUnauthorized));
+  exchange->respond(kUnauthorized, {}, {});
+  return std::nullopt;
+}
+
+bool GatewayFront::isTenantField(std::string_view name) const {
+  const edge::HeaderNames& names = node_.dialect().headers();
+  return tenants_.hasTenants() &&
+         (http::sameHeaderName(name, names.credential) || http::sameHeaderName(name, names.tenant));
+}
+
+void GatewayFront::takeJobCall(jobs::JobRequest request, const std::string& tenant,
+                               const std::shared_ptr<http::Exchange>& exchange) {
+  jobs::setTenant(request, tenant);
+  if (auto* submission = std::get_if<jobs::SubmitJob>(&request)) {
+    for (jobs::Item& item : submission->job.items) {
+      std::erase_if(item.headers, [&](const auto& field) { return isTenantField(field.first); });
+    }
   }
+  callLedgers(request, exchange);
 }
 
 void GatewayFront::callLedgers(const jobs::JobRequest& request,
--- a/src/node/gateway_front.h
+++ b/src/node/gateway_front.h
@@ -11,6 +11,7 @@
 #include "node/forwarder.h"
 #include "node/item_runner.h"
 #include "node/member_ledger_client.h"
+#include "tenancy/tenant_table.h"
 
 namespace tackpick::node {
 
@@ -28,6 +29,14 @@
 
  private:
   void onRequest(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange);
+  /// For whom a request is made; nothing when it was answered, since its key is not known.
+  [[nodiscard]] std::optional<std::string> identifyTenant(
+      const http::RawRequest& request, const directory::Route* route,
+      const std::shared_ptr<http::Exchange>& exchange) const;
+  /// A caller's key, or what only this process may say of tenants: is not sent on.
+  [[nodiscard]] bool isTenantField(std::string_view name) const;
+  void takeJobCall(jobs::JobRequest request, const std::string& tenant,
+                   const std::shared_ptr<http::Exchange>& exchange);
   void onReadiness(const std::shared_ptr<http::Exchange>& exchange) const;
   void callLedgers(const jobs::JobRequest& request,
                    const std::shared_ptr<http::Exchange>& exchange);
@@ -40,6 +49,7 @@
   Node& node_;
   std::unique_ptr<directory::Configuration> configuration_;
   directory::RouteTable routes_;
+  tenancy::TenantTable tenants_;
   forwarding::InstanceTable instances_;
   Forwarder forwarder_;
   MemberLedgerClient ledgers_;
--- a/src/node/score_caller.cpp
+++ b/src/node/score_caller.cpp
@@ -25,6 +25,7 @@
   call.deadline = deadline;
   call.callback = std::move(callback);
   call.itemAttempts = leased.attempts;
+  call.tenant = leased.tenant;
 }
 
 void ScoreCaller::cancel(const jobs::ItemKey& key) {
@@ -82,7 +83,7 @@
   call.answer = {};
   call.crowded = false;
   const edge::HeaderNames& names = m_node.dialect().headers();
-  http::UpstreamRequest request = m_node.dialect().scoringRequest(call.request);
+  http::UpstreamRequest request = m_node.dialect().scoringRequest(call.request, call.tenant);
   request.address = {entry->record.host, entry->record.port};
   request.headers.set(names.expectedInstance, entry->record.id);
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
--- a/src/node/score_caller.h
+++ b/src/node/score_caller.h
@@ -41,6 +41,7 @@
     jobs::ScoringCall request;
     base::TimePoint deadline{};
     Callback callback;
+    std::string tenant;
     std::uint32_t itemAttempts = 1;
     std::unique_ptr<jobs::ScoringAttempts> attempts;
     std::set<std::string> tried;
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -14,7 +14,8 @@
 namespace tackpick::storage {
 namespace {
 
-constexpr int kFileMode = 0644;
+/// Logs and snapshots hold the keys of tenants, as operators sent them.
+constexpr int kFileMode = 0600;
 
 std::string describe(const std::string& operation, const std::string& path) {
   return operation + " " + path + ": " + std::generic_category().message(errno);
--- /dev/null
+++ b/src/tenancy/tenant.cpp
@@ -0,0 +1,32 @@
+#include "tenancy/tenant.h"
+
+#include <map>
+#include <set>
+
+namespace tackpick::tenancy {
+
+base::Result<void> validate(const std::vector<Tenant>& tenants) {
+  const KeyDigest emptyKey = digestOf({});
+  std::set<std::string> names;
+  std::map<KeyDigest, std::string> owners;
+  for (const Tenant& tenant : tenants) {
+    if (tenant.name.empty() || !names.insert(tenant.name).second) {
+      return base::fail(base::ErrorCode::kInvalidInput, "a tenant has no name of its own");
+    }
+    for (const KeyDigest& key : tenant.keys) {
+      if (key == emptyKey) {
+        return base::fail(base::ErrorCode::kInvalidInput,
+                          "tenant " + tenant.name + ": an empty key");
+      }
+      const auto [owner, added] = owners.emplace(key, tenant.name);
+      if (!added && owner->second != tenant.name) {
+        return base::fail(
+            base::ErrorCode::kInvalidInput,
+            "tenants " + owner->second + " and " + tenant.name + " have a key in common");
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace tackpick::tenancy
--- /dev/null
+++ b/test/jobs/job_role_test.cpp
@@ -0,0 +1,128 @@
+/// The ledgers' role with a log of its own on a simulated disk: what each tenant gets to see.
+#include "jobs/job_role.h"
+
+#include <criterion/criterion.h>
+
+#include "simulation/simulated_disk.h"
+#include "storage/segmented_log.h"
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+namespace simulation = tackpick::simulation;
+namespace storage = tackpick::storage;
+namespace transport = tackpick::transport;
+
+namespace {
+
+constexpr base::NodeId kSelf = base::makeNodeId(1, 1);
+constexpr base::NodeId kGateway = base::makeNodeId(2, 1);
+constexpr base::GroupId kGroup{2};
+
+/// A group of one ledger.
+struct LoneLedger {
+  LoneLedger() {
+    log = base::recover(
+        [&] {
+          return storage::SegmentedLog::open(disk, {"cluster", kSelf, kGroup}, {{kSelf}, {}});
+        },
+        [](const base::Error&) { return std::unique_ptr<storage::SegmentedLog>(); });
+    role =
+        std::make_unique<jobs::JobRole>(kSelf, kGroup, jobs::JobRoleSettings{}, *log, random, now);
+    run(base::seconds(3));
+  }
+
+  void run(base::Duration time) {
+    for (const base::TimePoint end = now + time; now < end; now += base::milliseconds(10)) {
+      role->tick(now);
+      for (const auto& outgoing : role->finish(now)) {
+        if (const auto* answer = std::get_if<transport::CommandResponse>(&outgoing.message)) {
+          replies.push_back(*base::decode<jobs::JobReply>(answer->payload));
+        }
+      }
+    }
+  }
+
+  jobs::JobReply ask(const jobs::JobRequest& request) {
+    transport::CommandRequest message;
+    message.group = kGroup;
+    message.call = base::CallId{++calls};
+    message.payload = base::encode(request);
+    replies.clear();
+    role->handle(kGateway, message, now);
+    run(base::milliseconds(200));
+    cr_assert_eq(replies.size(), 1U);
+    return replies.front();
+  }
+
+  simulation::SimulatedDisk disk;
+  base::SeededRandom random{1};
+  base::TimePoint now{base::seconds(100)};
+  std::unique_ptr<storage::SegmentedLog> log;
+  std::unique_ptr<jobs::JobRole> role;
+  std::vector<jobs::JobReply> replies;
+  std::uint64_t calls = 0;
+};
+
+jobs::SubmitJob submission(const std::string& tenant) {
+  jobs::SubmitJob submit;
+  submit.job.id = "j";
+  submit.job.tenant = tenant;
+  jobs::Item item;
+  item.id = "i";
+  item.body = "body";
+  submit.job.items.push_back(item);
+  return submit;
+}
+
+jobs::ReadJob read(const std::string& tenant) {
+  jobs::ReadJob made;
+  made.id = "j";
+  made.tenant = tenant;
+  return made;
+}
+
+}  // namespace
+
+Test(job_role, job_exists_for_its_tenant_only) {
+  LoneLedger ledger;
+  cr_assert(ledger.ask(submission("a")).status == jobs::JobStatus::kDone);
+  cr_assert(ledger.ask(submission("a")).status == jobs::JobStatus::kDone, "submitted again");
+  cr_assert(ledger.ask(submission("b")).status == jobs::JobStatus::kNotOwner);
+  cr_assert(ledger.ask(read("a")).status == jobs::JobStatus::kDone);
+  cr_assert(ledger.ask(read("b")).status == jobs::JobStatus::kNotFound);
+  cr_assert(ledger.ask(read("")).status == jobs::JobStatus::kNotFound);
+  cr_assert_eq(ledger.ask(jobs::ReadItem{"j", "i", "a"}).body, "body");
+  cr_assert(ledger.ask(jobs::ReadItem{"j", "i", "b"}).status == jobs::JobStatus::kNotFound);
+}
+
+Test(job_role, job_is_ended_by_its_tenant_only) {
+  LoneLedger ledger;
+  (void)ledger.ask(submission("a"));
+  cr_assert(ledger.ask(jobs::EndJob{"j", "b"}).status == jobs::JobStatus::kDone);
+  cr_assert_not(ledger.role->state().find("j")->ended);
+  (void)ledger.ask(jobs::EndJob{"j", "a"});
+  cr_assert(ledger.role->state().find("j")->ended);
+}
+
+Test(job_role, job_of_nobody_is_open_to_all) {
+  LoneLedger ledger;
+  (void)ledger.ask(submission(""));
+  cr_assert(ledger.ask(read("a")).status == jobs::JobStatus::kDone);
+}
+
+Test(job_role, leased_item_names_its_tenant) {
+  LoneLedger ledger;
+  (void)ledger.ask(submission("a"));
+  ledger.role->setEngines({{"e", 4, {{"", 1}}, "z"}});
+  jobs::LeaseItems lease;
+  lease.wanted.add("", 1, 4);
+  lease.zone = "z";
+  for (int tries = 0; tries < 10; ++tries) {
+    const jobs::JobReply reply = ledger.ask(lease);
+    if (!reply.leased.empty()) {
+      cr_assert_eq(reply.leased.front().tenant, "a");
+      return;
+    }
+  }
+  cr_assert_fail("nothing was leased");
+}
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -1,6 +1,7 @@
 /// The platform's bytes as typed calls, and back.
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "base/random.h"
@@ -190,11 +191,12 @@
   const auto job = platform::parseJob("j", "h", {}, body);
   cr_assert(job && job->items.at(0).scoring);
   const platform::PlatformDialect dialect;
-  const http::UpstreamRequest call = dialect.scoringRequest(*job->items[0].scoring);
+  const http::UpstreamRequest call = dialect.scoringRequest(*job->items[0].scoring, "acme");
   cr_assert_eq(call.method, "POST");
   cr_assert_eq(call.target, "/score/1");
   cr_assert_eq(call.headers.value("Host"), "s.example");
   cr_assert_eq(call.headers.value("Request-Id"), "c");
+  cr_assert_eq(call.headers.value("Tenant"), "acme");
   cr_assert_eq(call.body, "\xab\xcd\xef\x12\x34\x56\x78\x90");
 
   jobs::JobReply reply;
@@ -204,3 +206,51 @@
   cr_assert_eq(told["results"][0]["score"], "signed");
   cr_assert_not(told["results"][1].contains("score"));
 }
+
+Test(platform_json, tenants_and_open_routes) {
+  const std::string body = R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",
+   "kind":"safe","timeoutMs":1,"service":"s","public":true}],"services":[{"name":"s"}],
+   "tenants":[{"name":"a","apiKeys":["k1","k2"],"priority":1},{"name":"b","apiKeys":[]}]})";
+  const auto configuration = platform::parseConfiguration(body);
+  cr_assert(configuration.has_value());
+  cr_assert(configuration->routes[0].open);
+  cr_assert_eq(configuration->tenants.size(), 2U);
+  cr_assert(configuration->tenants[0].keys.at(1) == tackpick::tenancy::digestOf("k2"));
+  cr_assert_eq(configuration->tenants[0].priority.value(), 1U);
+  cr_assert_not(configuration->tenants[1].priority.has_value());
+  for (const char* bad : {R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"a"}]})",
+                          R"({"version":1,"routes":[],"services":[],"tenants":[{"apiKeys":[]}]})",
+                          R"({"version":1,"routes":[],"services":[],"tenants":[7]})"}) {
+    cr_assert_not(platform::parseConfiguration(bad).has_value(), "%s", bad);
+  }
+}
+
+Test(platform_dialect, key_is_read_from_its_scheme_only) {
+  const platform::PlatformDialect dialect;
+  const auto keyOf = [&](const std::string& name, const std::string& value) {
+    http::HeaderList headers;
+    headers.add(name, value);
+    return dialect.apiKey(headers);
+  };
+  cr_assert_eq(keyOf("Authorization", "Token k1"), "k1");
+  cr_assert_eq(keyOf("authorization", "Token k1"), "k1");
+  cr_assert_eq(keyOf("Authorization", "Bearer k1"), "");
+  cr_assert_eq(keyOf("Authorization", "Token "), "");
+  cr_assert_eq(keyOf("Host", "Token k1"), "");
+}
+
+Test(platform_dialect, item_goes_out_under_its_tenant) {
+  const platform::PlatformDialect dialect;
+  jobs::LeasedItem leased;
+  leased.item.id = "i";
+  cr_assert_not(dialect.itemRequest(leased, std::nullopt).headers.has("Tenant"));
+  leased.tenant = "acme";
+  leased.item.headers = {{"tenant", "other"}};
+  const http::UpstreamRequest call = dialect.itemRequest(leased, std::nullopt);
+  cr_assert_eq(call.headers.value("Tenant"), "acme");
+  cr_assert_eq(std::count_if(call.headers.fields().begin(), call.headers.fields().end(),
+                             [](const http::HeaderField& field) {
+                               return http::sameHeaderName(field.name, "Tenant");
+                             }),
+               1);
+}
--- a/test/storage/segmented_log_test.cpp
+++ b/test/storage/segmented_log_test.cpp
@@ -228,3 +228,18 @@
     cr_assert_eq(log->readSnapshotState().value(), point > 0 ? "state" : "");
   }
 }
+
+Test(posix_file_system, files_are_readable_by_their_owner_only) {
+  const TemporaryFolder folder;
+  const auto opened = base::recover(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_AUTO(files, storage::PosixFileSystem::create(folder.path()));
+        BOOST_LEAF_CHECK(storage::writeDurably(*files, "kept", "bytes"));
+        return true;
+      },
+      [](const base::Error&) { return false; });
+  cr_assert(opened);
+  using std::filesystem::perms;
+  const perms mode = std::filesystem::status(folder.path() + "/kept").permissions();
+  cr_assert_eq(mode & (perms::group_all | perms::others_all), perms::none);
+}
