Heartbeats are answered by the controller that gets them

Change: a controller answers a heartbeat that only confirms what its own copy of the directory says, and tells the leader together with others each 200 ms; what changes a registration goes to the leader as before. Later heartbeats stay where they are. The walks over all instances are paced by their number. Connections of the HTTP server share one read buffer (16 KB each before).

An instance that lost its address to another has ended: a heartbeat of it that comes late no longer registers it again (test failed first).

Tests: beat_relay, directory_role.

--- /dev/null
+++ b/src/directory/beat_relay.h
@@ -0,0 +1,49 @@
+/// \file
+/// Heartbeats taken by any controller and told to the leader together.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "directory/directory_messages.h"
+#include "directory/directory_state.h"
+
+namespace tackpick::directory {
+
+/// Knobs of a BeatRelay.
+struct BeatRelaySettings {
+  /// What was heard is told this often. Gateways look at silences of seconds.
+  base::Duration interval = base::milliseconds(200);
+  /// A controller that has not heard the leader for longer takes no heartbeats itself.
+  base::Duration contact = base::milliseconds(1500);
+};
+
+/// Most heartbeats only say that an instance is still there. The controller that gets such a one
+/// answers it from its own copy of the directory. With 3,000 instances the leader then handles some
+/// 15 messages a second instead of 2,500. Whatever changes a registration goes to the leader, and
+/// is answered once a quorum holds it. Deterministic; owned by one thread.
+class BeatRelay {
+ public:
+  explicit BeatRelay(BeatRelaySettings settings) : m_settings(settings) {}
+
+  /// True when this controller may answer the heartbeat. `heardAt`: when it last heard the leader.
+  [[nodiscard]] bool take(const DirectoryState& state, const InstanceBeat& beat,
+                          std::optional<base::TimePoint> heardAt, base::TimePoint now);
+  /// What is to be told now; nothing while nothing was heard or a call is under way.
+  [[nodiscard]] std::optional<RelayBeats> due(base::TimePoint now);
+  /// The call ended; `known`: the leader has it.
+  void onTold(bool known);
+
+ private:
+  /// Instances whose versions are remembered.
+  static constexpr std::size_t kMostKnown = 20'000;
+
+  const BeatRelaySettings m_settings;
+  std::map<std::string, RelayedBeat> m_heard;
+  std::map<std::string, std::map<std::string, std::uint64_t>> m_told;  ///< versions, by instance
+  bool m_telling = false;
+  base::TimePoint m_toldAt{};
+};
+
+}  // namespace tackpick::directory
--- a/src/directory/call_name.cpp
+++ b/src/directory/call_name.cpp
@@ -24,6 +24,8 @@
 
 CallName nameOfTyped(const TellUsage& /*request*/) { return {"tell_usage", {}, false}; }
 
+CallName nameOfTyped(const RelayBeats& /*request*/) { return {"relay_heartbeats", {}, false}; }
+
 }  // namespace
 
 CallName nameOf(const DirectoryRequest& request) {
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -54,6 +54,14 @@
   }
 };
 
+/// True when a heartbeat with `heard` changes nothing of the registration `known`.
+[[nodiscard]] inline bool confirmsRegistration(const InstanceRecord& known,
+                                               const InstanceRecord& heard) {
+  return known.service == heard.service && known.host == heard.host && known.port == heard.port &&
+         known.slots == heard.slots && known.zone == heard.zone &&
+         (known.leaving || !heard.leaving);
+}
+
 /// An instance as gateways see it.
 struct InstanceView {
   InstanceRecord record;
@@ -158,9 +166,30 @@
   }
 };
 
+/// A heartbeat that only confirms a registration.
+struct RelayedBeat {
+  std::string id;
+  std::uint64_t sequence = 0;
+  /// Nothing: they are those that were told last.
+  std::optional<std::map<std::string, std::uint64_t>> versions;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, sequence, versions);
+  }
+};
+
+/// Heartbeats that another controller has answered.
+struct RelayBeats {
+  std::vector<RelayedBeat> beats;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(beats);
+  }
+};
+
 using DirectoryRequest =
     std::variant<ReplaceConfiguration, ReadConfiguration, InstanceBeat, InstanceLeaves,
-                 PublishVersion, Watch, RetireNode, ReadRetirement, TellUsage>;
+                 PublishVersion, Watch, RetireNode, ReadRetirement, TellUsage, RelayBeats>;
 
 // Answers.
 
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -12,6 +12,9 @@
 
 /// Orders, repair and the like are looked at this often.
 constexpr base::Duration kSlowWorkInterval = base::milliseconds(50);
+/// ... and where there are many instances less often: it walks all of them, which at 3,000 takes
+/// 10 to 20 ms, of which this leaves a tenth.
+constexpr base::Duration kSlowWorkPerInstance = base::microseconds(60);
 /// Views and watches are looked at this often, and where there are many instances less often: to
 /// compare one with what was told takes about a microsecond, of which this leaves a fortieth.
 constexpr base::Duration kViewInterval = base::milliseconds(5);
@@ -19,11 +22,6 @@
 /// View revisions of different leaders must not be confused.
 constexpr unsigned kTermShift = 40;
 
-bool sameRegistration(const InstanceRecord& left, const InstanceRecord& right) {
-  return left.service == right.service && left.host == right.host && left.port == right.port &&
-         left.slots == right.slots && left.zone == right.zone && (left.leaving || !right.leaving);
-}
-
 }  // namespace
 
 DirectoryRole::DirectoryRole(NodeRecord self, DirectorySettings settings, consensus::LogStore& log,
@@ -95,22 +93,42 @@
                               base::TimePoint now) {
   const std::string& id = request.record.id;
   if (state_.hasLeft(id)) {
-    reply(caller, DirectoryStatus::kDone, self_.controlAddress);
+    reply(caller, DirectoryStatus::kDone);
     return;
   }
   const auto sequence = beat_sequences_.find(id);
   const bool late = sequence != beat_sequences_.end() && request.sequence <= sequence->second;
   const auto known = state_.instances().find(id);
   const bool registered =
-      known != state_.instances().end() && sameRegistration(known->second, request.record);
+      known != state_.instances().end() && confirmsRegistration(known->second, request.record);
   if (!late) {
     observeReport(request, now);
   }
   if (registered || (late && !request.record.leaving)) {
-    reply(caller, DirectoryStatus::kDone, self_.controlAddress);
+    reply(caller, DirectoryStatus::kDone);
     return;
   }
-  proposeFor(caller, RegisterInstance{request.record}, self_.controlAddress, now);
+  proposeFor(caller, RegisterInstance{request.record}, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const RelayBeats& request,
+                              base::TimePoint now) {
+  for (const RelayedBeat& beat : request.beats) {
+    std::uint64_t& sequence = beat_sequences_[beat.id];
+    if (beat.sequence <= sequence || !state_.instances().contains(beat.id)) {
+      continue;
+    }
+    sequence = beat.sequence;
+    const auto [report, added] = reports_.try_emplace(beat.id);
+    report->second.heardAt = now;
+    if (beat.versions) {
+      report->second.versions = *beat.versions;
+    } else if (const auto held = state_.heldVersions().find(beat.id);
+               added && held != state_.heldVersions().end()) {
+      report->second.versions = held->second;
+    }
+  }
+  reply(caller, DirectoryStatus::kDone);
 }
 
 void DirectoryRole::observeReport(const InstanceBeat& beat, base::TimePoint now) {
@@ -339,7 +357,9 @@
 
 void DirectoryRole::tick(base::TimePoint now) {
   replica_.tick(now);
-  if (now - slow_work_at_ < kSlowWorkInterval || !begun_ || !leads(now)) {
+  const auto instances = static_cast<base::Duration::rep>(state_.instances().size());
+  const base::Duration interval = std::max(kSlowWorkInterval, kSlowWorkPerInstance * instances);
+  if (now - slow_work_at_ < interval || !begun_ || !leads(now)) {
     return;
   }
   slow_work_at_ = now;
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -97,6 +97,7 @@
   void onRequest(const Caller& caller, const RetireNode& request, base::TimePoint now);
   void onRequest(const Caller& caller, const ReadRetirement& request, base::TimePoint now);
   void onRequest(const Caller& caller, const TellUsage& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const RelayBeats& request, base::TimePoint now);
   void completeRetirements(const consensus::Membership& ledgers, base::TimePoint now);
   void observeReport(const InstanceBeat& beat, base::TimePoint now);
 
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -31,10 +31,15 @@
   if (left_.contains(record.id)) {
     return;
   }
-  // An address belongs to the instance that was seen there last.
+  // An address belongs to the instance that registered there last. The one before has ended: a
+  // heartbeat of it that was delayed must not bring it back.
   std::erase_if(data_.instances, [&](const auto& entry) {
-    return entry.first != record.id && entry.second.host == record.host &&
-           entry.second.port == record.port;
+    const bool displaced = entry.first != record.id && entry.second.host == record.host &&
+                           entry.second.port == record.port;
+    if (displaced) {
+      rememberLeft(entry.first);
+    }
+    return displaced;
   });
   std::erase_if(data_.heldVersions,
                 [&](const auto& entry) { return !data_.instances.contains(entry.first); });
@@ -50,10 +55,16 @@
   data_.instances.erase(command.id);
   data_.heldVersions.erase(command.id);
   ++data_.revision;
-  if (!command.final || !left_.insert(command.id).second) {
+  if (command.final) {
+    rememberLeft(command.id);
+  }
+}
+
+void DirectoryState::rememberLeft(const std::string& id) {
+  if (!left_.insert(id).second) {
     return;
   }
-  data_.leftInOrder.push_back(command.id);
+  data_.leftInOrder.push_back(id);
   if (data_.leftInOrder.size() > kRememberedLeavers) {
     left_.erase(data_.leftInOrder.front());
     data_.leftInOrder.pop_front();
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -43,7 +43,7 @@
     }
   };
   [[nodiscard]] const OrderNote& orderNote() const { return data_.orderNote; }
-  /// True when that instance has said that it leaves for good.
+  /// True when that instance has said that it leaves for good, or another has its address.
   [[nodiscard]] bool hasLeft(const std::string& id) const { return left_.contains(id); }
   [[nodiscard]] const std::map<std::string, std::uint64_t>& versions() const {
     return data_.versions;
@@ -92,6 +92,8 @@
   void applyTyped(const duties::DecideUsage& command) { data_.usage.apply(command); }
   void applyTyped(const duties::ConfirmUsage& command) { data_.usage.apply(command); }
 
+  void rememberLeft(const std::string& id);
+
   Data data_;
   consensus::LogIndex applying_ = 0;  ///< index of the command that is applied
   std::set<std::string> left_;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -169,20 +169,28 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
-        self->reading_ = false;
-        if (error) {
-          self->close();
-          return;
-        }
-        self->onBytes(count);
-      });
+  socket_.async_wait(asio::socket_base::wait_read,
+                     [self = shared_from_this()](const asio::error_code& error) {
+                       self->reading_ = false;
+                       if (error) {
+                         self->close();
+                         return;
+                       }
+                       self->onReadable();
+                     });
 }
 
-void ServerConnection::onBytes(std::size_t count) {
-  pending_.append(buffer_.data(), count);
+void ServerConnection::onReadable() {
+  if (closed_) {
+    return;
+  }
+  asio::error_code error;
+  const std::size_t count = socket_.read_some(asio::buffer(shared_->readBuffer), error);
+  if (error && error != asio::error::would_block) {
+    close();
+    return;
+  }
+  pending_.append(shared_->readBuffer.data(), count);
   parsePending();
   // While a request is handled, reading goes on only to notice that the client hangs up.
   if (!closed_ && !close_after_write_ && pending_.size() < kReadAheadBytes) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -36,6 +36,9 @@
   bool draining = false;
   std::size_t openExchanges = 0;
   std::set<std::shared_ptr<ServerConnection>> connections;
+  /// One for all connections, which read when bytes have arrived: one of each own would cost 48 MB
+  /// with 3,000 of them.
+  std::array<char, kServerReadBytes> readBuffer{};
 };
 
 /// One client connection: reads requests one after the other and writes their answers.
@@ -50,6 +53,7 @@
   void start() {
     asio::error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     armTimer(shared_->limits.idleTimeout);
     read();
   }
@@ -82,7 +86,7 @@
   static const http_parser_settings& parserSettings();
 
   void read();
-  void onBytes(std::size_t count);
+  void onReadable();
   void parsePending();
   void dispatch();
   int onHeadersComplete();
@@ -99,7 +103,6 @@
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
   http_parser parser_{};
-  std::array<char, kServerReadBytes> buffer_{};
   std::string pending_;  ///< bytes read and not yet parsed
   bool reading_ = false;
 
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -27,6 +27,7 @@
 
 ControlFront::ControlFront(Node& node)
     : node_(node),
+      relay_({}),
       server_(
           node.context(), node.settings().control.host, node.settings().control.port, limits(),
           [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
@@ -48,18 +49,45 @@
   }
   const auto directoryCall =
       std::make_shared<directory::DirectoryRequest>(std::get<directory::DirectoryRequest>(call));
+  const auto* beat = std::get_if<directory::InstanceBeat>(directoryCall.get());
+  if (beat != nullptr &&
+      relay_.take(node_.directory().state(), *beat, node_.member().heardAt(), node_.now())) {
+    const edge::Answer answer = answerFor(*directoryCall, {});
+    exchange->respond(answer.status, answer.headers, answer.body);
+    node_.metrics().count(telemetry::CounterId::kControlCalls, "heartbeat_relayed");
+    return;
+  }
   node_.member().call(
       *directoryCall, kCallDeadline, node_.now(),
       [this, exchange, directoryCall, begun = node_.now()](const directory::DirectoryReply* reply) {
-        const edge::Answer answer = reply == nullptr
-                                        ? edge::unansweredControlCall()
-                                        : node_.dialect().controlAnswer(*directoryCall, *reply);
+        const edge::Answer answer =
+            reply == nullptr ? edge::unansweredControlCall() : answerFor(*directoryCall, *reply);
         exchange->respond(answer.status, answer.headers, answer.body);
         onReply(*directoryCall, reply, answer.status, node_.now() - begun);
       });
   node_.wake();
 }
 
+edge::Answer ControlFront::answerFor(const directory::DirectoryRequest& request,
+                                     directory::DirectoryReply reply) const {
+  if (std::holds_alternative<directory::InstanceBeat>(request)) {
+    // Later heartbeats come here too, so that each controller takes a part of them.
+    const transport::Endpoint& own = node_.settings().control;
+    reply.text = own.host + ":" + std::to_string(own.port);
+  }
+  return node_.dialect().controlAnswer(request, reply);
+}
+
+void ControlFront::tick() {
+  const auto relayed = relay_.due(node_.now());
+  if (!relayed) {
+    return;
+  }
+  node_.member().call(
+      directory::DirectoryRequest{*relayed}, kCallDeadline, node_.now(),
+      [this](const directory::DirectoryReply* reply) { relay_.onTold(reply != nullptr); });
+}
+
 void ControlFront::onReply(const directory::DirectoryRequest& request,
                            const directory::DirectoryReply* reply, int status,
                            base::Duration took) {
--- a/src/node/control_front.h
+++ b/src/node/control_front.h
@@ -4,25 +4,35 @@
 
 #include <memory>
 
+#include "directory/beat_relay.h"
 #include "directory/directory_messages.h"
+#include "edge/dialect.h"
 #include "http/exchange_server.h"
 
 namespace tackpick::node {
 
 class Node;
 
-/// Passes every call to the leading controller, which may be this process.
+/// Passes calls to the leading controller, which may be this process. Heartbeats that change
+/// nothing are answered here.
 class ControlFront {
  public:
   explicit ControlFront(Node& node);
 
+  void tick();
+
  private:
   void onRequest(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange);
 
   void onReply(const directory::DirectoryRequest& request, const directory::DirectoryReply* reply,
                int status, base::Duration took);
 
+  /// An answer of the directory as the caller gets it.
+  [[nodiscard]] edge::Answer answerFor(const directory::DirectoryRequest& request,
+                                       directory::DirectoryReply reply) const;
+
   Node& node_;
+  directory::BeatRelay relay_;
   http::ExchangeServer server_;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -305,6 +305,9 @@
     ledger_->tick(at);
   }
   member_->tick(at);
+  if (control_front_) {
+    control_front_->tick();
+  }
   if (gateway_front_) {
     gateway_front_->tick();
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -51,6 +51,8 @@
   [[nodiscard]] const config::ClusterSettings& settings() const { return settings_; }
   [[nodiscard]] const edge::Dialect& dialect() const { return dialect_; }
   [[nodiscard]] cluster::ClusterMember& member() { return *member_; }
+  /// On controllers only.
+  [[nodiscard]] const directory::DirectoryRole& directory() const { return *directory_; }
   [[nodiscard]] http::UpstreamClient& upstream() { return *upstream_; }
   [[nodiscard]] const transport::PeerNetwork& network() const { return *network_; }
   [[nodiscard]] telemetry::PrometheusMetrics& metrics() { return metrics_; }
--- /dev/null
+++ b/test/directory/beat_relay_test.cpp
@@ -0,0 +1,91 @@
+/// Heartbeats that any controller answers.
+#include "directory/beat_relay.h"
+
+#include <criterion/criterion.h>
+
+namespace base = tackpick::base;
+namespace directory = tackpick::directory;
+
+namespace {
+
+directory::InstanceBeat beat(std::uint64_t sequence, std::uint64_t version, bool leaving = false) {
+  directory::InstanceBeat made;
+  made.record = {"e", "s", "10.0.0.9", 1, "z", 4, leaving};
+  made.sequence = sequence;
+  made.versions = {{"m", version}};
+  return made;
+}
+
+struct Fixture {
+  Fixture() {
+    (void)state.apply(
+        1,
+        base::encode(directory::DirectoryCommand{directory::RegisterInstance{beat(0, 1).record}}));
+  }
+  bool take(const directory::InstanceBeat& heard) { return relay.take(state, heard, heardAt, now); }
+
+  directory::DirectoryState state;
+  directory::BeatRelay relay{directory::BeatRelaySettings{}};
+  base::TimePoint now{base::seconds(100)};
+  std::optional<base::TimePoint> heardAt = now;
+};
+
+}  // namespace
+
+Test(beat_relay, confirming_heartbeats_are_told_together) {
+  Fixture fixture;
+  cr_assert(fixture.take(beat(1, 1)));
+  cr_assert(fixture.take(beat(2, 1)));
+  const auto told = fixture.relay.due(fixture.now);
+  cr_assert(told.has_value());
+  cr_assert_eq(told->beats.size(), 1U);
+  cr_assert_eq(told->beats[0].sequence, 2U);
+  cr_assert_eq(told->beats[0].versions.value().at("m"), 1U);
+  cr_assert_not(fixture.relay.due(fixture.now + base::seconds(1)).has_value(), "one is under way");
+}
+
+Test(beat_relay, versions_are_told_again_when_they_change_or_may_be_lost) {
+  Fixture fixture;
+  const auto versionsTold = [&](std::uint64_t sequence, std::uint64_t version, bool known) {
+    cr_assert(fixture.take(beat(sequence, version)));
+    fixture.now += base::milliseconds(200);
+    fixture.heardAt = fixture.now;
+    const auto told = fixture.relay.due(fixture.now);
+    cr_assert(told.has_value());
+    fixture.relay.onTold(known);
+    return told->beats[0].versions.has_value();
+  };
+  cr_assert(versionsTold(1, 1, true));
+  cr_assert_not(versionsTold(2, 1, true));
+  cr_assert(versionsTold(3, 2, false));
+  cr_assert(versionsTold(4, 2, true), "the call before got no answer");
+}
+
+Test(beat_relay, whatever_changes_a_registration_goes_to_the_leader) {
+  Fixture fixture;
+  cr_assert_not(fixture.take(beat(1, 1, true)), "it leaves");
+  directory::InstanceBeat moved = beat(1, 1);
+  moved.record.port = 2;
+  cr_assert_not(fixture.take(moved));
+  directory::InstanceBeat unknown = beat(1, 1);
+  unknown.record.id = "other";
+  cr_assert_not(fixture.take(unknown));
+  cr_assert_not(fixture.relay.due(fixture.now).has_value());
+}
+
+Test(beat_relay, controller_cut_off_from_the_leader_takes_none) {
+  Fixture fixture;
+  fixture.now += base::seconds(2);
+  cr_assert_not(fixture.take(beat(1, 1)));
+  fixture.heardAt.reset();
+  cr_assert_not(fixture.take(beat(1, 1)));
+}
+
+Test(beat_relay, earlier_heartbeat_that_comes_late_changes_nothing) {
+  Fixture fixture;
+  cr_assert(fixture.take(beat(5, 2)));
+  cr_assert(fixture.take(beat(4, 1)));
+  const auto told = fixture.relay.due(fixture.now);
+  cr_assert_eq(told->beats[0].sequence, 5U);
+  cr_assert_eq(told->beats[0].versions.value().at("m"), 2U);
+}
--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -191,3 +191,32 @@
   controller.run(base::seconds(20));
   cr_assert(controller.reports.empty());
 }
+
+Test(directory_role, late_heartbeat_of_a_displaced_instance_does_not_bring_it_back) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  controller.ask(engineBeat(1, 1));
+  controller.run(base::milliseconds(200));
+  directory::InstanceBeat successor = engineBeat(1, 1);
+  successor.record.id = "e1";
+  controller.ask(successor);
+  controller.run(base::milliseconds(200));
+  controller.ask(engineBeat(2, 1));
+  controller.run(base::milliseconds(200));
+  const directory::DirectoryView view = controller.view();
+  cr_assert_eq(view.instances.size(), 1U);
+  cr_assert_eq(view.instances[0].record.id, "e1");
+}
+
+Test(directory_role, relayed_heartbeats_count_as_heard) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  controller.ask(engineBeat(1, 1));
+  controller.run(base::seconds(5));
+  controller.ask(directory::RelayBeats{{{"e0", 2, std::nullopt}, {"unknown", 1, std::nullopt}}});
+  controller.run(base::milliseconds(50));
+  const directory::DirectoryView view = controller.view();
+  cr_assert_eq(view.instances.size(), 1U);
+  cr_assert_lt(view.instances[0].silence.count(), base::Duration(base::seconds(1)).count());
+  cr_assert_eq(view.instances[0].versions.at("m"), 1U);
+}
