Tests with real processes: tenants, their batches and keys; usage reports while a holder dies

A stand-in for the platform's duties that leaves every third call without an answer: reports add up to what the engine ran, never differ for a window, and no fence serves two holders.

--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -1,11 +1,13 @@
 /// A cluster that forms itself, as real processes on loopback addresses of their own: founding from
-/// seeds, a configuration, a batch on a stand-in engine, lost leaders and lost disks.
+/// seeds, a configuration, a batch on a stand-in engine, lost leaders and lost disks, tenants and
+/// the reports of their usage.
 #include <criterion/criterion.h>
 
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 #include "http/exchange_server.h"
@@ -52,6 +54,19 @@
             {"models", {{{"name", "m"}, {"version", 1}}}}};
   }
   [[nodiscard]] const std::string& id() const { return id_; }
+  /// Requests run so far whose path begins so, by the tenant they were sent for; a request that
+  /// brings a caller's key counts under "key".
+  [[nodiscard]] std::map<std::string, int> tenants(const std::string& pathPrefix) const {
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, int> counts;
+    for (const http::RawRequest& request : ran_) {
+      if (request.target.starts_with(pathPrefix)) {
+        const bool key = request.headers.has("Authorization");
+        ++counts[key ? "key" : request.headers.value("Tenant")];
+      }
+    }
+    return counts;
+  }
 
  private:
   void answer(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
@@ -62,6 +77,10 @@
       exchange->respond(421, headers, {});
       return;
     }
+    {
+      const std::lock_guard lock(mutex_);
+      ran_.push_back(request);
+    }
     exchange->begin(kOk, headers);
     for (int event = 0; event < kEvents; ++event) {
       exchange->write("id: " + std::to_string(event) + "\ndata: " + request.body +
@@ -71,6 +90,75 @@
   }
 
   const std::string id_;
+  mutable std::mutex mutex_;
+  std::vector<http::RawRequest> ran_;
+  asio::io_context context_;
+  http::ExchangeServer server_;
+  std::thread thread_;
+};
+
+/// The platform's service for usage reports, in this process. It leaves every third call without
+/// an answer, after it has taken it.
+class StandInDutyPlatform {
+ public:
+  struct Report {
+    std::string holder;
+    std::uint64_t fence = 0;
+    std::uint64_t window = 0;
+    Json counts;
+  };
+
+  StandInDutyPlatform()
+      : server_(
+            context_, "127.0.0.1", 0, {},
+            [this](const http::RawRequest& request,
+                   const std::shared_ptr<http::Exchange>& exchange) { answer(request, exchange); }),
+        thread_([this] { context_.run(); }) {}
+  ~StandInDutyPlatform() {
+    context_.stop();
+    thread_.join();
+  }
+  StandInDutyPlatform(const StandInDutyPlatform&) = delete;
+  StandInDutyPlatform& operator=(const StandInDutyPlatform&) = delete;
+
+  [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+  [[nodiscard]] std::vector<Report> reports() const {
+    const std::lock_guard lock(mutex_);
+    return reports_;
+  }
+  /// The sum of all windows, by tenant.
+  [[nodiscard]] std::map<std::string, int> total() const {
+    std::map<std::uint64_t, Json> windows;
+    for (const Report& report : reports()) {
+      windows[report.window] = report.counts;
+    }
+    std::map<std::string, int> sum;
+    for (const auto& [window, counts] : windows) {
+      for (const auto& [tenant, count] : counts.items()) {
+        sum[tenant] += count.get<int>();
+      }
+    }
+    return sum;
+  }
+
+ private:
+  void answer(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
+    constexpr std::size_t kUnanswered = 3;
+    const Json body = Json::parse(request.body);
+    const std::lock_guard lock(mutex_);
+    reports_.push_back({request.headers.value("Duty-Holder"),
+                        std::stoull(request.headers.value("Fencing-Token")),
+                        body["windowNumber"].get<std::uint64_t>(), body["counts"]});
+    if (reports_.size() % kUnanswered == 0) {
+      unanswered_.push_back(exchange);
+      return;
+    }
+    exchange->respond(kOk, {}, {});
+  }
+
+  mutable std::mutex mutex_;
+  std::vector<Report> reports_;
+  std::vector<std::shared_ptr<http::Exchange>> unanswered_;
   asio::io_context context_;
   http::ExchangeServer server_;
   std::thread thread_;
@@ -85,8 +173,10 @@
 /// Three controllers, three ledgers, a gateway; every process has a loopback address of its own.
 class Cluster {
  public:
-  Cluster()
-      : folder_(std::filesystem::temp_directory_path() /
+  /// `dutyPlatform`: the port of a platform that wants usage reports; zero: there is none.
+  explicit Cluster(std::uint16_t dutyPlatform = 0)
+      : duty_platform_(dutyPlatform),
+        folder_(std::filesystem::temp_directory_path() /
                 ("tackpick-cluster-" + std::to_string(getpid()))),
         internal_port_(tackpick::test::reservePort()),
         http_port_(tackpick::test::reservePort()),
@@ -118,6 +208,10 @@
              << ":" << metrics_port_ << "\nbootstrap: " << (bootstrap ? "true" : "false")
              << "\nseeds: [127.0.1.1:" << http_port_ << ", 127.0.1.2:" << http_port_
              << ", 127.0.1.3:" << http_port_ << "]\n";
+    if (duty_platform_ != 0) {
+      settings << "duty_platform: 127.0.0.1:" << duty_platform_
+               << "\nusage_window_s: 1\nusage_delay_s: 4\n";
+    }
     if (machine.role == "gateway") {
       settings << "traffic: " << machine.address << ":" << http_port_
                << "\nreadiness: " << machine.address << ":" << readiness_port_ << "\n";
@@ -169,14 +263,22 @@
     return answer;
   }
   HttpAnswer gateway(const std::string& method, const std::string& path,
-                     const std::string& body = "", const std::string& id = "") {
+                     const std::string& body = "", const std::string& id = "",
+                     std::map<std::string, std::string> headers = {}) {
+    headers["Host"] = "batches.example";
+    headers["Request-Id"] = id;
     return call({method,
                  "http://127.0.3.1:" + std::to_string(http_port_) + path,
                  body,
                  {},
-                 {{"Host", "batches.example"}, {"Request-Id", id}},
+                 std::move(headers),
                  10});
   }
+  /// The same with a tenant's key.
+  HttpAnswer gatewayAs(const std::string& key, const std::string& method, const std::string& path,
+                       const std::string& body = "", const std::string& id = "") {
+    return gateway(method, path, body, id, {{"Authorization", "Token " + key}, {"Tenant", "x"}});
+  }
   [[nodiscard]] int readiness() const {
     return call({"GET",
                  "http://127.0.3.1:" + std::to_string(readiness_port_) + "/ready",
@@ -223,6 +325,7 @@
   }
 
  private:
+  const std::uint16_t duty_platform_;
   const std::filesystem::path folder_;
   const std::uint16_t internal_port_;
   const std::uint16_t http_port_;
@@ -255,6 +358,21 @@
             {"idleTimeoutMs", 15000}}}};
 }
 
+/// The same with a route for plain requests and the tenants' keys.
+Json tenantConfiguration(std::uint64_t version, const Json& tenants) {
+  Json made = configuration(version);
+  made["routes"].push_back({{"name", "queries"},
+                            {"host", "batches.example"},
+                            {"pathPrefix", "/q/"},
+                            {"kind", "safe"},
+                            {"timeoutMs", 5000},
+                            {"targetLatencyMs", 400},
+                            {"service", "engines"},
+                            {"attempts", 2}});
+  made["tenants"] = tenants;
+  return made;
+}
+
 std::string batch(int items) {
   Json list = Json::array();
   for (int i = 0; i < items; ++i) {
@@ -368,3 +486,93 @@
   waitUntil([&] { return cluster.logged(address, voter) > before; }, "it has its log again");
   cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
 }
+
+Test(cluster, tenants_see_their_own_and_lose_what_their_keys_lose) {
+  Cluster cluster;
+  const Json before = {{{"name", "a"}, {"apiKeys", {"key-a", "key-a2"}}},
+                       {{"name", "b"}, {"apiKeys", {"key-b"}}}};
+  const Json shared = {{{"name", "a"}, {"apiKeys", {"key-a"}}},
+                       {{"name", "b"}, {"apiKeys", {"key-a"}}}};
+  const Json after = {{{"name", "a"}, {"apiKeys", {"key-a2"}}},
+                      {{"name", "b"}, {"apiKeys", {"key-b"}}}};
+  cr_assert_eq(
+      cluster.control("POST", "/Configuration.Replace", tenantConfiguration(2, before)).status,
+      kOk);
+  const HttpAnswer refused =
+      cluster.control("POST", "/Configuration.Replace", tenantConfiguration(3, shared));
+  cr_assert_eq(refused.status, 400);
+  cr_assert_eq(refused.body.find("key-a"), std::string::npos);
+  waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
+  const StandInEngine engine("i-1");
+  cr_assert_eq(
+      cluster.control("POST", "/Instances.Heartbeat/" + engine.id(), engine.heartbeat(1)).status,
+      kOk);
+  waitUntil([&] { return cluster.gatewayAs("key-b", "GET", "/q/1", "", "r").status == kOk; },
+            "a request of b is served");
+  cr_assert_eq(cluster.gateway("GET", "/q/1").status, 401);
+  cr_assert_eq(cluster.gatewayAs("key-x", "GET", "/q/1").status, 401);
+  waitUntil(
+      [&] {
+        return cluster.gatewayAs("key-a", "POST", "/b/x", batch(6), "one").status == kAccepted;
+      },
+      "a batch of a is accepted");
+  cr_assert_eq(cluster.gatewayAs("key-b", "GET", "/lots/one").status, 404);
+  cr_assert_eq(cluster.gatewayAs("key-b", "GET", "/items/one?identifier=item0").status, 404);
+  cr_assert_eq(cluster.gatewayAs("key-b", "POST", "/b/x", batch(6), "one").status, 409);
+
+  // The key that submitted the batch goes; the batch stays its tenant's.
+  cr_assert_eq(
+      cluster.control("POST", "/Configuration.Replace", tenantConfiguration(4, after)).status, kOk);
+  waitUntil([&] { return cluster.gatewayAs("key-a", "GET", "/lots/one").status == 401; },
+            "the key that was taken away is refused");
+  waitUntil(
+      [&] {
+        const HttpAnswer answer = cluster.gatewayAs("key-a2", "GET", "/lots/one");
+        return answer.status == kOk && Json::parse(answer.body)["results"].size() == 6;
+      },
+      "the batch is whole for another key of its tenant");
+  const std::map<std::string, int> items = engine.tenants("/b/");
+  cr_assert(items.size() == 1 && items.contains("a"), "items run for their tenant only");
+  const std::map<std::string, int> requests = engine.tenants("/q/");
+  cr_assert(requests.size() == 1 && requests.contains("b"));
+}
+
+Test(cluster, usage_is_reported_once_and_unchanged_while_holders_die) {
+  const StandInDutyPlatform platform;
+  Cluster cluster(platform.port());
+  const Json tenants = {{{"name", "a"}, {"apiKeys", {"key-a"}}},
+                        {{"name", "b"}, {"apiKeys", {"key-b"}}}};
+  cr_assert_eq(
+      cluster.control("POST", "/Configuration.Replace", tenantConfiguration(2, tenants)).status,
+      kOk);
+  waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
+  const StandInEngine engine("i-1");
+  cr_assert_eq(
+      cluster.control("POST", "/Instances.Heartbeat/" + engine.id(), engine.heartbeat(1)).status,
+      kOk);
+  const auto ask = [&](const std::string& key, int times) {
+    for (int i = 0; i < times; ++i) {
+      (void)cluster.gatewayAs(key, "GET", "/q/1", "", key + std::to_string(i));
+    }
+  };
+  waitUntil([&] { return cluster.gatewayAs("key-b", "GET", "/q/1", "", "r").status == kOk; },
+            "a request is served");
+  ask("key-a", 30);
+  waitUntil([&] { return platform.reports().size() > 1; }, "usage is reported");
+  const std::string holder = cluster.leader("127.0.1.");
+  cluster.machine(holder).process->kill();
+  ask("key-b", 20);
+  ask("key-a", 5);
+  waitUntil([&] { return platform.total() == engine.tenants("/q/"); },
+            "reports add up to what ran");
+  std::map<std::uint64_t, Json> windows;
+  std::map<std::uint64_t, std::string> holders;
+  std::uint64_t highest = 0;
+  for (const StandInDutyPlatform::Report& report : platform.reports()) {
+    cr_assert(windows.try_emplace(report.window, report.counts).first->second == report.counts);
+    cr_assert_eq(holders.try_emplace(report.fence, report.holder).first->second, report.holder);
+    cr_assert_geq(report.fence, highest);
+    highest = std::max(highest, report.fence);
+  }
+  cr_assert_geq(holders.size(), 2U, "another took over");
+}
