--- a/src/consensus/raft_consensus.cpp
+++ b/src/consensus/raft_consensus.cpp
@@ -157,8 +157,12 @@
   check(log_.beginCompaction(std::move(snapshot)));
 }
 
-bool RaftConsensus::needsCompaction(LogIndex entries, std::size_t bytes) const {
-  if (log_.compacting()) {
+bool RaftConsensus::needsCompaction(LogIndex applied, LogIndex entries, std::size_t bytes) const {
+  // Entries that are not applied stay. After a start without a leader the whole log may be such:
+  // to encode the state at each turn, for nothing, took all the time that an election needs.
+  constexpr LogIndex kLeastPart = 2;
+  const LogIndex droppable = applied - log_.snapshot().lastIndex;
+  if (log_.compacting() || droppable * kLeastPart < logLength()) {
     return false;
   }
   const std::size_t most = std::max(bytes, log_.snapshotBytes() / 2);
--- a/src/consensus/raft_consensus.h
+++ b/src/consensus/raft_consensus.h
@@ -101,11 +101,11 @@
   [[nodiscard]] base::TimePoint leaderSince() const { return leader_since_; }
   /// True once an entry of the current term is committed, so that reads see all earlier commits.
   [[nodiscard]] bool hasCommittedInTerm() const;
-  /// True when the log should give way to a new snapshot: it has grown beyond `entries`, or beyond
-  /// `bytes` and half of the last snapshot.
   /// Bytes of the newest snapshot's state.
   [[nodiscard]] std::size_t snapshotBytes() const { return log_.snapshotBytes(); }
-  [[nodiscard]] bool needsCompaction(LogIndex entries, std::size_t bytes) const;
+  /// True when the log should give way to a new snapshot of what is applied: it has grown beyond
+  /// `entries`, or beyond `bytes` and half of the last snapshot, and most of it can go.
+  [[nodiscard]] bool needsCompaction(LogIndex applied, LogIndex entries, std::size_t bytes) const;
   /// Entries in the log that a snapshot does not cover.
   [[nodiscard]] LogIndex logLength() const { return log_.lastIndex() + 1 - log_.firstIndex(); }
 
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -90,7 +90,8 @@
 }
 
 void Replica::compactWhenDue(base::TimePoint now) {
-  if (!raft_.needsCompaction(settings_.compactionThreshold, settings_.compactionBytes)) {
+  if (!raft_.needsCompaction(applied_index_, settings_.compactionThreshold,
+                             settings_.compactionBytes)) {
     return;
   }
   // To encode a snapshot holds a replica up for longer than an election takes when its state is
@@ -98,7 +99,7 @@
   constexpr std::size_t kPatience = 2;
   const bool large = raft_.snapshotBytes() >= settings_.handOverBytes;
   const bool pressing = raft_.needsCompaction(
-      settings_.compactionThreshold * kPatience,
+      applied_index_, settings_.compactionThreshold * kPatience,
       std::max(settings_.compactionBytes, raft_.snapshotBytes() / 2) * kPatience);
   if (raft_.isLeader() && large && !pressing) {
     raft_.transferLeadership(now);
--- a/test/consensus/replica_test.cpp
+++ b/test/consensus/replica_test.cpp
@@ -23,12 +23,16 @@
     return "done " + command;
   }
   [[nodiscard]] base::Bytes query(const base::Bytes& query) const override { return query; }
-  [[nodiscard]] base::Bytes takeSnapshot() const override { return base::encode(commands); }
+  [[nodiscard]] base::Bytes takeSnapshot() const override {
+    ++snapshots;
+    return base::encode(commands);
+  }
   void loadSnapshot(const base::Bytes& snapshot) override {
     commands = base::decode<std::vector<base::Bytes>>(snapshot).value();
   }
 
   std::vector<base::Bytes> commands;
+  mutable int snapshots = 0;  ///< taken
 };
 
 /// One replica with its disk; messages are handed over by the test.
@@ -337,3 +341,28 @@
   cr_assert(third->machine.commands == leader->machine.commands);
   cr_assert_leq(largest, consensus::RaftSettings{}.snapshotPartBytes);
 }
+
+Test(replica, log_that_cannot_get_shorter_is_not_compacted) {
+  const std::set<base::NodeId> voters{base::makeNodeId(1, 0), base::makeNodeId(2, 0),
+                                      base::makeNodeId(3, 0)};
+  Server first(base::makeNodeId(1, 0), voters);
+  Server second(base::makeNodeId(2, 0), voters);
+  Server third(base::makeNodeId(3, 0), voters);
+  base::TimePoint now{};
+  run({&first, &second, &third}, now, base::seconds(3));
+  Server* leader = leaderAmong({&first, &second, &third});
+  cr_assert_not_null(leader);
+  // Without the others nothing of this is ever committed, as after a start without a leader.
+  const consensus::LogIndex entries = 2 * consensus::ReplicaSettings{}.compactionThreshold;
+  for (consensus::LogIndex i = 0; i < entries; ++i) {
+    cr_assert(leader->replica->propose("x", now, [](const base::Bytes*, auto) {}));
+  }
+  run({leader}, now, base::seconds(1));
+  cr_assert_eq(leader->machine.snapshots, 0);
+  // Once they answer, it is: by each replica, and not for every few entries.
+  run({&first, &second, &third}, now, base::seconds(5));
+  for (const Server* server : {&first, &second, &third}) {
+    cr_assert_geq(server->machine.snapshots, 1);
+    cr_assert_leq(server->machine.snapshots, 3);
+  }
+}
