A held read waits for the wanted groups when they are near

Change: within the wait that its caller asked for, a read goes on waiting when the wanted groups, those that come again included, are expected to be whole by its end: by what the last five jobs of the model took, until one did by the time when results are due. What is due is told 0.3 s after that at the latest.

--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -66,15 +66,19 @@
   roster_.clear();
   roster_.setPlaces(placement_.placesByZone());
   first_seen_.clear();
+  come_again_.clear();
   seen_items_.clear();
   leasing_from_ = now + grace;
 }
 
-void ItemLeases::addJob(const std::string& id, const Job& job, base::TimePoint now) {
-  if (!first_seen_.try_emplace(id, now).second || job.settled()) {
-    return;
+bool ItemLeases::addJob(const std::string& id, const Job& job, base::TimePoint now) {
+  if (!first_seen_.try_emplace(id, now).second) {
+    return false;
+  }
+  if (job.settled()) {
+    return true;
   }
-  std::set<std::string> comesAgain;
+  std::set<std::string>& comesAgain = come_again_[id];
   for (const Item& item : job.submission.items) {
     if (!seen_items_.insert(item.id).second) {
       comesAgain.insert(item.group);
@@ -87,6 +91,12 @@
     }
   }
   plan_outdated_ = true;
+  return true;
+}
+
+std::set<std::string> ItemLeases::groupsThatComeAgain(const std::string& job) const {
+  const auto found = come_again_.find(job);
+  return found == come_again_.end() ? std::set<std::string>{} : found->second;
 }
 
 bool ItemLeases::isOpen(const JobState& state, const ItemKey& key) {
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -47,8 +47,10 @@
   /// Forgets everything; call when this ledger becomes leader in `term`. Every open item can be
   /// leased again after `grace`, in which gateways tell what they hold.
   void reset(std::uint64_t term, base::TimePoint now, base::Duration grace);
-  /// Takes up the items of a job that is new to the leader.
-  void addJob(const std::string& id, const Job& job, base::TimePoint now);
+  /// Takes up the items of a job that is new to the leader; false when it was not.
+  bool addJob(const std::string& id, const Job& job, base::TimePoint now);
+  /// Groups of a job that an earlier one left unfinished.
+  [[nodiscard]] std::set<std::string> groupsThatComeAgain(const std::string& job) const;
   /// Ends leases of jobs that are settled or gone, and returns expired ones to the queue.
   void refresh(const JobState& state, base::TimePoint now);
   /// Renews what `gateway` holds. Returns the items it holds that need not run any more.
@@ -83,7 +85,10 @@
   [[nodiscard]] const std::map<std::string, base::TimePoint>& knownJobs() const {
     return first_seen_;
   }
-  void forgetJob(const std::string& job) { first_seen_.erase(job); }
+  void forgetJob(const std::string& job) {
+    first_seen_.erase(job);
+    come_again_.erase(job);
+  }
 
  private:
   struct Lease {
@@ -126,7 +131,8 @@
   std::map<base::NodeId, std::set<ItemKey>> leases_by_gateway_;
   std::map<std::string, std::uint32_t> items_by_engine_;
   std::map<std::string, base::TimePoint> first_seen_;
-  std::set<std::string> seen_items_;  ///< ids, to know those that come again
+  std::set<std::string> seen_items_;                         ///< ids, to know those that come again
+  std::map<std::string, std::set<std::string>> come_again_;  ///< groups, by job
 };
 
 }  // namespace tackpick::jobs
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -60,13 +60,14 @@
   std::uint32_t wantedGroups = 0;    ///< whole groups that the caller waits for; zero: all
   std::uint32_t attempts = 1;        ///< answers of failure after which an item may be given up
   base::Duration queueTimeout{0};    ///< an item may be given up so long after the submission
+  base::Duration resultDeadline{0};  ///< results are due so long after the submission; zero: none
   bool singleVersion = false;
   std::vector<Item> items;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, tenant, host, model, minimumVersion, wantedGroups, attempts, queueTimeout,
-            singleVersion, items);
+            resultDeadline, singleVersion, items);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -29,7 +29,8 @@
       self_(self),
       replica_(self, group, settings.replica, log, state_, random, now),
       service_(self, replica_),
-      leases_(settings.leaseTime, settings.planInterval) {}
+      leases_(settings.leaseTime, settings.planInterval),
+      gathering_(settings.gathering) {}
 
 void JobRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
                      base::TimePoint now) {
@@ -62,7 +63,7 @@
 }
 
 void JobRole::onRequest(const Caller& caller, const ReadJob& request, base::TimePoint now) {
-  reads_.push_back({caller, request, now + request.hold});
+  reads_.push_back({caller, request, now, now + request.hold});
 }
 
 void JobRole::onRequest(const Caller& caller, const ReadItem& request, base::TimePoint /*now*/) {
@@ -198,6 +199,7 @@
   }
   for (const std::string& id : forget.ids) {
     leases_.forgetJob(id);
+    gathering_.forgetJob(id);
   }
   if (!forget.ids.empty()) {
     service_.propose(encodeCommand(JobCommand{forget}), now);
@@ -220,9 +222,13 @@
   if (seen_jobs_ == state_.jobChanges() || !replica_.canRead(now)) {
     return;
   }
+  // When a job was submitted under another leader is not known.
+  const bool submittedHere = seen_jobs_.has_value();
   seen_jobs_ = state_.jobChanges();
   for (const auto& [id, job] : state_.jobs()) {
-    leases_.addJob(id, job, now);
+    if (leases_.addJob(id, job, now) && submittedHere) {
+      gathering_.addJob(id, job, leases_.groupsThatComeAgain(id));
+    }
   }
 }
 
@@ -231,6 +237,7 @@
   if (raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm())) {
     leader_since_ = now;
     leases_.reset(raft.currentTerm(), now, settings_.leaseGrace);
+    gathering_.reset();
     seen_jobs_.reset();
   }
   was_leader_ = raft.isLeader();
@@ -239,6 +246,8 @@
 
 void JobRole::answerReads(base::TimePoint now) {
   const bool readable = replica_.canRead(now);
+  gathering_.observe(state_,
+                     [&](const std::string& id) { return now - leases_.firstSeen(id, now); });
   for (PendingRead& pending : std::exchange(reads_, {})) {
     const Job* job = state_.findFor(pending.read.tenant, pending.read.id);
     if (!readable) {
@@ -251,7 +260,7 @@
       replyWith(pending.caller, reply);
       continue;
     }
-    if (pending.read.after >= job->results.size() && !job->settled() && now < pending.until) {
+    if (waits(pending, *job, now)) {
       reads_.push_back(std::move(pending));
       continue;
     }
@@ -259,6 +268,18 @@
   }
 }
 
+bool JobRole::waits(const PendingRead& pending, const Job& job, base::TimePoint now) {
+  if (job.settled() || now >= pending.until) {
+    return false;
+  }
+  if (pending.read.after >= job.results.size()) {
+    return true;
+  }
+  const base::TimePoint submittedAt = leases_.firstSeen(pending.read.id, now);
+  return gathering_.holds(pending.read.id, job, now - submittedAt, pending.askedAt - submittedAt,
+                          pending.until - now);
+}
+
 void JobRole::answerRead(const PendingRead& pending, const Job& job) {
   const std::uint64_t begin = std::min<std::uint64_t>(pending.read.after, job.results.size());
   std::uint64_t end = begin;
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -10,6 +10,7 @@
 #include "consensus/replica.h"
 #include "jobs/item_leases.h"
 #include "jobs/job_state.h"
+#include "jobs/read_gathering.h"
 
 namespace tackpick::jobs {
 
@@ -30,6 +31,7 @@
   base::Duration planInterval = base::milliseconds(5);
   /// Results in one answer.
   std::size_t answerBytes = 900U << 10U;
+  ReadGatheringSettings gathering;
   /// More than this is left to the replica that the reader names as near.
   std::size_t directBytes = 4U << 10U;
 };
@@ -63,6 +65,7 @@
   struct PendingRead {
     Caller caller;
     ReadJob read;
+    base::TimePoint askedAt{};
     base::TimePoint until{};
   };
 
@@ -84,6 +87,8 @@
   void takeUpJobs(base::TimePoint now);
   void answerReads(base::TimePoint now);
   void answerRead(const PendingRead& pending, const Job& job);
+  /// The read goes on waiting.
+  [[nodiscard]] bool waits(const PendingRead& pending, const Job& job, base::TimePoint now);
   void expireJobs(base::TimePoint now);
 
   const JobRoleSettings settings_;
@@ -92,6 +97,7 @@
   consensus::Replica replica_;
   cluster::GroupService service_;
   ItemLeases leases_;
+  ReadGathering gathering_;
   std::vector<cluster::GroupNode> nodes_;
   bool was_leader_ = false;
   consensus::Term observed_term_ = 0;
