--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -196,12 +196,15 @@
          versionOf(engines, instance, given->second.model) < given->second.version;
 }
 
-double VersionOrders::ModelQueue::usableShare() const {
-  return static_cast<double>(usable) / static_cast<double>(engines);
-}
-
-double VersionOrders::ModelQueue::newestShare() const {
-  return static_cast<double>(newest) / static_cast<double>(engines);
+std::map<std::string, VersionOrders::ModelLoad> VersionOrders::loadByModel(
+    const std::map<std::string, ReportedEngine>& engines, base::TimePoint now) const {
+  std::map<std::string, ModelLoad> loads;
+  for (const auto& [instance, model] : homes_) {
+    ModelLoad& load = loads[model];
+    ++load.engines;
+    load.loading += isLoading(instance, engines, now) ? 1 : 0;
+  }
+  return loads;
 }
 
 void VersionOrders::notePublished(const DirectoryState& state, base::TimePoint now) {
@@ -231,67 +234,25 @@
          versionOf(engines, record.id, given->second.model) >= given->second.version;
 }
 
-std::vector<VersionOrders::ModelQueue> VersionOrders::queuesByModel(
-    const DirectoryState& state, const std::map<std::string, ReportedEngine>& engines,
-    base::TimePoint now) const {
-  std::map<std::string, ModelQueue> queues;
-  for (const auto& [id, model] : homes_) {
-    const auto published = published_.find(model);
-    const auto record = state.instances().find(id);
-    if (published == published_.end() || record == state.instances().end()) {
-      continue;
-    }
-    const std::uint64_t version = published->second.version;
-    const std::uint64_t held = versionOf(engines, id, model);
-    const bool loading = isLoading(id, engines, now);
-    ModelQueue& queue = queues[model];
-    queue.model = model;
-    queue.published = version;
-    queue.seenAt = published->second.seenAt;
-    ++queue.engines;
-    queue.loading += loading ? 1 : 0;
-    queue.usable += loading || held + 1 >= version ? 1 : 0;
-    queue.newest += loading || held >= version ? 1 : 0;
-    if (held < version && isDue(model, held, version, now) &&
-        mayOrder(record->second, engines, now) &&
-        findService(state.configuration(), record->second.service) != nullptr) {
-      queue.due.push_back(&record->second);
-    }
-  }
-  std::vector<ModelQueue> made;
-  for (auto& [model, queue] : queues) {
-    std::stable_sort(queue.due.begin(), queue.due.end(),
-                     [&, &name = model](const InstanceRecord* left, const InstanceRecord* right) {
-                       return versionOf(engines, left->id, name) <
-                              versionOf(engines, right->id, name);
-                     });
-    made.push_back(std::move(queue));
+std::vector<const InstanceRecord*> VersionOrders::oldestVersionFirst(
+    const DirectoryState& state, const std::map<std::string, ReportedEngine>& engines) const {
+  std::vector<const InstanceRecord*> records;
+  for (const auto& [id, record] : state.instances()) {
+    records.push_back(&record);
   }
-  return made;
-}
-
-// A model that has fewer engines for its newest work than others goes first, whenever its version
-// was published. With three models and a store that serves 40 loads in the 4 s between versions,
-// where 45 are wanted, taking versions in the order of their publication left one model with 5 of
-// 18 engines while 120 items waited for 2.4 s (read from logs of a calm day).
-VersionOrders::ModelQueue* VersionOrders::neediest(std::vector<ModelQueue>& queues) const {
-  constexpr std::size_t kWholePercent = 100;
-  ModelQueue* best = nullptr;
-  for (ModelQueue& queue : queues) {
-    const std::size_t most =
-        (queue.engines * static_cast<std::size_t>(settings_.loadingPercent) + kWholePercent - 1) /
-        kWholePercent;
-    if (!queue.hasDue() || queue.loading >= most) {
-      continue;
+  const auto rank = [&](const InstanceRecord* record) {
+    const auto home = homes_.find(record->id);
+    const auto published = home == homes_.end() ? published_.end() : published_.find(home->second);
+    if (published == published_.end()) {
+      return std::tuple(base::TimePoint{}, std::uint64_t{0});
     }
-    const auto rank = [](const ModelQueue& one) {
-      return std::tuple(one.usableShare(), one.newestShare(), one.seenAt);
-    };
-    if (best == nullptr || rank(queue) < rank(*best)) {
-      best = &queue;
-    }
-  }
-  return best;
+    return std::tuple(published->second.seenAt, versionOf(engines, record->id, home->second));
+  };
+  std::stable_sort(records.begin(), records.end(),
+                   [&](const InstanceRecord* left, const InstanceRecord* right) {
+                     return rank(left) < rank(right);
+                   });
+  return records;
 }
 
 std::vector<std::string> VersionOrders::dueReports(
@@ -324,30 +285,47 @@
   }
   notePublished(state, now);
   assignHomes(state, engines, demand, now);
-  std::vector<ModelQueue> queues = queuesByModel(state, engines, now);
+  std::map<std::string, ModelLoad> loads = loadByModel(engines, now);
   std::size_t running = 0;
-  for (const ModelQueue& queue : queues) {
-    running += queue.loading;
+  for (const auto& [model, load] : loads) {
+    running += load.loading;
   }
-  for (; running < mostLoads(); ++running) {
-    ModelQueue* queue = neediest(queues);
-    if (queue == nullptr) {
-      break;
+  for (const InstanceRecord* candidate : oldestVersionFirst(state, engines)) {
+    const InstanceRecord& record = *candidate;
+    const std::string& id = record.id;
+    const auto home = homes_.find(id);
+    if (running >= mostLoads() || home == homes_.end()) {
+      continue;
+    }
+    const auto published = state.versions().find(home->second);
+    const std::uint64_t held = versionOf(engines, id, home->second);
+    if (published == state.versions().end() || held >= published->second ||
+        !isDue(home->second, held, published->second, now) || !mayOrder(record, engines, now)) {
+      continue;
+    }
+    constexpr std::size_t kWholePercent = 100;
+    ModelLoad& load = loads[home->second];
+    const std::size_t most =
+        (load.engines * static_cast<std::size_t>(settings_.loadingPercent) + kWholePercent - 1) /
+        kWholePercent;
+    if (load.loading >= most) {
+      continue;
+    }
+    if (findService(state.configuration(), record.service) == nullptr) {
+      continue;
     }
-    const InstanceRecord& record = *queue->due[queue->next++];
-    queue->usable += versionOf(engines, record.id, queue->model) + 1 < queue->published ? 1 : 0;
-    ++queue->newest;
-    ++queue->loading;
-    VersionOrder order{record.id,
+    VersionOrder order{id,
                        record.host,
                        record.port,
-                       queue->model,
-                       queue->published,
+                       home->second,
+                       published->second,
                        term,
                        wantsSingleVersion(state.configuration(), record.service)};
-    given_[record.id] = {order.model, order.version, now + settings_.orderTimeout,
-                         now + settings_.orderTimeout, now + settings_.firstReport};
+    given_[id] = {order.model, order.version, now + settings_.orderTimeout,
+                  now + settings_.orderTimeout, now + settings_.firstReport};
     orders.push_back(std::move(order));
+    ++running;
+    ++load.loading;
   }
   return orders;
 }
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -35,7 +35,7 @@
   /// An engine that was given an order is asked for its versions from this time on, so that the
   /// next can be ordered as soon as it has loaded.
   base::Duration firstReport = base::milliseconds(850);
-  base::Duration reportInterval = base::milliseconds(60);
+  base::Duration reportInterval = base::milliseconds(150);
   /// An order without an answer no longer counts as a load after this time.
   base::Duration uncertainLoad = base::milliseconds(1500);
   /// With less recent work than this (events of streams) demand is taken as unknown: engines keep
@@ -107,25 +107,16 @@
     base::TimePoint reportAt{};      ///< when to ask for its versions next
   };
 
-  /// The engines that follow one model, and those of them to be ordered, the oldest weights first.
-  struct ModelQueue {
-    std::string model;
-    std::uint64_t published = 0;
-    base::TimePoint seenAt{};  ///< when that was published
+  /// The engines that follow one model.
+  struct ModelLoad {
     std::size_t engines = 0;
     std::size_t loading = 0;
-    std::size_t usable = 0;  ///< hold the version before the newest at least, or load it
-    std::size_t newest = 0;  ///< hold the newest, or load it
-    std::vector<const InstanceRecord*> due;
-    std::size_t next = 0;  ///< in `due`
-
-    [[nodiscard]] double usableShare() const;
-    [[nodiscard]] double newestShare() const;
-    [[nodiscard]] bool hasDue() const { return next < due.size(); }
   };
 
   [[nodiscard]] std::size_t mostLoads() const;
   void notePublished(const DirectoryState& state, base::TimePoint now);
+  [[nodiscard]] std::map<std::string, ModelLoad> loadByModel(
+      const std::map<std::string, ReportedEngine>& engines, base::TimePoint now) const;
   [[nodiscard]] bool isDue(const std::string& model, std::uint64_t held, std::uint64_t published,
                            base::TimePoint now) const;
   void assignHomes(const DirectoryState& state,
@@ -137,11 +128,10 @@
   void moveOneHome(const Service& service, const DirectoryState& state,
                    const std::map<std::string, std::size_t>& counts,
                    const std::map<std::string, std::size_t>& shares, base::TimePoint now);
-  [[nodiscard]] std::vector<ModelQueue> queuesByModel(
-      const DirectoryState& state, const std::map<std::string, ReportedEngine>& engines,
-      base::TimePoint now) const;
-  /// The queue whose next engine should load first; null when none may.
-  [[nodiscard]] ModelQueue* neediest(std::vector<ModelQueue>& queues) const;
+  /// All instances, those first whose model's version was published first; of one model, those
+  /// first that hold the oldest: new work may need more than they hold.
+  [[nodiscard]] std::vector<const InstanceRecord*> oldestVersionFirst(
+      const DirectoryState& state, const std::map<std::string, ReportedEngine>& engines) const;
   [[nodiscard]] bool mayOrder(const InstanceRecord& record,
                               const std::map<std::string, ReportedEngine>& engines,
                               base::TimePoint now) const;
