Weights of an engine are written to the log once at a time

The leader proposed what an engine reports anew at each look while the entry was on its way; a log that is slow got slower.

Change: one proposal for an instance at a time. The test failed first (10 entries instead of 1).

--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -486,8 +486,21 @@
   for (const auto& [id, report] : reports_) {
     const auto held = state_.heldVersions().find(id);
     const bool written = held != state_.heldVersions().end() && held->second == report.versions;
-    if (!written && !report.versions.empty() && state_.instances().contains(id)) {
-      proposeQuietly(RecordVersions{id, report.versions}, now);
+    if (written || report.versions.empty() || !state_.instances().contains(id)) {
+      continue;
+    }
+    // Once at a time: with 3,000 instances a log that takes a second to commit would otherwise get
+    // each of them several times, and take longer still.
+    if (!recording_versions_.insert(id).second) {
+      continue;
+    }
+    const bool proposed =
+        replica_.propose(base::encode(DirectoryCommand{RecordVersions{id, report.versions}}), now,
+                         [this, recorded = id](const base::Bytes* /*result*/, consensus::LogIndex) {
+                           recording_versions_.erase(recorded);
+                         });
+    if (!proposed) {
+      recording_versions_.erase(id);
     }
   }
 }
@@ -532,6 +545,7 @@
     nodes_.clear();
     ledger_voters_.clear();
     clock_.reset();
+    recording_versions_.clear();
     views_.reset(raft.currentTerm() << kTermShift);
     views_at_ = {};
   }
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -144,6 +144,7 @@
   base::TimePoint leader_since_{};
   std::map<std::string, ReportedEngine> reports_;
   std::map<std::string, std::uint64_t> beat_sequences_;
+  std::set<std::string> recording_versions_;  ///< instances whose weights are on their way
   std::map<base::NodeId, HeardNode> nodes_;
   std::set<base::NodeId> ledger_voters_;  ///< as the ledgers' leader last reported them
   VersionOrders orders_;
--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -220,3 +220,20 @@
   cr_assert_lt(view.instances[0].silence.count(), base::Duration(base::seconds(1)).count());
   cr_assert_eq(view.instances[0].versions.at("m"), 1U);
 }
+
+Test(directory_role, weights_are_written_once_while_the_log_is_slow) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  controller.ask(engineBeat(1, 5));
+  controller.run(base::seconds(1));
+  controller.ask(engineBeat(2, 6));
+  const auto before = controller.log->lastIndex();
+  // Nothing is committed while no turn ends.
+  for (int ticks = 0; ticks < 10; ++ticks) {
+    controller.now += base::milliseconds(60);
+    controller.role->tick(controller.now);
+  }
+  cr_assert_eq(controller.log->lastIndex() - before, 1U);
+  controller.run(base::milliseconds(200));
+  cr_assert_eq(controller.role->state().heldVersions().at("e0").at("m"), 6U);
+}
