--- a/bench/plots.sh
+++ b/bench/plots.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures the slopes of docs/CAPACITY.md again and draws docs/plots/*.svg from them.
+# Measures the slopes of a simulated fleet and draws docs/plots/*.svg from them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 data=$(mktemp -d)
