Gateways keep to few of many plain servers

Change: of a service with more than 24 instances a gateway takes the cheapest of three favourites of its zone (by a hash of both names) while they are at most half full; else it draws as before.

--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "base/random.h"
 #include "jobs/engine_cost.h"
 
 namespace tackpick::forwarding {
@@ -76,7 +77,9 @@
 void InstanceTable::takeIn(const directory::InstanceView& instance) {
   const auto [known, added] = entries_.try_emplace(instance.record.id);
   InstanceEntry& entry = known->second;
-  if (!added) {
+  if (added) {
+    entry.favour = base::hashBytes(settings_.gateway + "/" + instance.record.id);
+  } else {
     withdrawPlaces(entry);
     m_byService[entry.record.service].erase(instance.record.id);
   }
@@ -233,6 +236,29 @@
   return drawCheaper(idle, kDraws, need, random, now);
 }
 
+const InstanceEntry* InstanceTable::selectFavourite(std::vector<const InstanceEntry*> candidates,
+                                                    const InstanceNeed& need,
+                                                    base::TimePoint now) const {
+  if (!need.model.empty() || candidates.size() <= settings_.fewInstances) {
+    return nullptr;
+  }
+  const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(settings_.favourites);
+  const auto rank = [&](const InstanceEntry* entry) {
+    return std::pair(entry->record.zone != settings_.zone, entry->favour);
+  };
+  std::partial_sort(candidates.begin(), last, candidates.end(),
+                    [&](const InstanceEntry* left, const InstanceEntry* right) {
+                      return rank(left) < rank(right);
+                    });
+  const InstanceEntry* best = *std::min_element(
+      candidates.begin(), last, [&](const InstanceEntry* left, const InstanceEntry* right) {
+        return cost(*left, need, now) < cost(*right, need, now);
+      });
+  constexpr double kHalf = 0.5;
+  const bool busy = busyness(*best, now) + 1 > kHalf * best->record.slots;
+  return busy ? nullptr : best;
+}
+
 const InstanceEntry* InstanceTable::select(const InstanceNeed& need,
                                            const std::set<std::string>& tried, base::Random& random,
                                            base::TimePoint now) const {
@@ -255,6 +281,9 @@
     }
     ranked.at(rank).push_back(entry);
   }
+  if (const InstanceEntry* favourite = selectFavourite(ranked[kSound], need, now)) {
+    return favourite;
+  }
   for (const auto& candidates : ranked) {
     if (!candidates.empty()) {
       return drawCheaper(candidates, need.longRunning ? kDrawsWhenLong : kDraws, need, random, now);
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -20,7 +20,8 @@
 
 /// Knobs of InstanceTable.
 struct InstanceTableSettings {
-  std::string zone;  ///< this gateway's
+  std::string zone;     ///< this gateway's
+  std::string gateway = {};  ///< its name: instances are favoured by it
   /// An instance that failed is avoided for this long, doubled with each further failure.
   base::Duration ejectionTime = base::milliseconds(400);
   base::Duration longestEjection = base::seconds(4);
@@ -28,6 +29,11 @@
   base::Duration fullTime = base::milliseconds(60);
   /// After a refusal although it has room: it changes its weights.
   base::Duration loadingTime = base::milliseconds(200);
+  /// Of a service with more instances than `fewInstances` a gateway uses its `favourites` while
+  /// they are at most half full: 800 gateways that draw among 375 servers open a connection for
+  /// nearly every request, and to keep one open costs each server 800.
+  std::size_t fewInstances = 24;
+  std::size_t favourites = 3;
 };
 
 /// How one send to an instance ended.
@@ -73,6 +79,7 @@
   double latencyMs = 0;  ///< moving average of served requests; zero: none yet
   std::uint32_t failures = 0;
   base::TimePoint avoidUntil{};
+  std::uint64_t favour = 0;  ///< of those in its zone, this gateway favours the lowest
   bool gone = false;
   bool loading = false;  ///< it changes weights and refuses new requests
   bool reserve = false;  ///< items go elsewhere while there is room
@@ -154,6 +161,11 @@
   /// Places by version of one model.
   using VersionPlaces = std::map<std::uint64_t, std::uint32_t>;
 
+  /// The cheapest of this gateway's favourites; nothing when they are busy, or there are so few
+  /// candidates that any may be drawn.
+  [[nodiscard]] const InstanceEntry* selectFavourite(std::vector<const InstanceEntry*> candidates,
+                                                     const InstanceNeed& need,
+                                                     base::TimePoint now) const;
   void takeIn(const directory::InstanceView& instance);
   /// Answers under way may still arrive for what is gone; it only gets nothing new.
   void remove(const std::string& id);
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -25,6 +25,7 @@
 forwarding::InstanceTableSettings instanceSettings(const Node& node) {
   forwarding::InstanceTableSettings settings;
   settings.zone = node.settings().zone;
+  settings.gateway = node.settings().name;
   return settings;
 }
 
--- a/test/forwarding/forwarding_test.cpp
+++ b/test/forwarding/forwarding_test.cpp
@@ -1,6 +1,7 @@
 /// Choice of instances, and what follows a send.
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <ctime>
 
 #include "forwarding/attempt_policy.h"
@@ -41,7 +42,7 @@
 
   base::TimePoint now{};
   base::SeededRandom random{1};
-  forwarding::InstanceTable table{{"z"}};
+  forwarding::InstanceTable table{{"z", "gateway"}};
 };
 
 const forwarding::InstanceNeed kNeed{"s", "", 0};
@@ -118,6 +119,79 @@
   cr_assert_not(room.take("m", 5), "items are leased for those in use");
 }
 
+namespace {
+
+constexpr int kServers = 300;
+
+std::vector<directory::InstanceView> largeService() {
+  std::vector<directory::InstanceView> views;
+  for (int i = 0; i < kServers; ++i) {
+    views.push_back(view("server" + std::to_string(i)));
+    views.back().record.zone = i % 3 == 0 ? "z" : "away";
+  }
+  return views;
+}
+
+}  // namespace
+
+// Load: each of 200 gateways gets 20 requests one after the other. Before, they used 3,880 pairs of
+// gateway and server, so nearly each request opened a connection; now 600.
+Test(instance_table, gateways_with_little_traffic_keep_to_few_of_many_servers) {
+  constexpr int kGateways = 200;
+  constexpr int kRequests = 20;
+  const base::TimePoint now{base::seconds(100)};
+  base::SeededRandom random{1};
+  std::size_t pairs = 0;
+  std::map<std::string, int> gatewaysAt;
+  for (int gateway = 0; gateway < kGateways; ++gateway) {
+    forwarding::InstanceTable table{{"z", "gateway" + std::to_string(gateway)}};
+    table.update(largeService());
+    std::set<std::string> used;
+    for (int request = 0; request < kRequests; ++request) {
+      const auto* entry = table.select(kNeed, {}, random, now);
+      cr_assert_eq(entry->record.zone, "z");
+      const std::string id = entry->record.id;
+      table.onSent(id);
+      table.onEnded(id, SendOutcome::kServed, base::milliseconds(25), now);
+      used.insert(id);
+    }
+    pairs += used.size();
+    for (const std::string& id : used) {
+      ++gatewaysAt[id];
+    }
+  }
+  cr_assert_leq(pairs, 3U * kGateways);
+  const auto most = std::max_element(
+      gatewaysAt.begin(), gatewaysAt.end(),
+      [](const auto& left, const auto& right) { return left.second < right.second; });
+  cr_assert_lt(most->second, 20, "600 pairs over 100 servers of the zone");
+}
+
+Test(instance_table, favourites_give_way_when_they_fail_are_slow_or_busy) {
+  forwarding::InstanceTable table{{"z", "gateway"}};
+  table.update(largeService());
+  base::TimePoint now{base::seconds(100)};
+  base::SeededRandom random{1};
+  const std::string first = table.select(kNeed, {}, random, now)->record.id;
+  table.onSent(first);
+  table.onEnded(first, SendOutcome::kFailed, {}, now);
+  const std::string second = table.select(kNeed, {}, random, now)->record.id;
+  cr_assert_neq(second, first);
+  table.onSent(second);
+  table.onEnded(second, SendOutcome::kServed, base::milliseconds(400), now);
+  const std::string third = table.select(kNeed, {}, random, now)->record.id;
+  cr_assert_neq(third, second);
+  cr_assert_neq(third, first);
+  // Many requests at once spread over all servers.
+  std::set<std::string> used;
+  for (int request = 0; request < 100; ++request) {
+    const std::string id = table.select(kNeed, {}, random, now)->record.id;
+    table.onSent(id);
+    used.insert(id);
+  }
+  cr_assert_gt(used.size(), 50U);
+}
+
 Test(instance_table, places_follow_versions_that_answers_tell) {
   const forwarding::ServiceModels models{{"s", {"m"}}};
   Fixture fixture({view("a"), view("b")});
