--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -20,7 +20,7 @@
 
 /// Knobs of InstanceTable.
 struct InstanceTableSettings {
-  std::string zone;     ///< this gateway's
+  std::string zone;          ///< this gateway's
   std::string gateway = {};  ///< its name: instances are favoured by it
   /// An instance that failed is avoided for this long, doubled with each further failure.
   base::Duration ejectionTime = base::milliseconds(400);
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -187,12 +187,14 @@
 
 void GatewayFront::reportFigures(telemetry::Metrics& metrics) const {
   std::map<std::string, double> states = {
-      {"ready", 0}, {"leaving", 0}, {"loading", 0}, {"avoided", 0}};
+      {"ready", 0}, {"leaving", 0}, {"loading", 0}, {"avoided", 0}, {"reserve", 0}};
   for (const auto& [id, entry] : instances_.entries()) {
     if (entry.record.leaving || entry.gone) {
       ++states["leaving"];
     } else if (entry.loading) {
       ++states["loading"];
+    } else if (entry.reserve) {
+      ++states["reserve"];
     } else {
       ++states[node_.now() < entry.avoidUntil ? "avoided" : "ready"];
     }
