Comments name the figures that were measured

Loops over the modules before and after, 10,000 engines of six models, one run each: orders 42 -> 0.9 ms, comparing views 26 -> 5.3 ms, a node taking one change 20 -> 0.004 ms, its room for leases 6.3 -> 0.004 ms, a plan for six models 4.9 -> 0.28 ms.

--- a/src/base/sorted_cursor.h
+++ b/src/base/sorted_cursor.h
@@ -6,9 +6,8 @@
 
 namespace tackpick::base {
 
-/// Finds keys that are asked for in rising order by stepping through a map instead of searching it.
-/// A walk over 10,000 instances that joins three such maps takes under a millisecond with it; with
-/// a search for each key it took four.
+/// Finds keys that are asked for in rising order by stepping through a map instead of searching it:
+/// where all instances are walked, the maps that belong to them are joined on the way.
 template <class Key, class Value>
 class SortedCursor {
  public:
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -14,12 +14,12 @@
 
 /// Orders, repair and the like are looked at this often.
 constexpr base::Duration kSlowWorkInterval = base::milliseconds(50);
-/// ... and where there are many instances less often: it walks all of them, which takes about a
-/// microsecond for each, of which this leaves a twentieth.
+/// ... and where there are many instances less often: it walks all of them several times, which
+/// takes under half a microsecond for each, of which this leaves a fortieth.
 constexpr base::Duration kSlowWorkPerInstance = base::microseconds(20);
 /// Views and watches are looked at this often, and where there are many instances less often: to
-/// compare one with what was told takes a quarter of a microsecond, of which this leaves a
-/// fortieth.
+/// compare one with what was told takes half a microsecond, of which this leaves a
+/// twentieth.
 constexpr base::Duration kViewInterval = base::milliseconds(5);
 constexpr base::Duration kViewIntervalPerInstance = base::microseconds(10);
 /// Instances whose weights go into one entry of the log: about 150 KB with six models each.
--- a/src/directory/view_history.h
+++ b/src/directory/view_history.h
@@ -26,8 +26,8 @@
 };
 
 /// The leading controller's. Deterministic. Heartbeats alone change nothing. A comparison costs a
-/// step for each instance and a copy for each changed one (10,000 instances of six models: 1.5 ms;
-/// it was 40 ms when each was copied), an answer costs what it tells.
+/// step for each instance and a copy for each changed one (10,000 instances of six models: 5 ms;
+/// 26 ms when each was copied), an answer costs what it tells.
 class ViewHistory {
  public:
   /// Call when this controller becomes leader: its revisions are above `revision`, and no node
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -182,7 +182,7 @@
   std::map<std::string, InstanceEntry> entries_;
   std::map<std::string, std::map<std::string, InstanceEntry*>> m_byService;
   /// By service and model, of those that get new work. Leases are asked for several times a second
-  /// with what these say: to count 10,000 engines each time took 20 ms of a core.
+  /// with what these say: to count 10,000 engines each time took 6 ms of a core.
   std::map<std::string, std::map<std::string, VersionPlaces>> m_places;
   std::set<std::string> m_paced;     ///< ids of those whose pace is known
   std::set<std::string> m_departed;  ///< ids of those that the controllers took out
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -145,7 +145,7 @@
   cr_assert_not(loaded.hasLeft("next"));
 }
 
-// Before addresses were indexed 20,000 registrations took over 20 s of a core, now 0.05 s.
+// Before addresses were indexed 10,000 registrations took 11.8 s of a core, now 0.08 s.
 Test(directory_state, registration_costs_the_same_in_a_large_fleet) {
   constexpr int kInstances = 20'000;
   constexpr int kPorts = 50'000;
@@ -385,7 +385,8 @@
   cr_assert_eq(wanted.of("m", 6), 15U);
 }
 
-// Before, engines of a large fleet were sorted by what each holds at every turn: 0.4 s at 10,000.
+// Before, engines of a large fleet were sorted by what each holds at every turn: 42 ms at 10,000
+// with six models, now 1 ms.
 Test(version_orders, turn_of_a_large_fleet_is_cheap) {
   LargeFleet fleet(10'000);
   (void)fleet.step();
--- a/test/forwarding/forwarding_test.cpp
+++ b/test/forwarding/forwarding_test.cpp
@@ -134,7 +134,7 @@
 
 }  // namespace
 
-// Load: each of 200 gateways gets 20 requests one after the other. Before, they used 3,880 pairs of
+// Load: each of 200 gateways gets 20 requests one after the other. Before, they used 3,997 pairs of
 // gateway and server, so nearly each request opened a connection; now 600.
 Test(instance_table, gateways_with_little_traffic_keep_to_few_of_many_servers) {
   constexpr int kGateways = 200;
@@ -204,7 +204,8 @@
   cr_assert_not(room.take("m", 1));
 }
 
-// A gateway that walked all 10,000 engines for each of these needed 10 ms and more of a core.
+// A gateway that walked all 10,000 engines needed 6 ms of a core for the room and 20 ms for the
+// news.
 Test(instance_table, calls_for_leases_cost_little_in_a_large_fleet) {
   constexpr int kEngines = 10'000;
   constexpr int kCalls = 1000;
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -325,7 +325,7 @@
   cr_assert_eq(placement.place("m", 2), "b");
 }
 
-// Before, each plan looked at all engines for each model: 5 ms and more of a core at 10,000.
+// Before, each plan looked at all engines for each model: 4.9 ms for six at 10,000, now 0.3 ms.
 Test(engine_placement, plan_of_a_large_fleet_is_cheap) {
   constexpr int kEngines = 10'000;
   constexpr int kInUse = 400;
