--- a/src/directory/watch_queue.h
+++ b/src/directory/watch_queue.h
@@ -23,8 +23,9 @@
   /// At 2,500 nodes; engines that leave must be known in time everywhere, which is 2 s and more.
   base::Duration longestInterval = base::milliseconds(1000);
   /// Whole views are told no faster than this. After a change of leader every node wants one, at
-  /// 10,000 instances 0.3 MB each: 1,000 at once would be 300 MB in the leader's memory, and as
-  /// long on its way as its link of 1 Gbit/s needs for them. This takes a third of that link.
+  /// 10,000 instances 0.3 MB each by estimate: 1,000 at once would be 300 MB in the leader's
+  /// memory, and as long on its way as its link of 1 Gbit/s needs for them. This takes a third of
+  /// that link.
   std::size_t wholeBytesPerSecond = 40U << 20U;
 };
 
