--- a/src/cluster/group_repair.cpp
+++ b/src/cluster/group_repair.cpp
@@ -50,8 +50,21 @@
   return best == nullptr ? std::nullopt : std::optional(best->node);
 }
 
+std::size_t countSoundVoters(const Membership& membership, const std::vector<GroupNode>& nodes,
+                             const GroupRepairSettings& settings) {
+  return static_cast<std::size_t>(
+      std::count_if(membership.voters.begin(), membership.voters.end(),
+                    [&](base::NodeId voter) { return isSound(voter, nodes, settings); }));
+}
+
 }  // namespace
 
+GroupHealth judgeGroup(const Membership& membership, const std::vector<GroupNode>& nodes,
+                       const GroupRepairSettings& settings) {
+  return {membership.voters.size(), countSoundVoters(membership, nodes, settings),
+          settings.targetSize};
+}
+
 std::optional<MembershipChange> nextMembershipChange(base::NodeId self,
                                                      const Membership& membership,
                                                      const std::vector<GroupNode>& nodes,
@@ -71,8 +84,7 @@
       return MembershipChange{*candidate, false};
     }
   }
-  const auto soundVoters = static_cast<std::size_t>(
-      std::count_if(membership.voters.begin(), membership.voters.end(), sound));
+  const std::size_t soundVoters = countSoundVoters(membership, nodes, settings);
   if (soundVoters < settings.targetSize) {
     return std::nullopt;
   }
--- a/src/cluster/group_repair.h
+++ b/src/cluster/group_repair.h
@@ -27,6 +27,20 @@
   base::Duration silenceLimit = base::milliseconds(2500);
 };
 
+/// How much of a group stands against what it must bear.
+struct GroupHealth {
+  std::size_t voters = 0;
+  std::size_t heard = 0;   ///< voters that are sound
+  std::size_t wanted = 0;  ///< sound voters that the losses to be borne need
+
+  bool operator==(const GroupHealth&) const = default;
+  [[nodiscard]] bool isOfSize() const { return heard >= wanted; }
+};
+
+[[nodiscard]] GroupHealth judgeGroup(const consensus::Membership& membership,
+                                     const std::vector<GroupNode>& nodes,
+                                     const GroupRepairSettings& settings);
+
 struct MembershipChange {
   base::NodeId node;
   bool remove = false;
--- a/src/cluster/group_service.cpp
+++ b/src/cluster/group_service.cpp
@@ -56,6 +56,7 @@
   if (raft.membershipChangePending()) {
     return;
   }
+  m_health = judgeGroup(raft.membership(), nodes, settings);
   const auto change = nextMembershipChange(self_, raft.membership(), nodes, settings);
   if (!change) {
     return;
--- a/src/cluster/group_service.h
+++ b/src/cluster/group_service.h
@@ -3,6 +3,7 @@
 /// on behalf of callers, repair of the group's membership.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,6 +37,10 @@
   /// Begins the next change of membership, when one is due and none is under way.
   void repair(const std::vector<GroupNode>& nodes, const GroupRepairSettings& settings,
               base::TimePoint now);
+  /// As this leader last judged its group; nothing before the first time.
+  [[nodiscard]] const std::optional<GroupHealth>& health() const { return m_health; }
+  /// Forgets what belongs to a term that is over.
+  void endTerm() { m_health.reset(); }
   /// Answers to send.
   [[nodiscard]] transport::Outbox& outbox() { return outbox_; }
 
@@ -44,6 +49,7 @@
   consensus::Replica& replica_;
   transport::Outbox outbox_;
   std::set<ServiceCaller> under_way_;
+  std::optional<GroupHealth> m_health;
 };
 
 }  // namespace tackpick::cluster
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -558,6 +558,7 @@
   const bool newTerm = raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm());
   if (newTerm) {
     leader_since_ = now;
+    service_.endTerm();
     reports_.clear();
     begun_ = false;
     beat_sequences_.clear();
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -77,6 +77,10 @@
 
   [[nodiscard]] const DirectoryState& state() const { return state_; }
   [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+  /// Of the controllers' group, as its leader sees it.
+  [[nodiscard]] const std::optional<cluster::GroupHealth>& groupHealth() const {
+    return service_.health();
+  }
 
  private:
   using Caller = cluster::ServiceCaller;
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -250,6 +250,7 @@
   const consensus::RaftConsensus& raft = replica_.raft();
   if (raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm())) {
     leader_since_ = now;
+    service_.endTerm();
     leases_.reset(raft.currentTerm(), now, settings_.leaseGrace);
     gathering_.reset();
     seen_jobs_.reset();
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -68,6 +68,10 @@
 
   [[nodiscard]] const JobState& state() const { return state_; }
   [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+  /// Of the ledgers' group, as its leader sees it.
+  [[nodiscard]] const std::optional<cluster::GroupHealth>& groupHealth() const {
+    return service_.health();
+  }
 
  private:
   using Caller = cluster::ServiceCaller;
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -96,7 +96,7 @@
   const directory::Route* route = routes_.find(request.headers.value("Host"), request.target);
   edge::GatewayCall call = node_.dialect().gatewayCall(request, route);
   if (route == nullptr && std::holds_alternative<edge::ForwardCall>(call)) {
-    exchange->respond(kNotFound, {}, {});
+    refuseUnknown(kNotFound, exchange);
     return;
   }
   const std::optional<std::string> tenant = identifyTenant(request, route, exchange);
@@ -114,17 +114,24 @@
   }
 }
 
+void GatewayFront::refuseUnknown(int status, const std::shared_ptr<http::Exchange>& exchange) {
+  const std::optional<base::TimePoint> heardAt = node_.member().heardAt();
+  const auto age = heardAt ? std::optional(node_.now() - *heardAt) : std::nullopt;
+  m_refusals.note(status, configuration_->version, age, node_.now());
+  node_.metrics().count(telemetry::CounterId::kRequestsAnswered, std::to_string(status));
+  exchange->respond(status, {}, {});
+}
+
 std::optional<std::string> GatewayFront::identifyTenant(
     const http::RawRequest& request, const directory::Route* route,
-    const std::shared_ptr<http::Exchange>& exchange) const {
+    const std::shared_ptr<http::Exchange>& exchange) {
   const bool needsKey = route == nullptr || !route->open;
   const tenancy::TenantTable::Verdict verdict =
       tenants_.judge(node_.dialect().apiKey(request.headers), needsKey);
   if (verdict.allowed) {
     return verdict.tenant;
   }
-  node_.metrics().count(telemetry::CounterId::kRequestsAnswered, std::to_string(kUnauthorized));
-  exchange->respond(kUnauthorized, {}, {});
+  refuseUnknown(kUnauthorized, exchange);
   return std::nullopt;
 }
 
--- a/src/node/gateway_front.h
+++ b/src/node/gateway_front.h
@@ -11,6 +11,7 @@
 #include "node/forwarder.h"
 #include "node/item_runner.h"
 #include "node/member_ledger_client.h"
+#include "node/refusal_log.h"
 #include "node/usage_teller.h"
 #include "tenancy/tenant_table.h"
 
@@ -30,10 +31,12 @@
 
  private:
   void onRequest(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange);
+  /// Turns away what no route or key of the configuration in force allows.
+  void refuseUnknown(int status, const std::shared_ptr<http::Exchange>& exchange);
   /// For whom a request is made; nothing when it was answered, since its key is not known.
   [[nodiscard]] std::optional<std::string> identifyTenant(
       const http::RawRequest& request, const directory::Route* route,
-      const std::shared_ptr<http::Exchange>& exchange) const;
+      const std::shared_ptr<http::Exchange>& exchange);
   /// A caller's key, or what only this process may say of tenants: is not sent on.
   [[nodiscard]] bool isTenantField(std::string_view name) const;
   void takeJobCall(jobs::JobRequest request, const std::string& tenant,
@@ -52,6 +55,7 @@
   directory::RouteTable routes_;
   tenancy::TenantTable tenants_;
   forwarding::InstanceTable instances_;
+  RefusalLog m_refusals;
   UsageTeller usage_;
   Forwarder forwarder_;
   MemberLedgerClient ledgers_;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -87,7 +87,10 @@
   void turn();
   void observe();
   void observeReplica(const consensus::Replica& replica);
+  void observeGroupHealth(const consensus::Replica& replica);
   [[nodiscard]] const consensus::Replica* replica() const;
+  /// Of the group that this process leads; nothing elsewhere.
+  [[nodiscard]] std::optional<cluster::GroupHealth> groupHealth() const;
   void waitForSignal();
   void beginStop();
   [[nodiscard]] bool stopComplete() const;
@@ -125,6 +128,7 @@
   // What was last reported as events.
   bool reported_leader_ = false;
   std::size_t reported_voters_ = 0;
+  std::optional<cluster::GroupHealth> m_reportedHealth;
 };
 
 }  // namespace tackpick::node
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -50,6 +50,7 @@
                                               .add("learners", raft.membership().learners.size())
                                               .text());
   }
+  observeGroupHealth(replica);
   if (raft.failed() && !failed_) {
     failed_ = true;
     disk_failed_ = true;
@@ -57,6 +58,33 @@
   }
 }
 
+std::optional<cluster::GroupHealth> Node::groupHealth() const {
+  const consensus::Replica* own = replica();
+  if (own == nullptr || !own->raft().isLeader()) {
+    return std::nullopt;
+  }
+  return directory_ ? directory_->groupHealth() : ledger_->groupHealth();
+}
+
+void Node::observeGroupHealth(const consensus::Replica& replica) {
+  const std::optional<cluster::GroupHealth> health = groupHealth();
+  if (!health || health == m_reportedHealth) {
+    return;
+  }
+  const bool wasOfSize = m_reportedHealth && m_reportedHealth->isOfSize();
+  m_reportedHealth = health;
+  if (health->isOfSize() && wasOfSize) {
+    return;
+  }
+  logEvent(health->isOfSize() ? EventId::kGroupOfSize : EventId::kGroupBelowSize,
+           Detail()
+               .add("group", replica.group().value)
+               .add("voters", health->voters)
+               .add("heard", health->heard)
+               .add("wanted", health->wanted)
+               .text());
+}
+
 void Node::reportFigures() {
   if (const consensus::Replica* own = replica()) {
     const consensus::RaftConsensus& raft = own->raft();
@@ -64,6 +92,10 @@
     metrics_.set(GaugeId::kTerm, static_cast<double>(raft.currentTerm()));
     metrics_.set(GaugeId::kCommitIndex, static_cast<double>(raft.commitIndex()));
     metrics_.set(GaugeId::kVoters, static_cast<double>(raft.membership().voters.size()));
+    if (const auto health = groupHealth()) {
+      metrics_.set(GaugeId::kVotersHeard, static_cast<double>(health->heard));
+      metrics_.set(GaugeId::kVotersWanted, static_cast<double>(health->wanted));
+    }
     metrics_.set(GaugeId::kLogBytes, static_cast<double>(log_->logBytes()));
     metrics_.set(GaugeId::kSnapshotBytes, static_cast<double>(log_->snapshotBytes()));
   }
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -31,6 +31,12 @@
        "the data folder is damaged or belongs to another node",
        "do not repair it by hand: empty it and join as a new node"},
       {Id::kMembershipChanged, "membership_changed", kInfo, "the replicas of a group changed", ""},
+      {Id::kGroupBelowSize, "group_below_size", kWarning,
+       "a group has fewer voters that are heard than the losses it must bear need: voters, heard, "
+       "wanted",
+       "give the role more machines, or bring the silent ones back, before another one is lost"},
+      {Id::kGroupOfSize, "group_of_size", kInfo,
+       "a group has as many voters that are heard as the losses it must bear need", ""},
       {Id::kChangeAccepted, "change_accepted", kInfo, "an operator's change is in force", ""},
       {Id::kChangeRefused, "change_refused", kInfo, "an operator's change was refused", ""},
       {Id::kWeightsPublished, "weights_published", kInfo, "a trainer published weights", ""},
@@ -86,6 +92,10 @@
        "a run of an item ended without its whole text; it is repeated or continued", ""},
       {Id::kScoringCallFailed, "scoring_call_failed", kInfo,
        "a call to an item's scorer brought no score; it is repeated, or the item is given up", ""},
+      {Id::kUnknownRefused, "unknown_refused", kInfo,
+       "requests were turned away since their route or key is not in the configuration in force: "
+       "its version, and how long ago a controller confirmed that; at most one line a second",
+       "where the age is long, look at the way from this gateway to the controllers' leader"},
       {Id::kConnectionRefused, "connection_refused", kWarning,
        "an internal connection showed a wrong key, version or frame",
        "look for a process of another cluster or release"},
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -23,6 +23,8 @@
   kReplicaFailed = 2003,
   kDataFolderRefused = 2004,
   kMembershipChanged = 2005,
+  kGroupBelowSize = 2006,
+  kGroupOfSize = 2007,
   kChangeAccepted = 3001,
   kChangeRefused = 3002,
   kWeightsPublished = 3003,
@@ -50,6 +52,7 @@
   kItemsReleased = 4015,
   kAttemptFailed = 4016,
   kScoringCallFailed = 4017,
+  kUnknownRefused = 4018,
   kConnectionRefused = 5001,
 };
 
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -40,6 +40,8 @@
   kTerm,
   kCommitIndex,
   kVoters,
+  kVotersHeard,
+  kVotersWanted,
   kLogBytes,
   kSnapshotBytes,
   kConfigurationVersion,
