An instance that starts again under its name is another one; decoders take only what is usable

One incarnation is (name, start), decoded in the adapter into its key: all that is kept by instance (counts, weights, orders, places, pace, leaving) begins anew without a line of its own in any of those places. The directory lets the later start displace the earlier; late words of the earlier change nothing; a leave without a start means the newest. Gateways break off what ran at the earlier one at once, where its end may not be seen.

Decoders: -1 places were four billion, ports above 65535 were cut, an unknown state was taken for ready, an estimate of 1e99 tokens was undefined. Such heartbeats are refused now, counted by reason (tackpick_unreadable_calls_total), and logged at most once a second.

--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -36,9 +36,9 @@
   }
 };
 
-/// One run of an engine or server process. A restart is another instance.
+/// One run of an engine or server process. A restart is another instance, also under the same name.
 struct InstanceRecord {
-  std::string id;
+  std::string id;  ///< key of its Incarnation
   std::string service;
   std::string host;  ///< an IP number
   std::uint16_t port = 0;
@@ -106,7 +106,7 @@
 };
 
 struct InstanceLeaves {
-  std::string id;
+  std::string id;  ///< without a start: the newest incarnation of that name
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id);
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/sorted_cursor.h"
+#include "directory/incarnation.h"
 
 namespace tackpick::directory {
 
@@ -144,11 +145,14 @@
 
 void DirectoryRole::onRequest(const Caller& caller, const InstanceLeaves& request,
                               base::TimePoint now) {
-  if (state_.hasLeft(request.id)) {
+  const bool tellsStart = Incarnation::parse(request.id).born != 0;
+  const std::string id =
+      tellsStart ? request.id : state_.newestIncarnation(request.id).value_or(request.id);
+  if (state_.hasLeft(id)) {
     reply(caller, DirectoryStatus::kDone);
     return;
   }
-  proposeFor(caller, RemoveInstance{request.id, true}, {}, now);
+  proposeFor(caller, RemoveInstance{id, true}, {}, now);
 }
 
 void DirectoryRole::onRequest(const Caller& caller, const PublishVersion& request,
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -1,6 +1,10 @@
 #include "directory/directory_state.h"
 
+#include <algorithm>
 #include <cereal/types/deque.hpp>
+#include <iterator>
+
+#include "directory/incarnation.h"
 
 namespace tackpick::directory {
 namespace {
@@ -28,9 +32,10 @@
 
 void DirectoryState::applyTyped(const RegisterInstance& command) {
   const InstanceRecord& record = command.record;
-  if (left_.contains(record.id)) {
+  if (hasLeft(record.id)) {
     return;
   }
+  displaceEarlier(record);
   displaceFrom(record);
   const auto [known, added] = data_.instances.try_emplace(record.id);
   InstanceRecord& stored = known->second;
@@ -49,11 +54,43 @@
   if (holder == m_idsByAddress.end() || holder->second == record.id) {
     return;
   }
-  // An address belongs to the instance that registered there last. The one before has ended: a
-  // heartbeat of it that was delayed must not bring it back.
-  const std::string displaced = holder->second;
-  erase(displaced);
-  rememberLeft(displaced);
+  // An address belongs to the instance that registered there last.
+  end(std::string(holder->second));
+}
+
+void DirectoryState::displaceEarlier(const InstanceRecord& record) {
+  const std::string name = instanceName(record.id);
+  std::vector<std::string> earlier;
+  if (record.id != name && data_.instances.contains(name)) {
+    earlier.push_back(name);
+  }
+  for (auto known = data_.instances.lower_bound(firstKey(name));
+       known != data_.instances.end() && known->first < record.id; ++known) {
+    earlier.push_back(known->first);
+  }
+  for (const std::string& id : earlier) {
+    end(id);
+  }
+}
+
+bool DirectoryState::isSuperseded(const std::string& id) const {
+  const std::string first = firstKey(instanceName(id));
+  const auto later = data_.instances.upper_bound(std::max(id, first));
+  return later != data_.instances.end() && later->first.starts_with(first);
+}
+
+std::optional<std::string> DirectoryState::newestIncarnation(const std::string& id) const {
+  const std::string name = instanceName(id);
+  const auto end = data_.instances.lower_bound(endOfKeys(name));
+  if (end != data_.instances.begin() && std::prev(end)->first.starts_with(firstKey(name))) {
+    return std::prev(end)->first;
+  }
+  return data_.instances.contains(name) ? std::optional(name) : std::nullopt;
+}
+
+void DirectoryState::end(const std::string& id) {
+  erase(id);
+  rememberLeft(id);
 }
 
 void DirectoryState::erase(const std::string& id) {
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -44,8 +45,14 @@
     }
   };
   [[nodiscard]] const OrderNote& orderNote() const { return data_.orderNote; }
-  /// True when that instance has said that it leaves for good, or another has its address.
-  [[nodiscard]] bool hasLeft(const std::string& id) const { return left_.contains(id); }
+  /// True when that instance has said that it leaves for good, another has its address, or it has
+  /// started again since.
+  [[nodiscard]] bool hasLeft(const std::string& id) const {
+    return left_.contains(id) || isSuperseded(id);
+  }
+  /// Key of the newest registered incarnation of the instance that `id` names; nothing when none
+  /// is.
+  [[nodiscard]] std::optional<std::string> newestIncarnation(const std::string& id) const;
   [[nodiscard]] const std::map<std::string, std::uint64_t>& versions() const {
     return data_.versions;
   }
@@ -101,6 +108,12 @@
   }
   /// Whoever else has that address has ended.
   void displaceFrom(const InstanceRecord& record);
+  /// Earlier incarnations of that instance have ended.
+  void displaceEarlier(const InstanceRecord& record);
+  /// True when a later incarnation of the same instance is registered.
+  [[nodiscard]] bool isSuperseded(const std::string& id) const;
+  /// Erases an instance that has ended: a heartbeat of it that was delayed must not bring it back.
+  void end(const std::string& id);
   void erase(const std::string& id);
   void rememberLeft(const std::string& id);
 
--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "base/random.h"
+#include "directory/incarnation.h"
 #include "jobs/engine_cost.h"
 
 namespace tackpick::forwarding {
@@ -78,6 +79,7 @@
   const auto [known, added] = entries_.try_emplace(instance.record.id);
   InstanceEntry& entry = known->second;
   if (added) {
+    endEarlier(instance.record.id);
     entry.favour = base::hashBytes(settings_.gateway + "/" + instance.record.id);
   } else {
     withdrawPlaces(entry);
@@ -100,6 +102,23 @@
   addPlaces(entry);
 }
 
+void InstanceTable::endEarlier(const std::string& id) {
+  const std::string name = directory::instanceName(id);
+  const auto unnamed = entries_.find(name);
+  if (id != name && unnamed != entries_.end()) {
+    unnamed->second.ended = true;
+  }
+  for (auto known = entries_.lower_bound(directory::firstKey(name));
+       known != entries_.end() && known->first < id; ++known) {
+    known->second.ended = true;
+  }
+}
+
+bool InstanceTable::hasEnded(const std::string& id) const {
+  const InstanceEntry* entry = find(id);
+  return entry != nullptr && entry->ended;
+}
+
 void InstanceTable::remove(const std::string& id) {
   const auto known = entries_.find(id);
   if (known == entries_.end()) {
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -81,6 +81,7 @@
   base::TimePoint avoidUntil{};
   std::uint64_t favour = 0;  ///< of those in its zone, this gateway favours the lowest
   bool gone = false;
+  bool ended = false;    ///< it has started again: what ran there is over
   bool loading = false;  ///< it changes weights and refuses new requests
   bool reserve = false;  ///< items go elsewhere while there is room
 
@@ -123,6 +124,8 @@
   [[nodiscard]] const InstanceEntry* findIdle(const InstanceNeed& need,
                                               const std::set<std::string>& tried,
                                               base::Random& random, base::TimePoint now) const;
+  /// True when what runs at that instance is over, since it has started again.
+  [[nodiscard]] bool hasEnded(const std::string& id) const;
   /// True when the instance may be sent to now.
   [[nodiscard]] bool isUsable(const std::string& id, const InstanceNeed& need,
                               base::TimePoint now) const;
@@ -167,6 +170,8 @@
                                                      const InstanceNeed& need,
                                                      base::TimePoint now) const;
   void takeIn(const directory::InstanceView& instance);
+  /// The instance's earlier incarnations have ended.
+  void endEarlier(const std::string& id);
   /// Answers under way may still arrive for what is gone; it only gets nothing new.
   void remove(const std::string& id);
   /// Forgets those that are gone and that no answer is expected of any more.
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -42,8 +42,7 @@
     return;
   }
   if (const auto* malformed = std::get_if<edge::MalformedCall>(&call)) {
-    telemetry::logEvent(telemetry::EventId::kChangeRefused,
-                        "path=" + request.path() + " reason=" + malformed->why);
+    onUnreadable(request, *malformed);
     exchange->respond(kBadRequest, {}, malformed->why);
     return;
   }
@@ -64,6 +63,17 @@
   node_.wake();
 }
 
+void ControlFront::onUnreadable(const http::RawRequest& request, const edge::MalformedCall& call) {
+  node_.metrics().count(telemetry::CounterId::kUnreadableCalls, call.why);
+  if (const auto times = m_unreadable.note(node_.now())) {
+    telemetry::logEvent(telemetry::EventId::kChangeRefused, telemetry::Detail()
+                                                                .add("path", request.path())
+                                                                .add("reason", call.why)
+                                                                .add("calls", *times)
+                                                                .text());
+  }
+}
+
 bool ControlFront::answerHeartbeat(const directory::InstanceBeat& beat,
                                    const std::shared_ptr<http::Exchange>& exchange) {
   using Verdict = directory::BeatRelay::Verdict;
--- a/src/node/control_front.h
+++ b/src/node/control_front.h
@@ -8,6 +8,7 @@
 #include "directory/directory_messages.h"
 #include "edge/dialect.h"
 #include "http/exchange_server.h"
+#include "telemetry/log_limiter.h"
 
 namespace tackpick::node {
 
@@ -24,19 +25,21 @@
  private:
   void onRequest(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange);
 
+  void onUnreadable(const http::RawRequest& request, const edge::MalformedCall& call);
   void onReply(const directory::DirectoryRequest& request, const directory::DirectoryReply* reply,
                int status, base::Duration took);
 
-  /// An answer of the directory as the caller gets it.
   /// False when the leader must decide.
   bool answerHeartbeat(const directory::InstanceBeat& beat,
                        const std::shared_ptr<http::Exchange>& exchange);
+  /// An answer of the directory as the caller gets it.
   [[nodiscard]] edge::Answer answerFor(const directory::DirectoryRequest& request,
                                        directory::DirectoryReply reply) const;
 
   Node& node_;
   directory::BeatRelay relay_;
   http::ExchangeServer server_;
+  telemetry::LogLimiter m_unreadable{base::seconds(1)};
 };
 
 }  // namespace tackpick::node
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "directory/incarnation.h"
 #include "directory/route_table.h"
 #include "forwarding/attempt_policy.h"
 #include "http/status.h"
@@ -137,7 +138,7 @@
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(policy_.deadline() - node_.now());
   upstream.headers.set(names.deadline, std::to_string(left.count()));
-  upstream.headers.set(names.expectedInstance, to.record.id);
+  upstream.headers.set(names.expectedInstance, directory::instanceName(to.record.id));
   if (!tenant_.empty()) {
     upstream.headers.set(names.tenant, tenant_);
   }
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "directory/incarnation.h"
 #include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
@@ -230,7 +231,7 @@
   http::UpstreamRequest request = node_.dialect().itemRequest(leased, item.run.lastEvent());
   const edge::HeaderNames& names = node_.dialect().headers();
   request.address = {entry->record.host, entry->record.port};
-  request.headers.set(names.expectedInstance, entry->record.id);
+  request.headers.set(names.expectedInstance, directory::instanceName(entry->record.id));
   request.headers.set(names.urgency, std::to_string(jobs::urgencyOf(sightOf(item, now))));
   request.echoName = names.requestId;
   request.echoValue = leased.item.id;
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -34,8 +34,10 @@
 
 void ItemRunner::cutSilent(base::TimePoint now) {
   for (const auto& [key, item] : items_) {
-    const bool silent = now - item->lastByteAt > kSilenceLimit;
-    if (item->exchange.valid() && (item->unusable || silent)) {
+    // An engine that has started again knows nothing of its runs: to wait for their silence would
+    // cost the whole limit where its end was not seen, as behind a cut.
+    const bool over = now - item->lastByteAt > kSilenceLimit || instances_.hasEnded(item->instance);
+    if (item->exchange.valid() && (item->unusable || over)) {
       node_.upstream().cancel(item->exchange);
       item->exchange = {};
       onAttemptFailed(key, *item, item->unusable ? SendOutcome::kAbandoned : SendOutcome::kFailed,
--- a/src/node/refusal_log.cpp
+++ b/src/node/refusal_log.cpp
@@ -3,16 +3,11 @@
 #include "telemetry/log.h"
 
 namespace tackpick::node {
-namespace {
-
-constexpr base::Duration kInterval = base::seconds(1);
-
-}  // namespace
 
 void RefusalLog::note(int status, std::uint64_t version, std::optional<base::Duration> age,
                       base::TimePoint now) {
-  ++m_untold;
-  if (m_toldAt && now - *m_toldAt < kInterval) {
+  const std::optional<std::uint64_t> requests = m_limiter.note(now);
+  if (!requests) {
     return;
   }
   telemetry::Detail detail;
@@ -20,10 +15,8 @@
   if (age) {
     detail.add("age_ms", *age);
   }
-  detail.add("requests", m_untold);
+  detail.add("requests", *requests);
   telemetry::logEvent(telemetry::EventId::kUnknownRefused, detail.text());
-  m_toldAt = now;
-  m_untold = 0;
 }
 
 }  // namespace tackpick::node
--- a/src/node/refusal_log.h
+++ b/src/node/refusal_log.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "telemetry/log_limiter.h"
 
 namespace tackpick::node {
 
@@ -18,8 +19,7 @@
             base::TimePoint now);
 
  private:
-  std::optional<base::TimePoint> m_toldAt;
-  std::uint64_t m_untold = 0;
+  telemetry::LogLimiter m_limiter{base::seconds(1)};
 };
 
 }  // namespace tackpick::node
--- a/src/node/score_caller.cpp
+++ b/src/node/score_caller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "directory/incarnation.h"
 #include "http/status.h"
 #include "node/node.h"
 #include "telemetry/log.h"
@@ -85,7 +86,7 @@
   const edge::HeaderNames& names = m_node.dialect().headers();
   http::UpstreamRequest request = m_node.dialect().scoringRequest(call.request, call.tenant);
   request.address = {entry->record.host, entry->record.port};
-  request.headers.set(names.expectedInstance, entry->record.id);
+  request.headers.set(names.expectedInstance, directory::instanceName(entry->record.id));
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
   request.headers.set(names.deadline, std::to_string(left.count()));
   request.echoName = names.requestId;
--- a/src/telemetry/metric.cpp
+++ b/src/telemetry/metric.cpp
@@ -34,6 +34,10 @@
           "callers' calls about jobs, by call and status", "call"),
       row(C::kControlCalls, "tackpick_control_calls_total",
           "calls of operators, trainers and instances, by call and status", "call"),
+      row(C::kUnreadableCalls, "tackpick_unreadable_calls_total",
+          "calls of operators, trainers and instances that changed nothing, since they cannot be "
+          "read",
+          "reason"),
       row(C::kItemsFinished, "tackpick_items_finished_total", "items with a result", "state"),
       row(C::kItemsMoved, "tackpick_items_moved_total", "items that went on at another engine",
           "reason"),
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -19,6 +19,7 @@
   kSendsEnded,         ///< by outcome
   kLedgerCalls,        ///< by call and status
   kControlCalls,       ///< by call and status
+  kUnreadableCalls,    ///< by reason
   kItemsFinished,      ///< by state
   kItemsMoved,         ///< by reason
   kItemAttemptsEnded,  ///< by outcome
--- a/test/forwarding/forwarding_test.cpp
+++ b/test/forwarding/forwarding_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <ctime>
 
+#include "directory/incarnation.h"
 #include "forwarding/attempt_policy.h"
 #include "forwarding/instance_table.h"
 
@@ -344,3 +345,27 @@
   cr_assert_not(policy.maySend(start));
   cr_assert_not(policy.hedgeAt(start).has_value());
 }
+
+// What ran at an engine that has started again is over, and so is what was held against it.
+Test(instance_table, instance_that_started_again_is_another_one) {
+  forwarding::InstanceTable table({"z"});
+  const std::string first = directory::Incarnation{"e", 1000}.key();
+  const std::string second = directory::Incarnation{"e", 2000}.key();
+  const auto view = [](const std::string& id) {
+    directory::InstanceView made;
+    made.record = {id, "s", "10.0.0.9", 1, "z", 4, false};
+    return made;
+  };
+  table.update({view(first)});
+  table.onSent(first);
+  table.onEnded(first, forwarding::SendOutcome::kFailed, {}, base::TimePoint{});
+  table.onSent(first);
+  cr_assert_not(table.hasEnded(first));
+  table.change({view(second)}, {first});
+  cr_assert(table.hasEnded(first));
+  cr_assert_not(table.hasEnded(second));
+  cr_assert_eq(table.find(second)->failures, 0U);
+  cr_assert_eq(table.find(second)->inFlight, 0U);
+  cr_assert(table.isUsable(second, {"s", "", 0, false}, base::TimePoint{}));
+  cr_assert_not(table.isUsable(first, {"s", "", 0, false}, base::TimePoint{}));
+}
--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -3,6 +3,7 @@
 /// the reports of their usage.
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -46,7 +47,23 @@
   StandInEngine(const StandInEngine&) = delete;
   StandInEngine& operator=(const StandInEngine&) = delete;
 
-  [[nodiscard]] Json heartbeat(std::uint64_t sequence) const {
+  /// Its streams stop after the first event from now on, without an end.
+  void stall() { m_stalled = true; }
+  /// Exchanges that never end.
+  [[nodiscard]] std::size_t stalled() const {
+    const std::lock_guard lock(mutex_);
+    return m_unfinished.size();
+  }
+
+  /// `born`: when it started; zero: it does not tell.
+  [[nodiscard]] Json heartbeat(std::uint64_t sequence, std::uint64_t born = 0) const {
+    Json told = plainHeartbeat(sequence);
+    if (born != 0) {
+      told["born"] = born;
+    }
+    return told;
+  }
+  [[nodiscard]] Json plainHeartbeat(std::uint64_t sequence) const {
     return {{"service", "engines"},
             {"address", "127.0.0.1:" + std::to_string(server_.port())},
             {"zone", "a"},
@@ -84,7 +101,15 @@
       ran_.push_back(request);
     }
     exchange->begin(kOk, headers);
-    for (int event = 0; event < kEvents; ++event) {
+    const int first = request.headers.has("Last-Event-Id")
+                          ? std::stoi(request.headers.value("Last-Event-Id")) + 1
+                          : 0;
+    for (int event = first; event < kEvents; ++event) {
+      if (event > first && m_stalled) {
+        const std::lock_guard lock(mutex_);
+        m_unfinished.push_back(exchange);
+        return;
+      }
       exchange->write("id: " + std::to_string(event) + "\ndata: " + request.body +
                       std::to_string(event) + "\n\n");
     }
@@ -92,8 +117,10 @@
   }
 
   const std::string id_;
+  std::atomic<bool> m_stalled = false;
   mutable std::mutex mutex_;
   std::vector<http::RawRequest> ran_;
+  std::vector<std::shared_ptr<http::Exchange>> m_unfinished;
   asio::io_context context_;
   http::ExchangeServer server_;
   std::thread thread_;
@@ -520,6 +547,39 @@
             "the change is in force, and a request without a key is refused for good");
 }
 
+// An engine starts again under its name while texts run there, and its end is not seen: the
+// connections to its former life stay open and silent. Late words of that life come afterwards.
+Test(cluster, texts_go_on_at_an_engine_that_started_again_under_its_name) {
+  constexpr std::uint64_t kBorn = 1'000'000;
+  constexpr std::uint64_t kBornAgain = 2'000'000;
+  Cluster cluster;
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
+  StandInEngine formerLife("i-1");
+  formerLife.stall();
+  const std::string path = "/Instances.Heartbeat/i-1";
+  cr_assert_eq(cluster.control("POST", path, formerLife.heartbeat(50, kBorn)).status, kOk);
+  waitUntil([&] { return cluster.gateway("POST", "/b/x", batch(3), "one").status == kAccepted; },
+            "a batch is accepted");
+  waitUntil([&] { return formerLife.stalled() > 0; }, "a text runs");
+  const StandInEngine newLife("i-1");
+  // Its counts start anew, so a lower number is not a late one.
+  cr_assert_eq(cluster.control("POST", path, newLife.heartbeat(1, kBornAgain)).status, kOk);
+  Json draining = formerLife.heartbeat(51, kBorn);
+  draining["state"] = "draining";
+  cr_assert_eq(cluster.control("POST", path, draining).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Instances.Leave/i-1", {{"born", kBorn}}).status, kOk);
+  for (const Json& result : wholeBatch(cluster, "one", 3)) {
+    cr_assert_eq(result["message"].get<std::string>(), "ab0\nab1\nab2\nab3\nab4");
+  }
+  cr_assert_gt(newLife.tenants("/b/").size(), 0U, "they ended at the new life");
+  // It is told apart in what the platform may send, too: what cannot be read changes nothing.
+  cr_assert_eq(cluster.control("POST", path, {{"service", 7}}).status, 400);
+  waitUntil([&] { return cluster.gateway("POST", "/b/x", batch(2), "two").status == kAccepted; },
+            "another batch is accepted");
+  cr_assert_eq(wholeBatch(cluster, "two", 2).size(), 2U);
+}
+
 Test(cluster, tenants_see_their_own_and_lose_what_their_keys_lose) {
   Cluster cluster;
   const Json before = {{{"name", "a"}, {"apiKeys", {"key-a", "key-a2"}}},
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -6,6 +6,8 @@
 
 #include "base/random.h"
 #include "configuration_json.h"
+#include "directory/incarnation.h"
+#include "instance_json.h"
 #include "platform_dialect.h"
 
 namespace base = tackpick::base;
@@ -90,16 +92,18 @@
 }
 
 Test(platform_json, heartbeat_and_report) {
-  const auto beat = platform::parseBeat(
+  const auto parsed = platform::parseBeat(
       "i-1", R"({"service":"e","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,
       "state":"draining","coldRemainingMs":0,"models":[{"name":"m","version":3}],"sequence":4})");
-  cr_assert(beat.has_value());
+  const auto* beat = std::get_if<directory::InstanceBeat>(&parsed);
+  cr_assert_not_null(beat);
   cr_assert_eq(beat->record.host, "10.0.0.9");
   cr_assert_eq(beat->record.port, 8080);
   cr_assert(beat->record.leaving);
   cr_assert_eq(beat->versions.at("m"), 3U);
   cr_assert_eq(beat->sequence, 4U);
-  cr_assert_not(platform::parseBeat("i", R"({"service":"e"})").has_value());
+  cr_assert(
+      std::holds_alternative<edge::MalformedCall>(platform::parseBeat("i", R"({"service":"e"})")));
   cr_assert_eq(platform::parseReport(R"({"models":[{"name":"m","version":5}]})")->at("m"), 5U);
 }
 
@@ -271,3 +275,192 @@
   cr_assert(dialect.dutyOutcome(429) == DutyOutcome::kBusy);
   cr_assert(dialect.dutyOutcome(503) == DutyOutcome::kUncertain);
 }
+
+namespace {
+
+constexpr const char* kBeatPath = "/Instances.Heartbeat/i-1";
+const std::string kBeat = R"({"service":"e","address":"10.1.0.9:8080","zone":"a","version":"v1",
+ "slots":12,"state":"ready","coldRemainingMs":0,"stage":"both","models":[{"name":"m","version":3,
+ "adapters":[]}],"sequence":4,"born":1764720000123})";
+
+edge::ControlCall beatCall(const std::string& body, const std::string& path = kBeatPath) {
+  return platform::PlatformDialect().controlCall(request("POST", path, body));
+}
+
+std::optional<directory::InstanceBeat> beatOf(const edge::ControlCall& call) {
+  const auto* typed = std::get_if<directory::DirectoryRequest>(&call);
+  const auto* beat = typed == nullptr ? nullptr : std::get_if<directory::InstanceBeat>(typed);
+  return beat == nullptr ? std::nullopt : std::optional(*beat);
+}
+
+std::string beatWith(const std::string& field, const Json& value) {
+  Json beat = Json::parse(kBeat);
+  beat[field] = value;
+  return beat.dump();
+}
+
+std::string beatWithout(const std::string& field) {
+  Json beat = Json::parse(kBeat);
+  beat.erase(field);
+  return beat.dump();
+}
+
+}  // namespace
+
+// What cannot be an engine's own heartbeat must register nothing: an engine with four billion
+// places gets all the work, one at no address loses it.
+Test(platform_json, heartbeat_that_names_no_usable_instance_is_refused) {
+  cr_assert(beatOf(beatCall(kBeat)).has_value());
+  const std::vector<std::string> unusable = {"",
+                                             "[]",
+                                             "{\"service\":",
+                                             "\xff\xfe",
+                                             beatWithout("service"),
+                                             beatWithout("address"),
+                                             beatWith("service", 7),
+                                             beatWith("service", ""),
+                                             beatWith("address", "10.1.0.9"),
+                                             beatWith("address", "10.1.0.9:0"),
+                                             beatWith("address", "10.1.0.9:70000"),
+                                             beatWith("address", "10.1.0.9:-1"),
+                                             beatWith("address", "10.1.0.9:80x"),
+                                             beatWith("address", "engine-7:8080"),
+                                             beatWith("address", "0.0.0.0:8080"),
+                                             beatWith("slots", -1),
+                                             beatWith("slots", 0),
+                                             beatWith("slots", 5'000'000'000),
+                                             beatWith("slots", "12"),
+                                             beatWith("state", "asleep"),
+                                             beatWith("state", 1),
+                                             beatWith("sequence", -4),
+                                             beatWith("sequence", 1.5),
+                                             beatWith("zone", Json::array()),
+                                             beatWith("models", 3),
+                                             beatWith("models", {{{"version", 3}}}),
+                                             beatWith("models", {{{"name", "m"}, {"version", -3}}}),
+                                             beatWith("born", "now"),
+                                             beatWith("born", -5)};
+  for (const std::string& body : unusable) {
+    cr_assert(std::holds_alternative<edge::MalformedCall>(beatCall(body)), "%s", body.c_str());
+  }
+  cr_assert(
+      std::holds_alternative<edge::MalformedCall>(beatCall(kBeat, "/Instances.Heartbeat/a#1")),
+      "an identifier that no path can hold");
+}
+
+Test(platform_json, incarnation_is_the_identifier_and_the_start) {
+  const auto beat = beatOf(beatCall(kBeat));
+  const directory::Incarnation incarnation = directory::Incarnation::parse(beat->record.id);
+  cr_assert_eq(incarnation.name, "i-1");
+  cr_assert_eq(incarnation.born, 1764720000123U);
+  cr_assert_eq(beatOf(beatCall(beatWithout("born")))->record.id, "i-1");
+  const auto leave = platform::PlatformDialect().controlCall(
+      request("POST", "/Instances.Leave/i-1", R"({"born":1764720000123})"));
+  const auto& typed = std::get<directory::DirectoryRequest>(leave);
+  cr_assert_eq(std::get<directory::InstanceLeaves>(typed).id, beat->record.id);
+  const auto bare =
+      platform::PlatformDialect().controlCall(request("POST", "/Instances.Leave/i-1"));
+  cr_assert_eq(std::get<directory::InstanceLeaves>(std::get<directory::DirectoryRequest>(bare)).id,
+               "i-1");
+  const http::UpstreamRequest order =
+      platform::PlatformDialect().orderRequest({beat->record.id, "10.1.0.9", 8080, "m", 4, 1}, "c");
+  cr_assert_eq(order.headers.value("Expected-Instance"), "i-1");
+}
+
+namespace {
+
+/// A body of the wire with some of its tokens or bytes damaged.
+std::string damaged(const std::string& body, base::Random& random) {
+  static const std::vector<std::string> kTokens = {"-1",
+                                                   "0",
+                                                   "1e308",
+                                                   "-1e308",
+                                                   "4294967296",
+                                                   "18446744073709551615",
+                                                   "18446744073709551616",
+                                                   "0.5",
+                                                   "null",
+                                                   "true",
+                                                   "[]",
+                                                   "{}",
+                                                   "\"\"",
+                                                   "\"-7\"",
+                                                   "\"nan\"",
+                                                   "\"1e99\"",
+                                                   "[[[[[[[[[[1]]]]]]]]]]",
+                                                   "\"\\u0000\""};
+  std::string made = body;
+  const std::uint64_t changes = 1 + random.below(3);
+  for (std::uint64_t change = 0; change < changes && !made.empty(); ++change) {
+    const std::size_t at = random.below(made.size());
+    switch (random.below(4)) {
+      case 0:
+        made[at] = static_cast<char>(random.below(256));
+        break;
+      case 1:
+        made.resize(at);
+        break;
+      case 2:
+        made.insert(at, made.substr(random.below(made.size()), random.below(30)));
+        break;
+      default: {
+        // The value behind a colon.
+        const std::size_t colon = made.find(':', at);
+        if (colon != std::string::npos) {
+          const std::size_t end = made.find_first_of(",}]", colon);
+          made.replace(colon + 1, (end == std::string::npos ? made.size() : end) - colon - 1,
+                       kTokens[random.below(kTokens.size())]);
+        }
+      }
+    }
+  }
+  return made;
+}
+
+/// Decodes damaged bodies of every kind; what is accepted must be usable.
+void decodeDamaged(base::Random& random) {
+  const platform::PlatformDialect dialect;
+  if (const auto beat = beatOf(beatCall(damaged(kBeat, random)))) {
+    cr_assert(beat->record.slots >= 1 && beat->record.slots <= 100'000);
+    cr_assert_neq(beat->record.port, 0);
+    cr_assert_not(beat->record.host.empty() || beat->record.service.empty());
+  }
+  if (const auto configuration = platform::parseConfiguration(damaged(kConfiguration, random))) {
+    for (const directory::Route& route : configuration->routes) {
+      cr_assert(route.timeout >= base::Duration{0} && route.queueTimeout >= base::Duration{0});
+      cr_assert_leq(route.attempts, 1000U);
+      for (const directory::TrafficSplit& split : route.splits) {
+        cr_assert_leq(split.weight, 1'000'000'000U);
+      }
+    }
+  }
+  const auto configuration = platform::parseConfiguration(kConfiguration);
+  const auto job =
+      platform::parseJob("j", "h.example", configuration->routes[0], damaged(kJob, random));
+  if (job) {
+    for (const jobs::Item& item : job->items) {
+      cr_assert_leq(item.expectedTokens, 1'000'000'000U);
+    }
+  }
+  (void)platform::parseVersion(damaged(R"({"model":"m","version":8})", random));
+  (void)platform::parseReport(damaged(kBeat, random));
+  (void)dialect.load(damaged("3,0,8", random));
+  (void)dialect.controlCall(
+      request("POST", "/Instances.Leave/i-1", damaged(R"({"born":5})", random)));
+  http::RawRequest read = request("GET", damaged("/lots/j?afterRevision=12", random));
+  read.headers.add("Wait-Milliseconds", damaged("1000", random));
+  (void)dialect.gatewayCall(read, &configuration->routes[0]);
+}
+
+}  // namespace
+
+/// TACKPICK_FUZZ_ROUNDS runs more than CI does. Each round has a seed of its own.
+Test(platform_json, decoders_survive_damaged_bodies) {
+  constexpr std::uint64_t kRounds = 4000;
+  const char* wanted = std::getenv("TACKPICK_FUZZ_ROUNDS");
+  const std::uint64_t rounds = wanted == nullptr ? kRounds : std::stoull(wanted);
+  for (std::uint64_t seed = 1; seed <= rounds; ++seed) {
+    base::SeededRandom random(seed);
+    decodeDamaged(random);
+  }
+}
