Engines follow what models are asked, not only what they did; homes outlive the leader

After a change of leader at 9.2 s one of three models had no engine; engines were dealt by work done, it did none, so it got one engine each 3 s: no order for its weights for 24 s, its items leased 10 to 12 s after their submission, the engines a quarter full. Now the model that each engine follows is in the controllers' log, and a model with open items and under half of the engines due to them gets these at once; what is due is never below half of what its open items would be.

Tests, seen to fail with the mechanism taken out: models_that_engines_follow_ outlive_the_leader, model_without_engines_gets_them_by_its_open_items. Data folders of earlier builds cannot be read.

E2006 is told only once the leader knows its group's machines: ledgers said 'heard=0' for two seconds at each start.

--- a/src/cluster/group_service.cpp
+++ b/src/cluster/group_service.cpp
@@ -1,5 +1,6 @@
 #include "cluster/group_service.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tackpick::cluster {
@@ -56,7 +57,11 @@
   if (raft.membershipChangePending()) {
     return;
   }
-  m_health = judgeGroup(raft.membership(), nodes, settings);
+  const bool known = std::any_of(nodes.begin(), nodes.end(),
+                                 [&](const GroupNode& node) { return node.node == self_; });
+  if (known) {
+    m_health = judgeGroup(raft.membership(), nodes, settings);
+  }
   const auto change = nextMembershipChange(self_, raft.membership(), nodes, settings);
   if (!change) {
     return;
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -317,6 +317,26 @@
   }
 };
 
+/// The model that an engine follows; empty: none.
+struct EngineHome {
+  std::string id;
+  std::string model;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, model);
+  }
+};
+
+/// Which models engines follow. A leader that had to find that anew, from weights and from work
+/// that it has not heard of yet, could leave a model without engines.
+struct RecordHomes {
+  std::vector<EngineHome> changed;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(changed);
+  }
+};
+
 /// `holder` is about to give orders to engines.
 struct NoteOrders {
   base::NodeId holder;
@@ -354,6 +374,6 @@
     std::variant<ReplaceConfiguration, RegisterInstance, RemoveInstance, ForgetInstances,
                  PublishVersion, FoundLedgers, BeginRetirement, CompleteRetirement, RecordVersions,
                  NoteOrders, duties::BeginUsage, duties::NoteUsage, duties::DecideUsage,
-                 duties::ConfirmUsage>;
+                 duties::ConfirmUsage, RecordHomes>;
 
 }  // namespace tackpick::directory
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -389,6 +389,7 @@
   stepUsage(now);
   giveNoted(orders_.step(state_, reports_, modelDemand(now), replica_.raft().currentTerm(), now),
             now);
+  recordHomes(now);
 }
 
 void DirectoryRole::stepUsage(base::TimePoint now) {
@@ -518,6 +519,29 @@
   }
 }
 
+void DirectoryRole::recordHomes(base::TimePoint now) {
+  RecordHomes changes;
+  base::SortedCursor written(state_.homes());
+  for (const auto& [id, model] : orders_.homes()) {
+    const std::string* known = written.find(id);
+    if (known == nullptr || *known != model) {
+      changes.changed.push_back({id, model});
+    }
+  }
+  base::SortedCursor followed(orders_.homes());
+  for (const auto& [id, model] : state_.homes()) {
+    if (followed.find(id) == nullptr) {
+      changes.changed.push_back({id, {}});
+    }
+  }
+  if (changes.changed.size() > kMostVersionsAnEntry) {
+    changes.changed.resize(kMostVersionsAnEntry);
+  }
+  if (!changes.changed.empty()) {
+    proposeOnce(changes, m_recordingHomes, now);
+  }
+}
+
 void DirectoryRole::proposeOnce(const DirectoryCommand& command, bool& underWay,
                                 base::TimePoint now) {
   if (underWay) {
@@ -534,7 +558,7 @@
   for (const auto& [id, versions] : state_.heldVersions()) {
     reports_.try_emplace(id, ReportedEngine{leader_since_, versions});
   }
-  orders_.reset(order_lease_.freeFrom());
+  orders_.reset(order_lease_.freeFrom(), state_.homes());
   // Which engines are in reserve must be known before the first view is told, or all would be news.
   (void)orders_.step(state_, reports_, {}, replica_.raft().currentTerm(), now);
   usage_.reset(state_.usage(), order_lease_.freeFrom());
@@ -574,6 +598,7 @@
     ledger_voters_.clear();
     clock_.reset();
     recording_versions_ = false;
+    m_recordingHomes = false;
     forgetting_ = false;
     views_.reset(raft.currentTerm() << kTermShift);
     views_at_ = {};
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -101,6 +101,7 @@
   m_idsByAddress.erase(addressOf(known->second));
   data_.instances.erase(known);
   data_.heldVersions.erase(id);
+  data_.homes.erase(id);
 }
 
 void DirectoryState::applyTyped(const RemoveInstance& command) {
@@ -163,6 +164,16 @@
   }
 }
 
+void DirectoryState::applyTyped(const RecordHomes& command) {
+  for (const EngineHome& home : command.changed) {
+    if (home.model.empty()) {
+      data_.homes.erase(home.id);
+    } else if (data_.instances.contains(home.id)) {
+      data_.homes[home.id] = home.model;
+    }
+  }
+}
+
 void DirectoryState::applyTyped(const NoteOrders& command) {
   data_.orderNote = {command.holder, applying_};
 }
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -35,6 +35,8 @@
       const {
     return data_.heldVersions;
   }
+  /// The model that each engine follows, as that was last written.
+  [[nodiscard]] const std::map<std::string, std::string>& homes() const { return data_.homes; }
   /// Who last noted that it gives orders, and the index of that note; index 0: nobody did.
   struct OrderNote {
     base::NodeId holder;
@@ -72,6 +74,7 @@
     Configuration configuration;
     std::map<std::string, InstanceRecord> instances;
     std::map<std::string, std::map<std::string, std::uint64_t>> heldVersions;
+    std::map<std::string, std::string> homes;
     std::deque<std::string> leftInOrder;
     std::map<std::string, std::uint64_t> versions;
     std::set<base::NodeId> ledgerFounders;
@@ -81,7 +84,7 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(revision, configuration, instances, heldVersions, leftInOrder, versions,
+      archive(revision, configuration, instances, heldVersions, homes, leftInOrder, versions,
               ledgerFounders, retirements, orderNote, usage);
     }
   };
@@ -95,6 +98,7 @@
   void applyTyped(const BeginRetirement& command);
   void applyTyped(const CompleteRetirement& command);
   void applyTyped(const RecordVersions& command);
+  void applyTyped(const RecordHomes& command);
   void applyTyped(const NoteOrders& command);
   void applyTyped(const duties::BeginUsage& command) { data_.usage.apply(command); }
   void applyTyped(const duties::NoteUsage& command) { data_.usage.apply(command); }
--- a/src/directory/engines_wanted.cpp
+++ b/src/directory/engines_wanted.cpp
@@ -18,6 +18,11 @@
   }
 }
 
+std::uint32_t EnginesWanted::openItems(const std::string& model) const {
+  const auto found = m_peaks.find(model);
+  return found == m_peaks.end() ? 0 : found->second.items;
+}
+
 std::size_t EnginesWanted::of(const std::string& model, std::uint32_t slots) const {
   const auto found = m_peaks.find(model);
   if (found == m_peaks.end()) {
--- a/src/directory/engines_wanted.h
+++ b/src/directory/engines_wanted.h
@@ -35,6 +35,8 @@
   explicit EnginesWanted(EnginesWantedSettings settings) : m_settings(settings) {}
 
   void note(const OpenItems& items, base::TimePoint now);
+  /// Open items of `model` at the peak; zero when none are known.
+  [[nodiscard]] std::uint32_t openItems(const std::string& model) const;
   /// Engines of `slots` places each that `model` should use.
   [[nodiscard]] std::size_t of(const std::string& model, std::uint32_t slots) const;
 
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -89,9 +89,9 @@
   return "unknown";
 }
 
-void VersionOrders::reset(base::TimePoint ordersFrom) {
+void VersionOrders::reset(base::TimePoint ordersFrom, Homes homes) {
   orders_from_ = ordersFrom;
-  homes_.clear();
+  homes_ = std::move(homes);
   m_reserving.clear();
   published_.clear();
   given_.clear();
@@ -154,8 +154,8 @@
     known += work == demand.end() ? 0.0 : work->second;
   }
   const bool unknown = known < settings_.leastDemand;
-  std::map<std::string, std::size_t> shares =
-      engineShares(service.models, unknown ? std::map<std::string, double>{} : demand, engineCount);
+  const std::map<std::string, std::size_t> shares =
+      engineShares(service.models, askedOf(service, demand), engineCount);
   const auto backlog = [&](const InstanceRecord& record, const std::string& model) {
     const auto published = state.versions().find(model);
     const std::uint64_t newest = published == state.versions().end() ? 1 : published->second;
@@ -166,7 +166,7 @@
   // published version, as long as that model has not had its share.
   for (const InstanceRecord* record : homeless) {
     const auto key = [&](const auto& entry) {
-      return std::tuple(!unknown && entry.second >= shares[entry.first],
+      return std::tuple(!unknown && entry.second >= shares.at(entry.first),
                         backlog(*record, entry.first), entry.second);
     };
     const auto best = std::min_element(
@@ -175,6 +175,7 @@
     homes_[record->id] = best->first;
     ++best->second;
   }
+  feedStarved(engines, shares, counts);
   // A model without any engine gets one in any case.
   const bool empty = std::any_of(counts.begin(), counts.end(),
                                  [](const auto& entry) { return entry.second == 0; });
@@ -183,6 +184,64 @@
   }
 }
 
+std::map<std::string, double> VersionOrders::askedOf(
+    const Service& service, const std::map<std::string, double>& demand) const {
+  double work = 0;
+  double items = 0;
+  for (const std::string& model : service.models) {
+    const auto done = demand.find(model);
+    work += done == demand.end() ? 0.0 : done->second;
+    items += m_wanted.openItems(model);
+  }
+  // Work done alone would starve a model that lost its engines: without them it does no work, and
+  // without work it gets no engines. One such day lost eleven seconds of each of its steps.
+  constexpr double kLeastOfItems = 0.5;
+  std::map<std::string, double> asked;
+  for (const std::string& model : service.models) {
+    const auto done = demand.find(model);
+    const double doneHere = done == demand.end() ? 0.0 : done->second;
+    const double equal = 1.0 / static_cast<double>(service.models.size());
+    const double byWork = work < settings_.leastDemand ? equal : doneHere / work;
+    const double byItems = items > 0 ? m_wanted.openItems(model) / items : 0.0;
+    asked[model] = std::max(byWork, kLeastOfItems * byItems);
+  }
+  return asked;
+}
+
+void VersionOrders::feedStarved(const std::map<std::string, ReportedEngine>& engines,
+                                const std::map<std::string, std::size_t>& shares,
+                                std::map<std::string, std::size_t>& counts) {
+  for (const auto& [model, share] : shares) {
+    const std::size_t least = share / 2;
+    if (m_wanted.openItems(model) > 0 && counts[model] < least) {
+      moveHomes(model, least - counts[model], engines, shares, counts);
+    }
+  }
+}
+
+void VersionOrders::moveHomes(const std::string& model, std::size_t missing,
+                              const std::map<std::string, ReportedEngine>& engines,
+                              const std::map<std::string, std::size_t>& shares,
+                              std::map<std::string, std::size_t>& counts) {
+  std::vector<std::pair<std::uint64_t, Homes::iterator>> candidates;
+  for (auto home = homes_.begin(); home != homes_.end(); ++home) {
+    if (shares.contains(home->second) && home->second != model) {
+      candidates.emplace_back(versionOf(engines, home->first, model), home);
+    }
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const auto& left, const auto& right) { return left.first > right.first; });
+  for (const auto& [version, home] : candidates) {
+    std::size_t& from = counts[home->second];
+    if (missing > 0 && from > shares.at(home->second)) {
+      --from;
+      home->second = model;
+      ++counts[model];
+      --missing;
+    }
+  }
+}
+
 bool VersionOrders::isHeard(const std::string& instance,
                             const std::map<std::string, ReportedEngine>& engines,
                             base::TimePoint now) const {
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -88,8 +88,13 @@
   explicit VersionOrders(VersionOrderSettings settings)
       : settings_(settings), m_wanted(settings.wanted) {}
 
-  /// Call when this controller becomes leader. It gives no order before `ordersFrom`.
-  void reset(base::TimePoint ordersFrom);
+  /// The model that each engine follows.
+  using Homes = std::map<std::string, std::string>;
+
+  /// Call when this controller becomes leader. It gives no order before `ordersFrom`; engines keep
+  /// the `homes` that the former leader gave them.
+  void reset(base::TimePoint ordersFrom, Homes homes = {});
+  [[nodiscard]] const Homes& homes() const { return homes_; }
   /// Orders to give now.
   [[nodiscard]] std::vector<VersionOrder> step(const DirectoryState& state,
                                                const std::map<std::string, ReportedEngine>& engines,
@@ -136,6 +141,20 @@
   void assignHomesOf(const Service& service, const DirectoryState& state,
                      const std::map<std::string, ReportedEngine>& engines,
                      const std::map<std::string, double>& demand, base::TimePoint now);
+  /// What each model of the service is asked of the engines, in shares of the whole: work done, and
+  /// never less than half of what its open items would be.
+  [[nodiscard]] std::map<std::string, double> askedOf(
+      const Service& service, const std::map<std::string, double>& demand) const;
+  /// Models with open items and less than half of the engines due to them get these at once.
+  void feedStarved(const std::map<std::string, ReportedEngine>& engines,
+                   const std::map<std::string, std::size_t>& shares,
+                   std::map<std::string, std::size_t>& counts);
+  /// `missing` engines of models with more than their share follow `model` from now on, those first
+  /// that hold its newest weights.
+  void moveHomes(const std::string& model, std::size_t missing,
+                 const std::map<std::string, ReportedEngine>& engines,
+                 const std::map<std::string, std::size_t>& shares,
+                 std::map<std::string, std::size_t>& counts);
   /// By model, of engines with `slots` places each.
   [[nodiscard]] std::map<std::string, std::size_t> enginesWanted(const Service& service,
                                                                  std::uint32_t slots) const;
@@ -167,11 +186,11 @@
   const VersionOrderSettings settings_;
   base::TimePoint orders_from_{};
   EnginesWanted m_wanted;
-  std::set<std::string> m_reserving;          ///< services with more engines than their models want
-  std::size_t m_engineCount = 0;              ///< of all services with models
-  std::map<std::string, std::string> homes_;  ///< model by instance
-  base::TimePoint moved_at_{};                ///< when an engine last changed its home
-  std::map<std::string, Given> given_;        ///< latest order by instance
+  std::set<std::string> m_reserving;  ///< services with more engines than their models want
+  std::size_t m_engineCount = 0;      ///< of all services with models
+  Homes homes_;
+  base::TimePoint moved_at_{};          ///< when an engine last changed its home
+  std::map<std::string, Given> given_;  ///< latest order by instance
   struct Published {
     std::uint64_t version = 0;
     base::TimePoint seenAt{};
--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -134,6 +134,30 @@
   cr_assert_gt(controller.role->state().orderNote().index, 0U);
 }
 
+// Found by what engines hold, all would follow the model whose version is the older one.
+Test(directory_role, models_that_engines_follow_outlive_the_leader) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  directory::Configuration two = configuration();
+  two.services[0].models = {"m", "n"};
+  controller.ask(directory::ReplaceConfiguration{two});
+  for (int i = 0; i < 4; ++i) {
+    directory::InstanceBeat beat = engineBeat(1, 1);
+    beat.record.id = "e" + std::to_string(i);
+    beat.record.port = static_cast<std::uint16_t>(1 + i);
+    beat.versions["n"] = 1;
+    controller.ask(beat);
+  }
+  controller.run(base::seconds(1));
+  const auto homes = controller.role->state().homes();
+  cr_assert_eq(homes.size(), 4U);
+  controller.ask(directory::PublishVersion{"n", 2});
+  controller.run(base::milliseconds(10));
+  controller.start();
+  controller.run(base::seconds(2));
+  cr_assert(controller.role->state().homes() == homes);
+}
+
 // A ledger that is lost for good after a retirement was accepted may leave fewer than are wanted:
 // the retiring machine, which keeps nothing any more, must not wait for a size that is never
 // reached.
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -465,6 +465,29 @@
   cr_assert_eq(models["n"].size(), 3U);
 }
 
+// Users saw one trainer fall behind for the rest of a day after a change of leader: none of its
+// samples began, for eleven seconds of each step, while the engines were a quarter full.
+// Order of events: a new leader that had heard of no work gave all engines to two of three models;
+// the third did no work, so it was due next to none, and got one engine each three seconds.
+// Cause: engines followed the work done, not the work asked. Evidence: no order for that model's
+// weights for 24 s, and leases of its items 10 to 12 s after they were submitted.
+Test(version_orders, model_without_engines_gets_them_by_its_open_items) {
+  OrdersFixture fixture(12, {"m", "n"});
+  directory::VersionOrders::Homes homes;
+  for (const auto& [id, record] : fixture.state.instances()) {
+    homes[id] = "m";
+  }
+  fixture.orders.reset({}, homes);
+  fixture.orders.noteOpenItems({{"m", 100}, {"n", 100}}, fixture.now);
+  (void)fixture.orders.step(fixture.state, fixture.engines, {{"m", 5000.0}}, 3, fixture.now);
+  const auto follow = [&](const std::string& model) {
+    return std::count_if(fixture.orders.homes().begin(), fixture.orders.homes().end(),
+                         [&](const auto& home) { return home.second == model; });
+  };
+  cr_assert_geq(follow("n"), 2, "half of what its items are due, at once");
+  cr_assert_geq(follow("m"), 6);
+}
+
 Test(model_demand, recent_work_counts_most) {
   directory::ModelDemand demand;
   base::TimePoint now{};
