--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -3,129 +3,32 @@
 /// the reports of their usage.
 #include <criterion/criterion.h>
 
-#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <memory>
 #include <mutex>
 #include <thread>
 
-#include "http/exchange_server.h"
-#include "integration/process.h"
-#include "runtime/json.h"
+#include "integration/self_formed_cluster.h"
+#include "integration/stand_in_engine.h"
 
 namespace http = tackpick::http;
 using tackpick::runtime::Json;
-using tackpick::test::call;
+using tackpick::test::batch;
+using tackpick::test::batchConfiguration;
 using tackpick::test::HttpAnswer;
-using tackpick::test::Process;
+using tackpick::test::StandInEngine;
+using tackpick::test::tenantConfiguration;
 using tackpick::test::waitUntil;
+using Cluster = tackpick::test::SelfFormedCluster;
 
 namespace {
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
-constexpr int kEvents = 5;
 /// Beyond the time that a gateway may be behind the newest configuration.
 constexpr auto kLongerThanBehind = std::chrono::milliseconds(2500);
 
-/// An engine in this process: answers each request with a stream of events.
-class StandInEngine {
- public:
-  explicit StandInEngine(std::string id)
-      : id_(std::move(id)),
-        server_(
-            context_, "127.0.0.1", 0, {},
-            [this](const http::RawRequest& request,
-                   const std::shared_ptr<http::Exchange>& exchange) { answer(request, exchange); }),
-        thread_([this] { context_.run(); }) {}
-  ~StandInEngine() {
-    context_.stop();
-    thread_.join();
-  }
-  StandInEngine(const StandInEngine&) = delete;
-  StandInEngine& operator=(const StandInEngine&) = delete;
-
-  /// Its streams stop after the first event from now on, without an end.
-  void stall() { m_stalled = true; }
-  /// Exchanges that never end.
-  [[nodiscard]] std::size_t stalled() const {
-    const std::lock_guard lock(mutex_);
-    return m_unfinished.size();
-  }
-
-  /// `born`: when it started; zero: it does not tell.
-  [[nodiscard]] Json heartbeat(std::uint64_t sequence, std::uint64_t born = 0) const {
-    Json told = plainHeartbeat(sequence);
-    if (born != 0) {
-      told["born"] = born;
-    }
-    return told;
-  }
-  [[nodiscard]] Json plainHeartbeat(std::uint64_t sequence) const {
-    return {{"service", "engines"},
-            {"address", "127.0.0.1:" + std::to_string(server_.port())},
-            {"zone", "a"},
-            {"slots", 4},
-            {"state", "ready"},
-            {"sequence", sequence},
-            {"models", {{{"name", "m"}, {"version", 1}}}}};
-  }
-  [[nodiscard]] const std::string& id() const { return id_; }
-  /// Requests run so far whose path begins so, by the tenant they were sent for; a request that
-  /// brings a caller's key counts under "key".
-  [[nodiscard]] std::map<std::string, int> tenants(const std::string& pathPrefix) const {
-    const std::lock_guard lock(mutex_);
-    std::map<std::string, int> counts;
-    for (const http::RawRequest& request : ran_) {
-      if (request.target.starts_with(pathPrefix)) {
-        const bool key = request.headers.has("Authorization");
-        ++counts[key ? "key" : request.headers.value("Tenant")];
-      }
-    }
-    return counts;
-  }
-
- private:
-  void answer(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
-    http::HeaderList headers;
-    headers.add("Request-Id", request.headers.value("Request-Id"));
-    headers.add("Weight-Versions", "1");
-    if (request.headers.value("Expected-Instance") != id_) {
-      exchange->respond(421, headers, {});
-      return;
-    }
-    {
-      const std::lock_guard lock(mutex_);
-      ran_.push_back(request);
-    }
-    exchange->begin(kOk, headers);
-    const int first = request.headers.has("Last-Event-Id")
-                          ? std::stoi(request.headers.value("Last-Event-Id")) + 1
-                          : 0;
-    for (int event = first; event < kEvents; ++event) {
-      if (event > first && m_stalled) {
-        const std::lock_guard lock(mutex_);
-        m_unfinished.push_back(exchange);
-        return;
-      }
-      exchange->write("id: " + std::to_string(event) + "\ndata: " + request.body +
-                      std::to_string(event) + "\n\n");
-    }
-    exchange->finish();
-  }
-
-  const std::string id_;
-  std::atomic<bool> m_stalled = false;
-  mutable std::mutex mutex_;
-  std::vector<http::RawRequest> ran_;
-  std::vector<std::shared_ptr<http::Exchange>> m_unfinished;
-  asio::io_context context_;
-  http::ExchangeServer server_;
-  std::thread thread_;
-};
-
 /// The platform's service for usage reports, in this process. It leaves every third call without
 /// an answer, after it has taken it.
 class StandInDutyPlatform {
@@ -193,228 +96,6 @@
   std::thread thread_;
 };
 
-struct Machine {
-  std::string address;
-  std::string role;
-  std::unique_ptr<Process> process;
-};
-
-/// Three controllers, three ledgers, a gateway; every process has a loopback address of its own.
-class Cluster {
- public:
-  /// `dutyPlatform`: the port of a platform that wants usage reports; zero: there is none.
-  explicit Cluster(std::uint16_t dutyPlatform = 0)
-      : duty_platform_(dutyPlatform),
-        folder_(std::filesystem::temp_directory_path() /
-                ("tackpick-cluster-" + std::to_string(getpid()))),
-        internal_port_(tackpick::test::reservePort()),
-        http_port_(tackpick::test::reservePort()),
-        readiness_port_(tackpick::test::reservePort()),
-        metrics_port_(tackpick::test::reservePort()) {
-    std::filesystem::create_directories(folder_);
-    for (int i = 1; i <= 3; ++i) {
-      machines_.push_back({"127.0.1." + std::to_string(i), "controller", nullptr});
-      machines_.push_back({"127.0.2." + std::to_string(i), "ledger", nullptr});
-    }
-    machines_.push_back({"127.0.3.1", "gateway", nullptr});
-    for (Machine& machine : machines_) {
-      start(machine, true);
-    }
-  }
-  ~Cluster() {
-    machines_.clear();
-    std::filesystem::remove_all(folder_);
-  }
-  Cluster(const Cluster&) = delete;
-  Cluster& operator=(const Cluster&) = delete;
-
-  void start(Machine& machine, bool bootstrap) {
-    const std::string name = folder_ / machine.address;
-    std::ofstream settings(name + ".yaml");
-    settings << "formation: self\ncluster: test\nname: node-" << machine.address
-             << "\nrole: " << machine.role << "\naddress: " << machine.address
-             << "\nzone: a\ninternal_port: " << internal_port_ << "\nmetrics: " << machine.address
-             << ":" << metrics_port_ << "\nbootstrap: " << (bootstrap ? "true" : "false")
-             << "\nseeds: [127.0.1.1:" << http_port_ << ", 127.0.1.2:" << http_port_
-             << ", 127.0.1.3:" << http_port_ << "]\n";
-    if (duty_platform_ != 0) {
-      settings << "duty_platform: 127.0.0.1:" << duty_platform_
-               << "\nusage_window_s: 1\nusage_delay_s: 4\n";
-    }
-    if (machine.role == "gateway") {
-      settings << "traffic: " << machine.address << ":" << http_port_
-               << "\nreadiness: " << machine.address << ":" << readiness_port_ << "\n";
-    } else {
-      settings << "data_folder: " << name << "\n";
-    }
-    if (machine.role == "controller") {
-      settings << "control: " << machine.address << ":" << http_port_ << "\n";
-    }
-    settings.close();
-    machine.process = std::make_unique<Process>(
-        "tackpickd", std::vector<std::string>{"--settings", name + ".yaml"}, name + ".log");
-  }
-  /// The machine loses its disk and comes back at its address.
-  void wipe(Machine& machine) {
-    machine.process->kill();
-    std::filesystem::remove_all(folder_ / machine.address);
-    start(machine, false);
-  }
-  Machine& machine(const std::string& address) {
-    for (Machine& machine : machines_) {
-      if (machine.address == address) {
-        return machine;
-      }
-    }
-    cr_assert_fail("no machine %s", address.c_str());
-    return machines_.front();
-  }
-  /// Where the machine keeps its data.
-  [[nodiscard]] std::filesystem::path dataFolder(const std::string& address) const {
-    return folder_ / address;
-  }
-  /// Calls a controller until one gives a clear answer.
-  HttpAnswer control(const std::string& method, const std::string& path, const Json& body) {
-    HttpAnswer answer;
-    waitUntil(
-        [&] {
-          turn_ = turn_ % 3 + 1;
-          const std::string address = "127.0.1." + std::to_string(turn_);
-          answer = call({method,
-                         "http://" + address + ":" + std::to_string(http_port_) + path,
-                         body.is_null() ? "" : body.dump(),
-                         {},
-                         {},
-                         3});
-          return answer.status != 0 && answer.status != 503;
-        },
-        "a controller answers " + path);
-    return answer;
-  }
-  HttpAnswer gateway(const std::string& method, const std::string& path,
-                     const std::string& body = "", const std::string& id = "",
-                     std::map<std::string, std::string> headers = {}) {
-    headers["Host"] = "batches.example";
-    headers["Request-Id"] = id;
-    return call({method,
-                 "http://127.0.3.1:" + std::to_string(http_port_) + path,
-                 body,
-                 {},
-                 std::move(headers),
-                 10});
-  }
-  /// The same with a tenant's key.
-  HttpAnswer gatewayAs(const std::string& key, const std::string& method, const std::string& path,
-                       const std::string& body = "", const std::string& id = "") {
-    return gateway(method, path, body, id, {{"Authorization", "Token " + key}, {"Tenant", "x"}});
-  }
-  [[nodiscard]] int readiness() const {
-    return call({"GET",
-                 "http://127.0.3.1:" + std::to_string(readiness_port_) + "/ready",
-                 "",
-                 {},
-                 {},
-                 3})
-        .status;
-  }
-  /// What the machine tells scrapers.
-  [[nodiscard]] std::string figures(const std::string& address) const {
-    return call({"GET",
-                 "http://" + address + ":" + std::to_string(metrics_port_) + "/metrics",
-                 "",
-                 {},
-                 {},
-                 3})
-        .body;
-  }
-  /// Lines of a machine's log that hold `text`.
-  [[nodiscard]] std::size_t logged(const std::string& address, const std::string& text) const {
-    std::ifstream log(folder_ / (address + ".log"));
-    std::size_t count = 0;
-    for (std::string line; std::getline(log, line);) {
-      count += line.find(text) != std::string::npos ? 1 : 0;
-    }
-    return count;
-  }
-  /// The address of the machine of that net (`127.0.1.` or `127.0.2.`) that leads its group.
-  std::string leader(const std::string& net) {
-    std::string found;
-    waitUntil(
-        [&] {
-          for (int i = 1; i <= 3; ++i) {
-            const std::string address = net + std::to_string(i);
-            if (logged(address, "became_leader") > logged(address, "lost_leadership")) {
-              found = address;
-            }
-          }
-          return !found.empty();
-        },
-        "a leader in " + net);
-    return found;
-  }
-
- private:
-  const std::uint16_t duty_platform_;
-  const std::filesystem::path folder_;
-  const std::uint16_t internal_port_;
-  const std::uint16_t http_port_;
-  const std::uint16_t readiness_port_;
-  const std::uint16_t metrics_port_;
-  std::vector<Machine> machines_;
-  int turn_ = 0;
-};
-
-Json configuration(std::uint64_t version) {
-  return {{"version", version},
-          {"routes",
-           {{{"name", "batches"},
-             {"host", "batches.example"},
-             {"pathPrefix", "/b/"},
-             {"kind", "rollout"},
-             {"timeoutMs", 10000},
-             {"targetLatencyMs", 400},
-             {"service", "engines"},
-             {"attempts", 3},
-             {"queueTimeoutS", 60}}}},
-          {"services",
-           {{{"name", "engines"},
-             {"healthPath", "/health"},
-             {"engine", {{"slots", 4}, {"models", {{{"name", "m"}}}}}}}}},
-          {"limits",
-           {{"headerLimitBytes", 16384},
-            {"bodyLimitBytes", 1000000},
-            {"headerTimeoutMs", 3000},
-            {"idleTimeoutMs", 15000}}}};
-}
-
-/// The same with a route for plain requests and the tenants' keys.
-Json tenantConfiguration(std::uint64_t version, const Json& tenants) {
-  Json made = configuration(version);
-  made["routes"].push_back({{"name", "queries"},
-                            {"host", "batches.example"},
-                            {"pathPrefix", "/q/"},
-                            {"kind", "safe"},
-                            {"timeoutMs", 5000},
-                            {"targetLatencyMs", 400},
-                            {"service", "engines"},
-                            {"attempts", 2}});
-  made["tenants"] = tenants;
-  return made;
-}
-
-std::string batch(int items) {
-  Json list = Json::array();
-  for (int i = 0; i < items; ++i) {
-    list.push_back({{"identifier", "item" + std::to_string(i)},
-                    {"path", "/b/run"},
-                    {"headers", {{"Model", "m"}}},
-                    {"body", "YWI="},
-                    {"tokens", 10},
-                    {"group", "g"}});
-  }
-  return Json{{"step", 0}, {"model", "m"}, {"minimumVersion", 1}, {"items", list}}.dump();
-}
-
 /// Results of a batch once all are there.
 Json wholeBatch(Cluster& cluster, const std::string& id, std::size_t items) {
   Json results;
@@ -436,7 +117,8 @@
 Test(cluster, forms_itself_and_keeps_what_it_acknowledged) {
   Cluster cluster;
   waitUntil([&] { return cluster.readiness() == 503; }, "a gateway without a configuration");
-  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", batchConfiguration(2)).status,
+               kOk);
   cr_assert_eq(cluster.control("POST", "/Configuration.Replace", {{"version", 3}}).status, 400);
   waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
   const StandInEngine engine("i-1");
@@ -457,7 +139,7 @@
   cluster.machine(controller).process->kill();
   cluster.machine(ledger).process->kill();
   const HttpAnswer read = cluster.control("GET", "/Configuration.Read", nullptr);
-  cr_assert(Json::parse(read.body) == configuration(2));
+  cr_assert(Json::parse(read.body) == batchConfiguration(2));
   cr_assert(wholeBatch(cluster, "one", 6) == results, "positions never change");
   cluster.start(cluster.machine(controller), false);
   cluster.start(cluster.machine(ledger), false);
@@ -476,7 +158,8 @@
 
 Test(cluster, every_role_tells_its_figures) {
   Cluster cluster;
-  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", batchConfiguration(2)).status,
+               kOk);
   waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
   const auto tells = [&](const std::string& address, const std::string& line) {
     return cluster.figures(address).find(line) != std::string::npos;
@@ -489,7 +172,8 @@
 
 Test(cluster, gateway_stops_as_planned) {
   Cluster cluster;
-  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", batchConfiguration(2)).status,
+               kOk);
   waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
   cluster.machine("127.0.3.1").process->signal(SIGTERM);
   waitUntil([&] { return cluster.readiness() == 503; }, "it says that it is not ready");
@@ -513,7 +197,8 @@
   std::filesystem::remove(cluster.dataFolder(address));
   std::filesystem::rename(aside, cluster.dataFolder(address));
   waitUntil([&] { return cluster.logged(address, voter) > before; }, "it has its log again");
-  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", batchConfiguration(2)).status,
+               kOk);
 }
 
 // Users saw requests for a route that an accepted change had added refused as unknown, much later
@@ -524,7 +209,8 @@
 // Evidence: events 4018 of that gateway tell the older version and an age far above the bound.
 Test(cluster, gateway_that_may_have_missed_a_change_does_not_refuse_for_good) {
   Cluster cluster;
-  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", batchConfiguration(2)).status,
+               kOk);
   waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
   cr_assert_eq(cluster.gateway("GET", "/q/1").status, 404, "what it knows is new enough");
   const Json tenants = {{{"name", "a"}, {"apiKeys", {"key-a"}}}};
@@ -553,7 +239,8 @@
   constexpr std::uint64_t kBorn = 1'000'000;
   constexpr std::uint64_t kBornAgain = 2'000'000;
   Cluster cluster;
-  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", configuration(2)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", batchConfiguration(2)).status,
+               kOk);
   waitUntil([&] { return cluster.readiness() == kOk; }, "the gateway is ready");
   StandInEngine formerLife("i-1");
   formerLife.stall();
@@ -632,7 +319,7 @@
 
 Test(cluster, usage_is_reported_once_and_unchanged_while_holders_die) {
   const StandInDutyPlatform platform;
-  Cluster cluster(platform.port());
+  Cluster cluster({.dutyPlatform = platform.port()});
   const Json tenants = {{{"name", "a"}, {"apiKeys", {"key-a"}}},
                         {{"name", "b"}, {"apiKeys", {"key-b"}}}};
   cr_assert_eq(
--- a/test/integration/process.cpp
+++ b/test/integration/process.cpp
@@ -109,8 +109,16 @@
 }
 
 HttpAnswer call(const HttpCall& request) {
-  HttpAnswer answer;
   CURL* easy = curl_easy_init();
+  HttpAnswer answer = callOn(easy, request);
+  curl_easy_cleanup(easy);
+  return answer;
+}
+
+HttpAnswer callOn(void* connection, const HttpCall& request) {
+  HttpAnswer answer;
+  CURL* easy = connection;
+  curl_easy_reset(easy);
   curl_slist* headers = curl_slist_append(nullptr, "Expect:");
   headers = curl_slist_append(headers, "Content-Type: application/json");
   if (!request.token.empty()) {
@@ -123,6 +131,9 @@
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT, request.timeoutSeconds);
+  if (request.method != "GET" && request.method != "POST") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
   if (request.method == "POST") {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
@@ -137,7 +148,6 @@
     answer.status = static_cast<int>(status);
   }
   curl_slist_free_all(headers);
-  curl_easy_cleanup(easy);
   return answer;
 }
 
--- a/test/integration/process.h
+++ b/test/integration/process.h
@@ -54,6 +54,8 @@
 };
 
 [[nodiscard]] HttpAnswer call(const HttpCall& request);
+/// The same on a curl handle, which keeps its connection for the next call.
+[[nodiscard]] HttpAnswer callOn(void* connection, const HttpCall& request);
 
 /// Polls until the condition holds; fails the test when it never does. The verdict depends on the
 /// condition only: the limit is far beyond any healthy run.
--- /dev/null
+++ b/test/integration/soak_clients.cpp
@@ -0,0 +1,232 @@
+#include "integration/soak_clients.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+
+#include "http/status.h"
+
+namespace tackpick::test {
+namespace {
+
+using namespace http::status;
+using runtime::Json;
+
+constexpr long kCallSeconds = 3;
+constexpr auto kPause = std::chrono::milliseconds(40);
+constexpr int kItems = 4;
+
+const std::map<std::string, std::string>& callerHeaders() {
+  static const std::map<std::string, std::string> kHeaders = {{"Host", "batches.example"},
+                                                              {"Authorization", "Token key-a"}};
+  return kHeaders;
+}
+
+Json configurationOf(std::uint64_t version) {
+  return tenantConfiguration(version, {{{"name", "a"}, {"apiKeys", {"key-a"}}}});
+}
+
+HttpAnswer callGateway(const SoakContext& context, base::Random& random, const std::string& method,
+                       const std::string& path, const std::string& body, const std::string& id) {
+  std::map<std::string, std::string> headers = callerHeaders();
+  headers["Request-Id"] = id;
+  const std::string address = context.addresses.gateway(random);
+  return call({method, context.cluster.gatewayUrl(address, path), body, {}, headers, kCallSeconds});
+}
+
+}  // namespace
+
+void Problem::report(const std::string& what) {
+  const std::lock_guard lock(m_mutex);
+  if (m_text.empty()) {
+    m_text = what;
+  }
+}
+
+std::string Problem::text() const {
+  const std::lock_guard lock(m_mutex);
+  return m_text;
+}
+
+void AddressBook::set(std::vector<std::string> controllers, std::vector<std::string> gateways) {
+  const std::lock_guard lock(m_mutex);
+  m_controllers = std::move(controllers);
+  m_gateways = std::move(gateways);
+}
+
+std::string AddressBook::controller(base::Random& random) const {
+  const std::lock_guard lock(m_mutex);
+  return m_controllers.at(random.below(m_controllers.size()));
+}
+
+std::string AddressBook::gateway(base::Random& random) const {
+  const std::lock_guard lock(m_mutex);
+  return m_gateways.at(random.below(m_gateways.size()));
+}
+
+Repeating::Repeating(std::function<void()> step)
+    : m_thread([this, step = std::move(step)] {
+        while (!m_stopping) {
+          step();
+          std::this_thread::sleep_for(kPause);
+        }
+      }) {}
+
+Repeating::~Repeating() {
+  m_stopping = true;
+  m_thread.join();
+}
+
+void Operator::step() {
+  if (change()) {
+    ++m_version;
+  }
+  read();
+}
+
+bool Operator::change() {
+  const std::string address = m_context.addresses.controller(m_random);
+  const HttpAnswer answer = call({"POST",
+                                  m_context.cluster.controlUrl(address, "/Configuration.Replace"),
+                                  configurationOf(m_version).dump(),
+                                  {},
+                                  {},
+                                  kCallSeconds});
+  if (answer.status == kOk) {
+    m_accepted = m_version;
+  } else if (answer.status == kBadRequest || answer.status == kConflict) {
+    m_context.problem.report("a valid change is refused with " + std::to_string(answer.status));
+  }
+  return answer.status == kOk;
+}
+
+void Operator::read() {
+  const std::uint64_t least = m_accepted;
+  const std::string address = m_context.addresses.controller(m_random);
+  const HttpAnswer answer = call({"GET",
+                                  m_context.cluster.controlUrl(address, "/Configuration.Read"),
+                                  "",
+                                  {},
+                                  {},
+                                  kCallSeconds});
+  if (answer.status != kOk) {
+    return;
+  }
+  const std::uint64_t version = Json::parse(answer.body)["version"].get<std::uint64_t>();
+  if (version < least) {
+    m_context.problem.report("version " + std::to_string(version) + " is read after " +
+                             std::to_string(least) + " was accepted");
+  }
+}
+
+void Trainer::step() {
+  if (m_acceptedBatch) {
+    read();
+  } else {
+    submit();
+  }
+}
+
+void Trainer::submit() {
+  if (m_name.empty()) {
+    m_name = "batch" + std::to_string(++m_batches);
+    m_seen.clear();
+  }
+  const HttpAnswer answer = callGateway(m_context, m_random, "POST", "/b/x", batch(kItems), m_name);
+  m_acceptedBatch = answer.status == kAccepted;
+}
+
+void Trainer::read() {
+  const HttpAnswer answer =
+      callGateway(m_context, m_random, "GET", "/lots/" + m_name + "?afterRevision=0", "", "");
+  if (answer.status == kNotFound) {
+    m_context.problem.report("accepted batch " + m_name + " is not found");
+  }
+  if (answer.status != kOk) {
+    return;
+  }
+  const Json results = Json::parse(answer.body)["results"];
+  for (std::size_t at = 0; at < results.size(); ++at) {
+    const std::string result = results[at].dump();
+    if (m_seen.try_emplace(at, result).first->second != result) {
+      m_context.problem.report("a position of " + m_name + " holds another result than before");
+    }
+    if (results[at]["message"] != "ab0\nab1\nab2\nab3\nab4") {
+      m_context.problem.report("a text of " + m_name + " is " + result);
+    }
+  }
+  if (results.size() == kItems) {
+    callGateway(m_context, m_random, "DELETE", "/lots/" + m_name, "", "");
+    m_name.clear();
+    m_acceptedBatch = false;
+    ++m_whole;
+  }
+}
+
+KeptCaller::~KeptCaller() {
+  for (const auto& [gateway, connection] : m_connections) {
+    curl_easy_cleanup(connection);
+  }
+}
+
+void KeptCaller::step() {
+  const std::string gateway = m_context.addresses.gateway(m_random);
+  void*& connection = m_connections[gateway];
+  if (connection == nullptr) {
+    connection = curl_easy_init();
+  }
+  const std::string id = "kept" + std::to_string(++m_requests);
+  std::map<std::string, std::string> headers = callerHeaders();
+  headers["Request-Id"] = id;
+  const HttpAnswer answer =
+      callOn(connection,
+             {"GET", m_context.cluster.gatewayUrl(gateway, "/q/1"), "", {}, headers, kCallSeconds});
+  if (answer.status == 0) {
+    curl_easy_cleanup(connection);
+    connection = nullptr;
+    return;
+  }
+  if (answer.status != kOk) {
+    return;
+  }
+  const auto echoed = answer.headers.find("request-id");
+  if (echoed == answer.headers.end() || echoed->second != id) {
+    m_context.problem.report("the answer to " + id + " belongs to another request");
+  }
+  if (answer.body.find("data: " + std::to_string(kEvents - 1)) == std::string::npos) {
+    m_context.problem.report("the answer to " + id + " is not whole: " + answer.body);
+  }
+  ++m_served;
+}
+
+EngineLife::EngineLife(SoakContext context, std::string name, std::uint64_t seed)
+    : m_context(context),
+      m_name(std::move(name)),
+      m_random(seed),
+      m_engine(std::make_unique<StandInEngine>(m_name)) {}
+
+void EngineLife::step() {
+  std::string body;
+  {
+    const std::lock_guard lock(m_mutex);
+    body = m_engine->heartbeat(++m_sequence, m_born).dump();
+  }
+  const std::string address = m_context.addresses.controller(m_random);
+  (void)call({"POST",
+              m_context.cluster.controlUrl(address, "/Instances.Heartbeat/" + m_name),
+              body,
+              {},
+              {},
+              kCallSeconds});
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+}
+
+void EngineLife::restart() {
+  const std::lock_guard lock(m_mutex);
+  m_engine.reset();
+  m_engine = std::make_unique<StandInEngine>(m_name);
+  ++m_born;
+  m_sequence = 0;
+}
+
+}  // namespace tackpick::test
