--- /dev/null
+++ b/src/directory/directory_requests.cpp
@@ -0,0 +1,225 @@
+/// \file
+/// DirectoryRole: what nodes, instances, trainers and operators ask of the leader.
+#include <algorithm>
+#include <utility>
+
+#include "directory/directory_role.h"
+#include "directory/incarnation.h"
+
+namespace tackpick::directory {
+
+using transport::CommandStatus;
+
+void DirectoryRole::onRequest(const Caller& caller, const ReplaceConfiguration& request,
+                              base::TimePoint now) {
+  std::string problem;
+  const bool valid = base::recover(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_CHECK(validate(request.configuration));
+        return true;
+      },
+      [&](const base::Error& error) {
+        problem = error.message;
+        return false;
+      });
+  if (!valid) {
+    reply(caller, DirectoryStatus::kInvalid, problem);
+    return;
+  }
+  if (request.configuration.version <= state_.configuration().version) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  proposeFor(caller, request, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const ReadConfiguration& /*request*/,
+                              base::TimePoint /*now*/) {
+  if (state_.configuration().version == 0) {
+    reply(caller, DirectoryStatus::kNotFound);
+    return;
+  }
+  reply(caller, DirectoryStatus::kDone, state_.configuration().document);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const InstanceBeat& request,
+                              base::TimePoint now) {
+  const std::string& id = request.record.id;
+  if (state_.hasLeft(id)) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  const auto sequence = beat_sequences_.find(id);
+  const bool late = sequence != beat_sequences_.end() && request.sequence <= sequence->second;
+  const auto known = state_.instances().find(id);
+  const bool registered =
+      known != state_.instances().end() && confirmsRegistration(known->second, request.record);
+  if (!late) {
+    observeReport(request, now);
+  }
+  if (registered || (late && !request.record.leaving)) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  proposeFor(caller, RegisterInstance{request.record}, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const RelayBeats& request,
+                              base::TimePoint now) {
+  for (const RelayedBeat& beat : request.beats) {
+    std::uint64_t& sequence = beat_sequences_[beat.id];
+    if (beat.sequence <= sequence || !state_.instances().contains(beat.id)) {
+      continue;
+    }
+    sequence = beat.sequence;
+    const auto [report, added] = reports_.try_emplace(beat.id);
+    report->second.heardAt = now;
+    if (beat.versions) {
+      report->second.versions = *beat.versions;
+    } else if (const auto held = state_.heldVersions().find(beat.id);
+               added && held != state_.heldVersions().end()) {
+      report->second.versions = held->second;
+    }
+  }
+  reply(caller, DirectoryStatus::kDone);
+}
+
+void DirectoryRole::observeReport(const InstanceBeat& beat, base::TimePoint now) {
+  beat_sequences_[beat.record.id] = beat.sequence;
+  ReportedEngine& report = reports_[beat.record.id];
+  report.heardAt = now;
+  report.versions = beat.versions;
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const InstanceLeaves& request,
+                              base::TimePoint now) {
+  const bool tellsStart = Incarnation::parse(request.id).born != 0;
+  const std::string id =
+      tellsStart ? request.id : state_.newestIncarnation(request.id).value_or(request.id);
+  if (state_.hasLeft(id)) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  proposeFor(caller, RemoveInstance{id, true}, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const PublishVersion& request,
+                              base::TimePoint now) {
+  const auto known = state_.versions().find(request.model);
+  if (known != state_.versions().end() && known->second >= request.version) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  proposeFor(caller, request, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const Watch& request, base::TimePoint now) {
+  nodes_[request.node.node] = {request.node, now, request.recentWork};
+  if (request.clock != base::WallTime{}) {
+    clock_.onTold(request.node.node, request.clock, now);
+  }
+  if (request.node.role == NodeRole::kGateway) {
+    usage_.onTold(request.node.node, request.usage);
+  }
+  if (request.ledgerMembership) {
+    ledger_voters_ = request.ledgerMembership->voters;
+    completeRetirements(*request.ledgerMembership, now);
+  }
+  orders_.noteOpenItems(request.openItems, now);
+  watches_.add(caller, request, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const TellUsage& request,
+                              base::TimePoint /*now*/) {
+  usage_.onTold(caller.node, request.usage);
+  reply(caller, DirectoryStatus::kDone);
+}
+
+void DirectoryRole::completeRetirements(const consensus::Membership& ledgers, base::TimePoint now) {
+  for (const auto& [name, retirement] : state_.retirements()) {
+    if (retirement != Retirement::kRunning) {
+      continue;
+    }
+    const bool member =
+        std::any_of(nodes_.begin(), nodes_.end(), [&, &wanted = name](const auto& entry) {
+          return entry.second.record.name == wanted && ledgers.contains(entry.first);
+        });
+    // A group that cannot grow, since no other ledger is heard, must not hold a machine for ever.
+    const bool settled =
+        ledgers.voters.size() >= settings_.repair.targetSize ||
+        !cluster::canGrow(ledgers, nodesOf(NodeRole::kLedger, now), settings_.repair);
+    if (!member && settled) {
+      proposeQuietly(CompleteRetirement{name}, now);
+    }
+  }
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const RetireNode& request,
+                              base::TimePoint now) {
+  const auto begun = state_.retirements().find(request.name);
+  if (begun != state_.retirements().end()) {
+    reply(caller, DirectoryStatus::kDone);
+    return;
+  }
+  bool known = false;
+  std::size_t remaining = 0;
+  for (const auto& [node, heard] : nodes_) {
+    if (heard.record.role != NodeRole::kLedger) {
+      continue;
+    }
+    if (heard.record.name == request.name) {
+      known = true;
+    } else if (!state_.retirements().contains(heard.record.name) &&
+               now - heard.heardAt < settings_.repair.silenceLimit) {
+      ++remaining;
+    }
+  }
+  if (!known) {
+    // A new leader has not heard of all nodes yet.
+    constexpr base::Duration kAcquaintance = base::seconds(2);
+    if (now - leader_since_ < kAcquaintance) {
+      service_.refuse(caller, CommandStatus::kUnavailable);
+    } else {
+      reply(caller, DirectoryStatus::kNotFound);
+    }
+    return;
+  }
+  if (remaining < settings_.repair.targetSize) {
+    reply(caller, DirectoryStatus::kConflict, "too few ledgers would remain");
+    return;
+  }
+  proposeFor(caller, BeginRetirement{request.name}, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const ReadRetirement& request,
+                              base::TimePoint /*now*/) {
+  const auto found = state_.retirements().find(request.name);
+  if (found == state_.retirements().end()) {
+    reply(caller, DirectoryStatus::kNotFound);
+  } else if (found->second == Retirement::kRunning) {
+    reply(caller, DirectoryStatus::kRunning);
+  } else {
+    reply(caller, DirectoryStatus::kDone);
+  }
+}
+
+void DirectoryRole::reply(const Caller& caller, DirectoryStatus status, std::string text) {
+  replyWith(caller, {status, std::move(text), std::nullopt});
+}
+
+void DirectoryRole::replyWith(const Caller& caller, const DirectoryReply& reply) {
+  service_.reply(caller, base::encode(reply));
+}
+
+void DirectoryRole::proposeFor(const Caller& caller, const DirectoryCommand& command,
+                               const std::string& text, base::TimePoint now) {
+  service_.proposeFor(caller, base::encode(command),
+                      base::encode(DirectoryReply{DirectoryStatus::kDone, text, std::nullopt}),
+                      now);
+}
+
+void DirectoryRole::proposeQuietly(const DirectoryCommand& command, base::TimePoint now) {
+  service_.propose(base::encode(command), now);
+}
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/directory_views.cpp
@@ -0,0 +1,94 @@
+/// \file
+/// DirectoryRole: what nodes are told.
+#include <algorithm>
+#include <utility>
+
+#include "base/sorted_cursor.h"
+#include "directory/directory_role.h"
+
+namespace tackpick::directory {
+
+using transport::CommandStatus;
+
+namespace {
+
+/// Views and watches are looked at this often, and where there are many instances less often: to
+/// compare one with what was told takes half a microsecond, of which this leaves a
+/// twentieth.
+constexpr base::Duration kViewInterval = base::milliseconds(5);
+constexpr base::Duration kViewIntervalPerInstance = base::microseconds(10);
+
+}  // namespace
+
+std::vector<cluster::GroupNode> DirectoryRole::nodesOf(NodeRole role, base::TimePoint now) const {
+  std::vector<cluster::GroupNode> nodes;
+  for (const auto& [node, heard] : nodes_) {
+    if (heard.record.role == role) {
+      nodes.push_back(
+          {node, now - heard.heardAt, state_.retirements().contains(heard.record.name)});
+    }
+  }
+  return nodes;
+}
+
+std::vector<InstanceSight> DirectoryRole::presentInstances(base::TimePoint now) const {
+  static const std::map<std::string, std::uint64_t> kNoVersions;
+  std::vector<InstanceSight> instances;
+  instances.reserve(state_.instances().size());
+  base::SortedCursor reports(reports_);
+  for (const auto& [id, record] : state_.instances()) {
+    const ReportedEngine* report = reports.find(id);
+    const base::TimePoint heardAt = report == nullptr ? leader_since_ : report->heardAt;
+    InstanceSight sight;
+    sight.record = &record;
+    sight.versions = report == nullptr ? &kNoVersions : &report->versions;
+    sight.silent = now - heardAt > settings_.instanceSilence;
+    sight.loading = orders_.isLoading(id, reports_, now);
+    sight.reserve = orders_.isInReserve(record);
+    instances.push_back(sight);
+  }
+  return instances;
+}
+
+DirectoryView DirectoryRole::presentView(base::TimePoint now) const {
+  DirectoryView view;
+  view.publishedVersions = state_.versions();
+  view.ledgerFounders = state_.ledgerFounders();
+  view.ledgerVoters = ledger_voters_;
+  const auto& voters = replica_.raft().membership().voters;
+  view.controllers.assign(voters.begin(), voters.end());
+  view.gateways = 0;
+  for (const auto& [node, heard] : nodes_) {
+    if (heard.record.role == NodeRole::kGateway) {
+      view.gateways += now - heard.heardAt < settings_.repair.silenceLimit ? 1 : 0;
+    } else if (heard.record.role == NodeRole::kLedger) {
+      view.ledgers.push_back({node, now - heard.heardAt,
+                              state_.retirements().contains(heard.record.name), heard.record.zone});
+    }
+  }
+  view.gateways = std::max(view.gateways, 1U);
+  view.usageFrom = state_.usage().next().value_or(0);
+  view.nodesSettled = now - leader_since_ > settings_.repair.silenceLimit;
+  return view;
+}
+
+void DirectoryRole::answerWatches(base::TimePoint now) {
+  if (!leads(now)) {
+    watches_.refuseAll(
+        [&](const Caller& caller) { service_.refuse(caller, CommandStatus::kNotLeader); });
+    return;
+  }
+  const auto instances = static_cast<base::Duration::rep>(state_.instances().size());
+  const base::Duration interval = std::max(kViewInterval, kViewIntervalPerInstance * instances);
+  const bool recent = views_at_ != base::TimePoint{} && now - views_at_ < interval;
+  if (recent) {
+    return;
+  }
+  views_at_ = now;
+  views_.update(presentInstances(now), presentView(now));
+  watches_.answer(
+      views_, state_.configuration(), nodes_.size(), clusterTime(now), now,
+      [&](const Caller& caller, const base::Bytes& payload) { service_.reply(caller, payload); });
+}
+
+}  // namespace tackpick::directory
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -14,7 +14,7 @@
 #include "base/time.h"
 #include "directory/directory_messages.h"
 #include "directory/directory_state.h"
-#include "directory/engines_wanted.h"
+#include "directory/engine_homes.h"
 
 namespace tackpick::directory {
 
@@ -40,14 +40,9 @@
   base::Duration reportInterval = base::milliseconds(150);
   /// An order without an answer no longer counts as a load after this time.
   base::Duration uncertainLoad = base::milliseconds(1500);
-  /// With less recent work than this (events of streams) demand is taken as unknown: engines keep
-  /// the homes that they have.
-  double leastDemand = 300;
-  /// An engine changes its home at most this often.
-  base::Duration moveInterval = base::seconds(3);
   /// Engines silent for longer get no orders.
   base::Duration silenceLimit = base::seconds(4);
-  EnginesWantedSettings wanted;
+  EngineHomesSettings homes;
 };
 
 /// An order to change the weights of a model on one engine.
@@ -72,45 +67,32 @@
 
 [[nodiscard]] std::string_view toString(OrderOutcome outcome);
 
-/// What the leader has heard of an engine.
-struct ReportedEngine {
-  base::TimePoint heardAt{};
-  std::map<std::string, std::uint64_t> versions;
-};
-
-/// The leading controller's. Deterministic; owned by one thread. When engines hold several trained
-/// models, each engine follows one of them ("home"), so that a version costs as few loads as it
-/// can; the others keep the versions they have. Models get engines in proportion to demand. Where
-/// there are more engines than all models want, each model gets what it wants, spread over zones,
-/// and the rest stay in reserve: without orders, and without work while others have room.
+/// The leading controller's. Deterministic; owned by one thread. Each engine gets the versions of
+/// the model that it follows (EngineHomes), so that a version costs as few loads as it can.
 class VersionOrders {
  public:
   explicit VersionOrders(VersionOrderSettings settings)
-      : settings_(settings), m_wanted(settings.wanted) {}
-
-  /// The model that each engine follows.
-  using Homes = std::map<std::string, std::string>;
+      : settings_(settings), m_homes(settings.homes, settings.silenceLimit) {}
 
   /// Call when this controller becomes leader. It gives no order before `ordersFrom`; engines keep
   /// the `homes` that the former leader gave them.
   void reset(base::TimePoint ordersFrom, Homes homes = {});
-  [[nodiscard]] const Homes& homes() const { return homes_; }
+  [[nodiscard]] const Homes& homes() const { return m_homes.homes(); }
   /// Orders to give now.
   [[nodiscard]] std::vector<VersionOrder> step(const DirectoryState& state,
-                                               const std::map<std::string, ReportedEngine>& engines,
+                                               const ReportedEngines& engines,
                                                const std::map<std::string, double>& demand,
                                                std::uint64_t term, base::TimePoint now);
-  void noteOpenItems(const OpenItems& items, base::TimePoint now) { m_wanted.note(items, now); }
+  void noteOpenItems(const OpenItems& items, base::TimePoint now) { m_homes.note(items, now); }
   /// True when no model needs the engine now.
   [[nodiscard]] bool isInReserve(const InstanceRecord& engine) const {
-    return m_reserving.contains(engine.service) && !homes_.contains(engine.id);
+    return m_homes.isInReserve(engine);
   }
   /// Engines to be asked for their versions now.
-  [[nodiscard]] std::vector<std::string> dueReports(
-      const std::map<std::string, ReportedEngine>& engines, base::TimePoint now);
+  [[nodiscard]] std::vector<std::string> dueReports(const ReportedEngines& engines,
+                                                    base::TimePoint now);
   /// True while an engine is expected to load.
-  [[nodiscard]] bool isLoading(const std::string& instance,
-                               const std::map<std::string, ReportedEngine>& engines,
+  [[nodiscard]] bool isLoading(const std::string& instance, const ReportedEngines& engines,
                                base::TimePoint now) const;
   void onOutcome(const VersionOrder& order, OrderOutcome outcome, base::TimePoint now);
 
@@ -131,65 +113,20 @@
 
   [[nodiscard]] std::size_t mostLoads() const;
   void notePublished(const DirectoryState& state, base::TimePoint now);
-  [[nodiscard]] std::map<std::string, ModelLoad> loadByModel(
-      const std::map<std::string, ReportedEngine>& engines, base::TimePoint now) const;
+  [[nodiscard]] std::map<std::string, ModelLoad> loadByModel(const ReportedEngines& engines,
+                                                             base::TimePoint now) const;
   [[nodiscard]] bool isDue(const std::string& model, std::uint64_t held, std::uint64_t published,
                            base::TimePoint now) const;
-  void assignHomes(const DirectoryState& state,
-                   const std::map<std::string, ReportedEngine>& engines,
-                   const std::map<std::string, double>& demand, base::TimePoint now);
-  void assignHomesOf(const Service& service, const DirectoryState& state,
-                     const std::map<std::string, ReportedEngine>& engines,
-                     const std::map<std::string, double>& demand, base::TimePoint now);
-  /// What each model of the service is asked of the engines, in shares of the whole: work done, and
-  /// never less than half of what its open items would be.
-  [[nodiscard]] std::map<std::string, double> askedOf(
-      const Service& service, const std::map<std::string, double>& demand) const;
-  /// Models with open items and less than half of the engines due to them get these at once.
-  void feedStarved(const std::map<std::string, ReportedEngine>& engines,
-                   const std::map<std::string, std::size_t>& shares,
-                   std::map<std::string, std::size_t>& counts);
-  /// `missing` engines of models with more than their share follow `model` from now on, those first
-  /// that hold its newest weights.
-  void moveHomes(const std::string& model, std::size_t missing,
-                 const std::map<std::string, ReportedEngine>& engines,
-                 const std::map<std::string, std::size_t>& shares,
-                 std::map<std::string, std::size_t>& counts);
-  /// By model, of engines with `slots` places each.
-  [[nodiscard]] std::map<std::string, std::size_t> enginesWanted(const Service& service,
-                                                                 std::uint32_t slots) const;
-  /// Gives each model what it wants of more engines than all want.
-  void assignFromReserve(const Service& service, const std::map<std::string, std::size_t>& wanted,
-                         const DirectoryState& state,
-                         const std::map<std::string, ReportedEngine>& engines, base::TimePoint now);
-  /// Homes for `missing` more engines, those first that hold the newest weights of `model`, evenly
-  /// over the zones.
-  void takeFromReserve(const Service& service, const std::string& model, std::size_t missing,
-                       const DirectoryState& state,
-                       const std::map<std::string, ReportedEngine>& engines, base::TimePoint now);
-  /// One engine that follows `model` goes back, now and then.
-  void giveToReserve(const std::string& model, base::TimePoint now);
-  [[nodiscard]] bool isHeard(const std::string& instance,
-                             const std::map<std::string, ReportedEngine>& engines,
-                             base::TimePoint now) const;
-  void moveOneHome(const Service& service, const DirectoryState& state,
-                   const std::map<std::string, std::size_t>& counts,
-                   const std::map<std::string, std::size_t>& shares, base::TimePoint now);
   /// All engines with a home, those first whose model's version was published first; of one model,
   /// those first that hold the oldest: new work may need more than they hold.
   [[nodiscard]] std::vector<const InstanceRecord*> oldestVersionFirst(
-      const DirectoryState& state, const std::map<std::string, ReportedEngine>& engines) const;
-  [[nodiscard]] bool mayOrder(const InstanceRecord& record,
-                              const std::map<std::string, ReportedEngine>& engines,
+      const DirectoryState& state, const ReportedEngines& engines) const;
+  [[nodiscard]] bool mayOrder(const InstanceRecord& record, const ReportedEngines& engines,
                               base::TimePoint now) const;
 
   const VersionOrderSettings settings_;
   base::TimePoint orders_from_{};
-  EnginesWanted m_wanted;
-  std::set<std::string> m_reserving;  ///< services with more engines than their models want
-  std::size_t m_engineCount = 0;      ///< of all services with models
-  Homes homes_;
-  base::TimePoint moved_at_{};          ///< when an engine last changed its home
+  EngineHomes m_homes;
   std::map<std::string, Given> given_;  ///< latest order by instance
   struct Published {
     std::uint64_t version = 0;
--- a/test/directory/directory_test.cpp
+++ b/test/directory/directory_test.cpp
@@ -473,7 +473,7 @@
 // weights for 24 s, and leases of its items 10 to 12 s after they were submitted.
 Test(version_orders, model_without_engines_gets_them_by_its_open_items) {
   OrdersFixture fixture(12, {"m", "n"});
-  directory::VersionOrders::Homes homes;
+  directory::Homes homes;
   for (const auto& [id, record] : fixture.state.instances()) {
     homes[id] = "m";
   }
