A process that is told of changed settings while it starts goes on

The signal is ignored from the start of the program, and between two lives of a node whose disk refuses. The soak sends it only to programs that have begun, since nothing there starts a process again.

--- a/apps/tackpickd/main.cpp
+++ b/apps/tackpickd/main.cpp
@@ -3,6 +3,7 @@
 /// flags, settings or data folder.
 #include <malloc.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -128,6 +129,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Until the daemon listens for signals, word that its settings changed would end it.
+  std::signal(SIGHUP, SIG_IGN);
   returnLargeBlocks();
   telemetry::initialiseLogging("tackpickd");
   try {
--- a/src/node/run_until_stopped.cpp
+++ b/src/node/run_until_stopped.cpp
@@ -1,6 +1,7 @@
 #include "node/run_until_stopped.h"
 
 #include <chrono>
+#include <csignal>
 #include <optional>
 #include <thread>
 
@@ -32,6 +33,8 @@
                         refusal = error;
                         return std::nullopt;
                       });
+    // Nobody listens for signals until the next life: word of changed settings must not end it.
+    std::signal(SIGHUP, SIG_IGN);
     if (code) {
       return *code;
     }
--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -2,6 +2,8 @@
 /// seeds, a configuration, a batch on a stand-in engine, lost leaders and lost disks, tenants and
 /// the reports of their usage.
 #include <criterion/criterion.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
@@ -26,6 +28,8 @@
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
+/// A process has come to reading its settings.
+constexpr auto kStartTime = std::chrono::milliseconds(500);
 /// Beyond the time that a gateway may be behind the newest configuration.
 constexpr auto kLongerThanBehind = std::chrono::milliseconds(2500);
 
@@ -180,6 +184,26 @@
   cr_assert_eq(cluster.machine("127.0.3.1").process->wait(), 0);
 }
 
+// A soak lost a ledger for good: it was told that its settings changed while it was starting.
+// Order of events: the process is started; the signal comes before it listens for signals; its
+// default action ends the process. Evidence: settings written for the second start, and not a line
+// of that process in its log.
+Test(cluster, process_that_starts_survives_word_of_changed_settings) {
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / ("tackpick-start-" + std::to_string(getpid()));
+  std::filesystem::create_directories(folder);
+  // Reading the settings waits for a writer, so the process stays in its start.
+  const std::string settings = folder / "settings.yaml";
+  cr_assert_eq(mkfifo(settings.c_str(), S_IRUSR | S_IWUSR), 0);
+  tackpick::test::Process process("tackpickd", {"--settings", settings}, folder / "log");
+  std::this_thread::sleep_for(kStartTime);
+  process.signal(SIGHUP);
+  std::this_thread::sleep_for(kStartTime);
+  cr_assert_not(process.hasEnded());
+  process.kill();
+  std::filesystem::remove_all(folder);
+}
+
 Test(cluster, process_stays_while_its_disk_refuses_and_joins_once_it_does_not) {
   Cluster cluster;
   const std::string address = "127.0.1.1";
--- a/test/integration/self_formed_cluster.h
+++ b/test/integration/self_formed_cluster.h
@@ -27,6 +27,7 @@
   std::string address;
   std::string role;
   std::unique_ptr<Process> process;
+  std::size_t starts = 0;
 };
 
 /// Controllers stand at 127.0.1.x, ledgers at 127.0.2.x, gateways at 127.0.3.x.
@@ -72,6 +73,10 @@
   [[nodiscard]] bool isWhole(const std::string& net) const;
   /// Lines of a machine's log that hold `text`.
   [[nodiscard]] std::size_t logged(const std::string& address, const std::string& text) const;
+  /// True once the machine's process has said that it serves.
+  [[nodiscard]] bool hasStarted(const Machine& machine) const {
+    return logged(machine.address, "process_started") == machine.starts;
+  }
   /// The address of the machine of that net that leads its group.
   std::string leader(const std::string& net);
 
--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -129,7 +129,11 @@
         });
         break;
       case 3:
-        machine.process->signal(SIGHUP);
+        // Before a program has begun, the signal ends it whatever it does; nothing here would start
+        // it again, as the platform does.
+        if (m_cluster.hasStarted(machine)) {
+          machine.process->signal(SIGHUP);
+        }
         break;
       case 4:
         (m_random.chance(0.5) ? m_firstEngine : m_secondEngine).restart();
