--- a/src/node/node.h
+++ b/src/node/node.h
@@ -127,7 +127,7 @@
 
   // What was last reported as events.
   bool reported_leader_ = false;
-  std::size_t reported_voters_ = 0;
+  consensus::Membership m_reportedMembership;
   std::optional<cluster::GroupHealth> m_reportedHealth;
 };
 
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -41,13 +41,14 @@
                  .add("applied", replica.appliedIndex())
                  .text());
   }
-  const std::size_t voters = raft.membership().voters.size();
-  if (voters != reported_voters_) {
-    reported_voters_ = voters;
+  // Compared whole: a successor that votes while the lost one goes leaves the number as it was.
+  const consensus::Membership& membership = raft.membership();
+  if (membership != m_reportedMembership) {
+    m_reportedMembership = membership;
     logEvent(EventId::kMembershipChanged, Detail()
                                               .add("group", replica.group().value)
-                                              .add("voters", voters)
-                                              .add("learners", raft.membership().learners.size())
+                                              .add("voters", membership.voters.size())
+                                              .add("learners", membership.learners.size())
                                               .text());
   }
   observeGroupHealth(replica);
--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -49,7 +49,8 @@
 class Soak {
  public:
   explicit Soak(std::uint64_t seed)
-      : m_random(seed),
+      : m_name("seed " + std::to_string(seed) + ": "),
+        m_random(seed),
         m_cluster(layoutWanted()),
         m_operator(context(), seed + 1),
         m_trainer(context(), seed + 2),
@@ -190,13 +191,12 @@
     const std::size_t before = m_cluster.logged(address, votes);
     const std::string successor = lose();
     const std::size_t known = successor == address ? before : 0;
-    test::waitUntil([&] { return m_cluster.logged(successor, votes) > known; },
-                    successor + " votes");
+    waitFor([&] { return m_cluster.logged(successor, votes) > known; }, successor + " votes");
   }
 
   void waitForWholeGroups() {
     for (const char* net : {kControllers, kLedgers}) {
-      test::waitUntil([&] { return m_cluster.isWhole(net); }, std::string("a whole group ") + net);
+      waitFor([&] { return m_cluster.isWhole(net); }, std::string("a whole group ") + net);
     }
   }
 
@@ -220,11 +220,16 @@
     const std::uint64_t accepted = m_operator.accepted();
     const std::size_t whole = m_trainer.whole();
     const std::size_t served = m_caller.served();
-    test::waitUntil([&] { return m_operator.accepted() > accepted; }, "a change " + when);
-    test::waitUntil([&] { return m_trainer.whole() > whole; }, "a batch " + when);
-    test::waitUntil([&] { return m_caller.served() > served; }, "an answer " + when);
+    waitFor([&] { return m_operator.accepted() > accepted; }, "a change " + when);
+    waitFor([&] { return m_trainer.whole() > whole; }, "a batch " + when);
+    waitFor([&] { return m_caller.served() > served; }, "an answer " + when);
   }
 
+  void waitFor(const std::function<bool()>& condition, const std::string& what) const {
+    test::waitUntil(condition, m_name + what);
+  }
+
+  const std::string m_name;
   base::SeededRandom m_random;
   test::Problem m_problem;
   test::AddressBook m_addresses;
