--- a/src/cluster/group_repair.h
+++ b/src/cluster/group_repair.h
@@ -52,11 +52,9 @@
 /// The next change, one at a time; nothing when the group is as it should be. In this order:
 /// 1. A member whose address another instance uses has lost its disk and can never return: it is
 ///    removed. Since it will never vote again this cannot make a quorum harder to reach.
-/// 2. A silent voter of an even number is removed, whatever size is wanted: without it as many
-/// losses
-///    are borne, and the quorum is smaller by one. A group that never reaches `targetSize` would
-///    otherwise keep each lost voter, and raise its quorum with each that takes a lost one's place,
-///    until fewer live than the quorum.
+/// 2. A silent voter of an even number is removed, whatever size is wanted: as many losses are
+///    borne without it, by a smaller quorum. A group on fewer machines than `targetSize` would
+///    otherwise keep each lost voter, until fewer live than the quorum.
 /// 3. When fewer than `targetSize` members are sound, a node that is heard is added as a learner.
 /// 4. Members that are retiring or silent are removed once enough sound voters remain.
 /// 5. A voter too many, left when a silent member came back after another took its place, is
