Runs that break off under a request are told with the request's fingerprint

Cause: a request was named in the logs only by the id of one try, so that one request which comes again could not be told from many. Change: an HMAC over method, host, path, caller and body stands in E4019, one line for each run that broke.

--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -11,6 +11,7 @@
 #include "forwarding/attempt_policy.h"
 #include "http/status.h"
 #include "node/node.h"
+#include "quarantine/request_fingerprint.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
@@ -44,6 +45,7 @@
         request_(std::move(request)),
         exchange_(std::move(exchange)),
         route_(route),
+        host_(request_.headers.value("Host")),
         tenant_(std::move(tenant)),
         deadline_timer_(node.context()),
         hedge_timer_(node.context()),
@@ -87,6 +89,9 @@
   void onEnd(std::uint64_t number, const http::UpstreamEnd& end);
   [[nodiscard]] std::pair<AttemptResult, SendOutcome> classify(const Send& send,
                                                                const http::UpstreamEnd& end) const;
+  [[nodiscard]] quarantine::RequestFingerprint fingerprint() const;
+  /// The instance broke off under the request.
+  void onBroken(const Send& send);
   void deliver(const Send& send);
   void answerOwn(int status);
   void countAnswer(int status);
@@ -101,6 +106,7 @@
   const http::RawRequest request_;
   std::shared_ptr<http::Exchange> exchange_;
   const directory::Route route_;
+  const std::string host_;
   const std::string tenant_;  ///< empty: nobody in particular
   asio::steady_timer deadline_timer_;
   asio::steady_timer hedge_timer_;
@@ -252,6 +258,9 @@
   node_.metrics().count(telemetry::CounterId::kSendsEnded, toString(outcome));
   tries_ += (tries_.empty() ? "" : ",") + send.instance + ":" + std::string(toString(outcome));
   policy_.onResult(result);
+  if (result == AttemptResult::kBroken) {
+    onBroken(send);
+  }
   if (send.passedOn) {
     if (end.complete) {
       exchange_->finish();
@@ -271,6 +280,25 @@
   sendOrGiveUp();
 }
 
+quarantine::RequestFingerprint ForwardedRequest::fingerprint() const {
+  const quarantine::RequestIdentity identity{request_.method, host_, request_.target, tenant_,
+                                             request_.body};
+  return quarantine::fingerprintOf(identity, node_.settings().cluster);
+}
+
+void ForwardedRequest::onBroken(const Send& send) {
+  telemetry::logEvent(
+      telemetry::EventId::kRunBroken,
+      telemetry::Detail()
+          .add("request", request_.headers.value(node_.dialect().headers().requestId))
+          .add("fingerprint", fingerprint().text())
+          .add("route", route_.name)
+          .add("instance", send.instance)
+          .add("sends", std::uint64_t{policy_.sends()})
+          .add("after_ms", node_.now() - send.sentAt)
+          .text());
+}
+
 void ForwardedRequest::countAnswer(int status) {
   node_.metrics().count(telemetry::CounterId::kRequestsAnswered, std::to_string(status));
   node_.metrics().observe(telemetry::HistogramId::kRequestTime, node_.now() - request_.receivedAt);
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -96,6 +96,11 @@
        "requests were turned away since their route or key is not in the configuration in force: "
        "its version, and how long ago a controller confirmed that; at most one line a second",
        "where the age is long, look at the way from this gateway to the controllers' leader"},
+      {Id::kRunBroken, "run_broken", kInfo,
+       "the connection to an instance ended under a caller's request that may have run there: the "
+       "request's id and fingerprint. The fingerprint is the same at each try and gateway",
+       "where one fingerprint stands under several instances that ended, that request may have "
+       "ended them"},
       {Id::kConnectionRefused, "connection_refused", kWarning,
        "an internal connection showed a wrong key, version or frame",
        "look for a process of another cluster or release"},
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -53,6 +53,7 @@
   kAttemptFailed = 4016,
   kScoringCallFailed = 4017,
   kUnknownRefused = 4018,
+  kRunBroken = 4019,
   kConnectionRefused = 5001,
 };
 
