--- a/test/integration/stand_in_engine.cpp
+++ b/test/integration/stand_in_engine.cpp
@@ -21,6 +21,11 @@
   m_thread.join();
 }
 
+void StandInEngine::endOn(const std::string& pathPrefix) {
+  const std::lock_guard lock(m_mutex);
+  m_endOn = pathPrefix;
+}
+
 std::size_t StandInEngine::stalled() const {
   const std::lock_guard lock(m_mutex);
   return m_unfinished.size();
@@ -65,6 +70,11 @@
   {
     const std::lock_guard lock(m_mutex);
     m_ran.push_back(request);
+    m_ended = !m_endOn.empty() && request.target.starts_with(m_endOn);
+  }
+  if (m_ended) {
+    m_server.stop();
+    return;
   }
   exchange->begin(kOk, headers);
   const int first = request.headers.has("Last-Event-Id")
--- a/test/integration/stand_in_engine.h
+++ b/test/integration/stand_in_engine.h
@@ -27,6 +27,10 @@
 
   /// Its streams stop after the first event from now on, without an end.
   void stall() { m_stalled = true; }
+  /// From now on its process ends when it begins to run a request whose path begins so: every
+  /// connection is closed, and none is taken any more.
+  void endOn(const std::string& pathPrefix);
+  [[nodiscard]] bool hasEnded() const { return m_ended; }
   /// Exchanges that never end.
   [[nodiscard]] std::size_t stalled() const;
   [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
@@ -44,6 +48,8 @@
 
   const std::string m_id;
   std::atomic<bool> m_stalled = false;
+  std::atomic<bool> m_ended = false;
+  std::string m_endOn;  ///< empty: nothing ends it
   std::uint16_t m_advertised = 0;
   mutable std::mutex m_mutex;
   std::vector<http::RawRequest> m_ran;
