Requests that end instances are held back by the whole cluster

Cause: the limit on how many servers one request may take was kept by a gateway for one try, where the promise is for all tries and gateways. Change: gateways tell the controllers of instances that ended under a request (fingerprint, instance; not where the instance shows that it lives); the third such instance puts a hold into the controllers' log, and every view tells it. A held request gets 502 with Retry-After at once and reaches no instance, but for three trials, granted to one gateway at a time, 4, 40 and 400 s apart, each at the least busy instance; whoever bears it releases it. The same for items of batches and scoring calls, which had no limit at all.

--- a/src/directory/call_name.cpp
+++ b/src/directory/call_name.cpp
@@ -26,6 +26,19 @@
 
 CallName nameOfTyped(const RelayBeats& /*request*/) { return {"relay_heartbeats", {}, false}; }
 
+CallName nameOfTyped(const quarantine::ReportCrashes& /*request*/) {
+  return {"report_crashes", {}, false};
+}
+CallName nameOfTyped(const quarantine::AskTrial& request) {
+  return {"ask_trial", request.request.text(), false};
+}
+CallName nameOfTyped(const quarantine::ReadQuarantine& /*request*/) {
+  return {"read_quarantine", {}, false};
+}
+CallName nameOfTyped(const quarantine::ReleaseRequest& request) {
+  return {"release_request", request.request.text(), true};
+}
+
 }  // namespace
 
 CallName nameOf(const DirectoryRequest& request) {
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -17,6 +17,7 @@
 #include "consensus/raft_types.h"
 #include "directory/configuration.h"
 #include "duties/usage_messages.h"
+#include "quarantine/quarantine_messages.h"
 
 namespace tackpick::directory {
 
@@ -193,7 +194,9 @@
 
 using DirectoryRequest =
     std::variant<ReplaceConfiguration, ReadConfiguration, InstanceBeat, InstanceLeaves,
-                 PublishVersion, Watch, RetireNode, ReadRetirement, TellUsage, RelayBeats>;
+                 PublishVersion, Watch, RetireNode, ReadRetirement, TellUsage, RelayBeats,
+                 quarantine::ReportCrashes, quarantine::AskTrial, quarantine::ReadQuarantine,
+                 quarantine::ReleaseRequest>;
 
 // Answers.
 
@@ -218,6 +221,10 @@
   }
 };
 
+/// Revisions of different leaders must not be confused: the bits from here up are the leader's
+/// term.
+inline constexpr unsigned kRevisionTermShift = 40;
+
 /// What a node learns from a watch.
 struct DirectoryView {
   std::uint64_t revision = 0;
@@ -237,13 +244,14 @@
   bool nodesSettled = false;   ///< the leader has led long enough to have heard of every node
   /// Usage of earlier windows is decided; zero: none is.
   duties::WindowNumber usageFrom = 0;
+  std::vector<quarantine::HeldRequest> heldRequests;  ///< by fingerprint
   base::WallTime clusterTime;  ///< when this was told: true time, as the leader sees it
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(revision, whole, since, removed, configuration, configurationVersion, instances,
             publishedVersions, controllers, ledgers, ledgerFounders, ledgerVoters, gateways,
-            nodesSettled, usageFrom, clusterTime);
+            nodesSettled, usageFrom, heldRequests, clusterTime);
   }
 };
 
@@ -255,10 +263,11 @@
   /// bytes: whole views of 3,000 instances are 1 MB each, and after a change of leader 300 nodes
   /// want one at once.
   base::Bytes packedView = {};
+  std::vector<quarantine::HoldSight> holds = {};  ///< answers ReadQuarantine
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(status, text, view, packedView);
+    archive(status, text, view, packedView, holds);
   }
 };
 
@@ -374,6 +383,7 @@
     std::variant<ReplaceConfiguration, RegisterInstance, RemoveInstance, ForgetInstances,
                  PublishVersion, FoundLedgers, BeginRetirement, CompleteRetirement, RecordVersions,
                  NoteOrders, duties::BeginUsage, duties::NoteUsage, duties::DecideUsage,
-                 duties::ConfirmUsage, RecordHomes>;
+                 duties::ConfirmUsage, RecordHomes, quarantine::HoldRequest, quarantine::NoteTrial,
+                 quarantine::ReleaseRequest>;
 
 }  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/directory_quarantine.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// DirectoryRole: requests that end the instances that run them.
+#include "directory/directory_role.h"
+#include "quarantine/quarantine_policy.h"
+
+namespace tackpick::directory {
+
+void DirectoryRole::onRequest(const Caller& caller, const quarantine::ReportCrashes& request,
+                              base::TimePoint now) {
+  m_crashes.forgetOld(now);
+  for (const quarantine::Crash& crash : request.crashes) {
+    if (state_.quarantine().isHeld(crash.request)) {
+      continue;
+    }
+    m_crashes.note(crash, now);
+    const std::set<std::string> instances = m_crashes.instances(crash.request);
+    if (instances.size() >= quarantine::kMostCrashes) {
+      proposeQuietly(
+          quarantine::HoldRequest{crash.request, crash.service, instances, clusterTime(now)}, now);
+    }
+  }
+  reply(caller, DirectoryStatus::kDone);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const quarantine::AskTrial& request,
+                              base::TimePoint now) {
+  if (!state_.quarantine().isTrialDue(request.request, clusterTime(now))) {
+    reply(caller, DirectoryStatus::kConflict, "no trial is due");
+    return;
+  }
+  const std::uint32_t trials = state_.quarantine().holds().at(request.request).trials;
+  const auto underWay = m_trialsUnderWay.find(request.request);
+  const bool taken = underWay != m_trialsUnderWay.end() && underWay->second.trials == trials;
+  if (taken && underWay->second.caller != caller) {
+    reply(caller, DirectoryStatus::kConflict, "another gateway tries it");
+    return;
+  }
+  m_trialsUnderWay[request.request] = {caller, trials};
+  proposeFor(caller, quarantine::NoteTrial{request.request, clusterTime(now)}, {}, now);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const quarantine::ReadQuarantine& /*request*/,
+                              base::TimePoint now) {
+  DirectoryReply answer;
+  answer.holds = state_.quarantine().sights(clusterTime(now));
+  replyWith(caller, answer);
+}
+
+void DirectoryRole::onRequest(const Caller& caller, const quarantine::ReleaseRequest& request,
+                              base::TimePoint now) {
+  m_crashes.forget(request.request);
+  m_trialsUnderWay.erase(request.request);
+  if (!state_.quarantine().isHeld(request.request)) {
+    reply(caller, DirectoryStatus::kNotFound);
+    return;
+  }
+  proposeFor(caller, request, {}, now);
+}
+
+void DirectoryRole::releaseOutlived(base::TimePoint now) {
+  for (const quarantine::RequestFingerprint& request :
+       state_.quarantine().outlived(clusterTime(now))) {
+    m_crashes.forget(request);
+    proposeQuietly(quarantine::ReleaseRequest{request}, now);
+  }
+}
+
+}  // namespace tackpick::directory
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -20,8 +20,6 @@
 constexpr base::Duration kSlowWorkPerInstance = base::microseconds(20);
 /// Instances whose weights go into one entry of the log: about 150 KB with six models each.
 constexpr std::size_t kMostVersionsAnEntry = 1000;
-/// View revisions of different leaders must not be confused.
-constexpr unsigned kTermShift = 40;
 
 }  // namespace
 
@@ -92,6 +90,7 @@
   repairOwnGroup(now);
   forgetSilent(now);
   recordVersions(now);
+  releaseOutlived(now);
   for (const std::string& id : orders_.dueReports(reports_, now)) {
     const auto record = state_.instances().find(id);
     if (record != state_.instances().end()) {
@@ -312,7 +311,9 @@
     recording_versions_ = false;
     m_recordingHomes = false;
     forgetting_ = false;
-    views_.reset(raft.currentTerm() << kTermShift);
+    m_crashes.reset();
+    m_trialsUnderWay.clear();
+    views_.reset(raft.currentTerm() << kRevisionTermShift);
     views_at_ = {};
   }
   was_leader_ = raft.isLeader();
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -18,6 +18,7 @@
 #include "directory/watch_queue.h"
 #include "duties/cluster_time.h"
 #include "duties/usage_duty.h"
+#include "quarantine/crash_tally.h"
 
 namespace tackpick::directory {
 
@@ -90,6 +91,12 @@
     std::map<std::string, double> recentWork;
   };
 
+  /// A trial that is on its way to the log.
+  struct AskedTrial {
+    Caller caller;
+    std::uint32_t trials = 0;  ///< that the request had had before
+  };
+
   [[nodiscard]] std::map<std::string, double> modelDemand(base::TimePoint now) const;
   [[nodiscard]] bool leads(base::TimePoint now) const { return replica_.canRead(now); }
   void onRequest(const Caller& caller, const ReplaceConfiguration& request, base::TimePoint now);
@@ -102,6 +109,13 @@
   void onRequest(const Caller& caller, const ReadRetirement& request, base::TimePoint now);
   void onRequest(const Caller& caller, const TellUsage& request, base::TimePoint now);
   void onRequest(const Caller& caller, const RelayBeats& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const quarantine::ReportCrashes& request,
+                 base::TimePoint now);
+  void onRequest(const Caller& caller, const quarantine::AskTrial& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const quarantine::ReadQuarantine& request,
+                 base::TimePoint now);
+  void onRequest(const Caller& caller, const quarantine::ReleaseRequest& request,
+                 base::TimePoint now);
   void completeRetirements(const consensus::Membership& ledgers, base::TimePoint now);
   void observeReport(const InstanceBeat& beat, base::TimePoint now);
 
@@ -131,6 +145,8 @@
   void foundLedgers(base::TimePoint now);
   void repairOwnGroup(base::TimePoint now);
   void forgetSilent(base::TimePoint now);
+  /// Releases held requests whose time is over.
+  void releaseOutlived(base::TimePoint now);
   /// Writes the weights that instances report into the log where they changed.
   void recordVersions(base::TimePoint now);
   /// Writes the models that engines follow into the log where they changed.
@@ -163,6 +179,8 @@
   duties::ClusterClock clock_;
   duties::UsageDuty usage_;
   std::vector<duties::UsageReport> noted_reports_;  ///< to be sent at the end of this turn
+  quarantine::CrashTally m_crashes;
+  std::map<quarantine::RequestFingerprint, AskedTrial> m_trialsUnderWay;
   WatchQueue watches_;
   ViewHistory views_;
   base::TimePoint views_at_{};  ///< when views_ was last brought up to date
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -12,6 +12,7 @@
 #include "consensus/state_machine.h"
 #include "directory/directory_messages.h"
 #include "duties/usage_state.h"
+#include "quarantine/quarantine_state.h"
 
 namespace tackpick::directory {
 
@@ -65,6 +66,7 @@
     return data_.retirements;
   }
   [[nodiscard]] const duties::UsageState& usage() const { return data_.usage; }
+  [[nodiscard]] const quarantine::QuarantineState& quarantine() const { return data_.quarantine; }
   /// Rises with every change.
   [[nodiscard]] std::uint64_t revision() const { return data_.revision; }
 
@@ -81,11 +83,12 @@
     std::map<std::string, Retirement> retirements;
     OrderNote orderNote;
     duties::UsageState usage;
+    quarantine::QuarantineState quarantine;
 
     template <class Archive>
     void serialize(Archive& archive) {
       archive(revision, configuration, instances, heldVersions, homes, leftInOrder, versions,
-              ledgerFounders, retirements, orderNote, usage);
+              ledgerFounders, retirements, orderNote, usage, quarantine);
     }
   };
 
@@ -104,6 +107,9 @@
   void applyTyped(const duties::NoteUsage& command) { data_.usage.apply(command); }
   void applyTyped(const duties::DecideUsage& command) { data_.usage.apply(command); }
   void applyTyped(const duties::ConfirmUsage& command) { data_.usage.apply(command); }
+  void applyTyped(const quarantine::HoldRequest& command) { data_.quarantine.apply(command); }
+  void applyTyped(const quarantine::NoteTrial& command) { data_.quarantine.apply(command); }
+  void applyTyped(const quarantine::ReleaseRequest& command) { data_.quarantine.apply(command); }
 
   using Address = std::pair<std::string, std::uint16_t>;
 
--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -278,6 +278,15 @@
   return busy ? nullptr : best;
 }
 
+const InstanceEntry* InstanceTable::leastBusy(const std::vector<const InstanceEntry*>& candidates,
+                                              base::TimePoint now) {
+  const auto least = std::min_element(candidates.begin(), candidates.end(),
+                                      [&](const InstanceEntry* left, const InstanceEntry* right) {
+                                        return busyness(*left, now) < busyness(*right, now);
+                                      });
+  return least == candidates.end() ? nullptr : *least;
+}
+
 const InstanceEntry* InstanceTable::select(const InstanceNeed& need,
                                            const std::set<std::string>& tried, base::Random& random,
                                            base::TimePoint now) const {
@@ -300,6 +309,9 @@
     }
     ranked.at(rank).push_back(entry);
   }
+  if (need.alone) {
+    return leastBusy(ranked[kSound], now);
+  }
   if (const InstanceEntry* favourite = selectFavourite(ranked[kSound], need, now)) {
     return favourite;
   }
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -61,6 +61,7 @@
   std::string model;                 ///< empty: any
   std::uint64_t minimumVersion = 0;  ///< of that model's weights
   bool longRunning = false;          ///< expected to run long: speed counts more than balance
+  bool alone = false;                ///< it may end the instance: the fewer run there the better
 };
 
 /// One instance as the gateway sees it.
@@ -169,6 +170,8 @@
   [[nodiscard]] const InstanceEntry* selectFavourite(std::vector<const InstanceEntry*> candidates,
                                                      const InstanceNeed& need,
                                                      base::TimePoint now) const;
+  [[nodiscard]] static const InstanceEntry* leastBusy(
+      const std::vector<const InstanceEntry*>& candidates, base::TimePoint now);
   void takeIn(const directory::InstanceView& instance);
   /// The instance's earlier incarnations have ended.
   void endEarlier(const std::string& id);
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -11,7 +11,6 @@
 #include "forwarding/attempt_policy.h"
 #include "http/status.h"
 #include "node/node.h"
-#include "quarantine/request_fingerprint.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
@@ -37,11 +36,13 @@
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
  public:
   ForwardedRequest(Node& node, forwarding::InstanceTable& instances, UsageTeller& usage,
-                   http::RawRequest request, std::shared_ptr<http::Exchange> exchange,
-                   const directory::Route& route, std::string tenant)
+                   RequestGuard& guard, http::RawRequest request,
+                   std::shared_ptr<http::Exchange> exchange, const directory::Route& route,
+                   std::string tenant)
       : node_(node),
         instances_(instances),
         usage_(usage),
+        m_guard(guard),
         request_(std::move(request)),
         exchange_(std::move(exchange)),
         route_(route),
@@ -60,7 +61,11 @@
         self->onDeadline();
       }
     });
-    sendOrGiveUp();
+    if (m_guard.idle()) {
+      sendOrGiveUp();
+    } else {
+      sendIfAdmitted();
+    }
   }
 
  private:
@@ -80,6 +85,12 @@
     return request_.receivedAt + (told ? base::milliseconds(*told) : route_.timeout);
   }
 
+  /// Sends the request unless it is held.
+  void sendIfAdmitted();
+  void onTrialAnswer(bool granted);
+  /// True when it may go to no further instance, since it has ended some.
+  [[nodiscard]] bool isStopped() const;
+  void answerHeld();
   void sendOrGiveUp();
   [[nodiscard]] http::UpstreamRequest upstreamRequest(const forwarding::InstanceEntry& to) const;
   void send(const forwarding::InstanceEntry& to);
@@ -89,7 +100,7 @@
   void onEnd(std::uint64_t number, const http::UpstreamEnd& end);
   [[nodiscard]] std::pair<AttemptResult, SendOutcome> classify(const Send& send,
                                                                const http::UpstreamEnd& end) const;
-  [[nodiscard]] quarantine::RequestFingerprint fingerprint() const;
+  [[nodiscard]] const quarantine::RequestFingerprint& fingerprint();
   /// The instance broke off under the request.
   void onBroken(const Send& send);
   void deliver(const Send& send);
@@ -103,6 +114,7 @@
   Node& node_;
   forwarding::InstanceTable& instances_;
   UsageTeller& usage_;
+  RequestGuard& m_guard;
   const http::RawRequest request_;
   std::shared_ptr<http::Exchange> exchange_;
   const directory::Route route_;
@@ -117,11 +129,68 @@
   std::map<std::uint64_t, Send> sends_;  ///< running ones
   std::uint64_t next_send_ = 0;
   std::optional<Send> failure_;  ///< a server's whole answer that reports its failure
+  std::optional<quarantine::RequestFingerprint> m_fingerprint;  ///< once it is needed
+  bool m_broken = false;  ///< an instance has broken off under it
+  bool m_trial = false;   ///< it is held, and may be sent to one instance
   bool done_ = false;
 };
 
+const quarantine::RequestFingerprint& ForwardedRequest::fingerprint() {
+  if (!m_fingerprint) {
+    m_fingerprint =
+        m_guard.fingerprint({request_.method, host_, request_.target, tenant_, request_.body});
+  }
+  return *m_fingerprint;
+}
+
+void ForwardedRequest::sendIfAdmitted() {
+  switch (m_guard.admit(fingerprint())) {
+    case quarantine::Admission::kFree:
+      sendOrGiveUp();
+      break;
+    case quarantine::Admission::kHeld:
+      answerHeld();
+      break;
+    case quarantine::Admission::kTrialDue:
+      m_guard.askTrial(fingerprint(),
+                       [self = shared_from_this()](bool granted) { self->onTrialAnswer(granted); });
+      break;
+  }
+}
+
+void ForwardedRequest::onTrialAnswer(bool granted) {
+  if (done_) {
+    return;
+  }
+  if (!granted) {
+    answerHeld();
+    return;
+  }
+  m_trial = true;
+  need_.alone = true;
+  sendOrGiveUp();
+}
+
+bool ForwardedRequest::isStopped() const {
+  return m_broken && (m_trial || m_guard.admit(*m_fingerprint) != quarantine::Admission::kFree);
+}
+
+void ForwardedRequest::answerHeld() {
+  // It has run in earlier tries, so no status may be used that says it never did.
+  node_.metrics().count(telemetry::CounterId::kRequestsHeld);
+  http::HeaderList headers;
+  headers.add(
+      "Retry-After",
+      std::to_string(
+          std::chrono::ceil<std::chrono::seconds>(m_guard.untilTrial(fingerprint())).count()));
+  headers.add("Content-Type", "text/plain");
+  countAnswer(kBadGateway);
+  exchange_->respond(kBadGateway, headers, "held back: instances ended while they ran it\n");
+  finish(SendOutcome::kFailed);
+}
+
 void ForwardedRequest::sendOrGiveUp() {
-  if (policy_.maySend(node_.now())) {
+  if (policy_.maySend(node_.now()) && !isStopped()) {
     const auto* entry = instances_.select(need_, tried_, node_.random(), node_.now());
     if (entry != nullptr && (!tried_.contains(entry->record.id) || policy_.running() == 0)) {
       send(*entry);
@@ -180,12 +249,13 @@
 
 void ForwardedRequest::armHedge() {
   const auto at = policy_.hedgeAt(node_.now());
-  if (!at || *at >= policy_.deadline()) {
+  // A second copy of a request under which an instance ended could end two at once.
+  if (!at || *at >= policy_.deadline() || m_broken || m_trial) {
     return;
   }
   hedge_timer_.expires_after(*at - node_.now());
   hedge_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
-    if (!error && !self->done_ && self->policy_.running() > 0) {
+    if (!error && !self->done_ && !self->m_broken && self->policy_.running() > 0) {
       self->sendOrGiveUp();
     }
   });
@@ -200,6 +270,7 @@
   send.status = status;
   send.headers = headers;
   send.headers.removeConnectionFields();
+  m_guard.onAnswered(send.instance, send.sentAt);
   if (const auto load = node_.dialect().load(headers.value(node_.dialect().headers().load))) {
     instances_.onLoad(send.instance, *load, node_.now());
   }
@@ -260,6 +331,8 @@
   policy_.onResult(result);
   if (result == AttemptResult::kBroken) {
     onBroken(send);
+  } else if (m_fingerprint && result != AttemptResult::kNotRun) {
+    m_guard.onBorne(*m_fingerprint);
   }
   if (send.passedOn) {
     if (end.complete) {
@@ -280,23 +353,10 @@
   sendOrGiveUp();
 }
 
-quarantine::RequestFingerprint ForwardedRequest::fingerprint() const {
-  const quarantine::RequestIdentity identity{request_.method, host_, request_.target, tenant_,
-                                             request_.body};
-  return quarantine::fingerprintOf(identity, node_.settings().cluster);
-}
-
 void ForwardedRequest::onBroken(const Send& send) {
-  telemetry::logEvent(
-      telemetry::EventId::kRunBroken,
-      telemetry::Detail()
-          .add("request", request_.headers.value(node_.dialect().headers().requestId))
-          .add("fingerprint", fingerprint().text())
-          .add("route", route_.name)
-          .add("instance", send.instance)
-          .add("sends", std::uint64_t{policy_.sends()})
-          .add("after_ms", node_.now() - send.sentAt)
-          .text());
+  m_broken = true;
+  m_guard.onBroken({fingerprint(), need_.service, send.instance},
+                   request_.headers.value(node_.dialect().headers().requestId), send.sentAt);
 }
 
 void ForwardedRequest::countAnswer(int status) {
@@ -377,8 +437,8 @@
 
 void Forwarder::forward(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange,
                         const directory::Route& route, const std::string& tenant) {
-  std::make_shared<ForwardedRequest>(node_, instances_, usage_, std::move(request), exchange, route,
-                                     tenant)
+  std::make_shared<ForwardedRequest>(node_, instances_, usage_, m_guard, std::move(request),
+                                     exchange, route, tenant)
       ->start();
 }
 
--- a/src/node/forwarder.h
+++ b/src/node/forwarder.h
@@ -7,6 +7,7 @@
 #include "directory/configuration.h"
 #include "forwarding/instance_table.h"
 #include "http/exchange_server.h"
+#include "node/request_guard.h"
 #include "node/usage_teller.h"
 
 namespace tackpick::node {
@@ -16,8 +17,9 @@
 /// Thin: AttemptPolicy and InstanceTable decide; each request is a ForwardedRequest of its own.
 class Forwarder {
  public:
-  Forwarder(Node& node, forwarding::InstanceTable& instances, UsageTeller& usage)
-      : node_(node), instances_(instances), usage_(usage) {}
+  Forwarder(Node& node, forwarding::InstanceTable& instances, UsageTeller& usage,
+            RequestGuard& guard)
+      : node_(node), instances_(instances), usage_(usage), m_guard(guard) {}
 
   void forward(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange,
                const directory::Route& route, const std::string& tenant);
@@ -26,6 +28,7 @@
   Node& node_;
   forwarding::InstanceTable& instances_;
   UsageTeller& usage_;
+  RequestGuard& m_guard;
 };
 
 }  // namespace tackpick::node
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -56,10 +56,11 @@
       instances_(instanceSettings(node)),
       m_refusalPolicy(node.settings().configurationLag),
       usage_(node),
-      forwarder_(node, instances_, usage_),
+      m_guard(node),
+      forwarder_(node, instances_, usage_, m_guard),
       ledgers_(node),
       result_reader_(ledgers_, ledgers_, node.clock()),
-      items_(node, instances_, routes_, ledgers_),
+      items_(node, instances_, routes_, ledgers_, m_guard),
       traffic_(node.context(), node.settings().traffic.host, node.settings().traffic.port, {},
                [this](http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange) {
                  onRequest(std::move(request), exchange);
@@ -73,6 +74,7 @@
 
 void GatewayFront::onView(const directory::DirectoryView& view) {
   usage_.onView(view);
+  m_guard.onView(view);
   if (view.whole) {
     instances_.update(view.instances);
   } else {
@@ -237,6 +239,7 @@
 void GatewayFront::tick() {
   items_.tick();
   usage_.tick();
+  m_guard.tick();
   if (!stopping_) {
     return;
   }
--- a/src/node/gateway_front.h
+++ b/src/node/gateway_front.h
@@ -13,6 +13,7 @@
 #include "node/item_runner.h"
 #include "node/member_ledger_client.h"
 #include "node/refusal_log.h"
+#include "node/request_guard.h"
 #include "node/usage_teller.h"
 #include "tenancy/tenant_table.h"
 
@@ -61,6 +62,7 @@
   const directory::RefusalPolicy m_refusalPolicy;
   RefusalLog m_refusals;
   UsageTeller usage_;
+  RequestGuard m_guard;
   Forwarder forwarder_;
   MemberLedgerClient ledgers_;
   jobs::ResultReader result_reader_;
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -31,6 +31,8 @@
 /// Without a renewal for so long nothing new is sent: its job may have ended.
 constexpr base::Duration kLeaseTrust = base::milliseconds(2000);
 constexpr base::Duration kRetryDelay = base::milliseconds(40);
+/// How often a held item asks whether it may run again.
+constexpr base::Duration kHeldDelay = base::milliseconds(100);
 /// How often the ledgers are told how fast engines are.
 constexpr base::Duration kPaceInterval = base::milliseconds(500);
 /// A gateway takes up to this share of its part of all places, in percent: some items may wait at
@@ -219,6 +221,10 @@
     finishItem(key, item, jobs::ItemState::kTerminated);
     return;
   }
+  if (!admit(item)) {
+    retryLater(item, kHeldDelay);
+    return;
+  }
   item.service = directory::drawService(*route, node_.random());
   const forwarding::InstanceEntry* entry = chooseInstance(item, now);
   if (entry == nullptr) {
@@ -270,13 +276,13 @@
 
 forwarding::InstanceNeed ItemRunner::needOf(const Running& item) const {
   const jobs::LeasedItem& leased = item.run.leased();
-  return {item.service, leased.model, leased.minimumVersion, isLong(item)};
+  return {item.service, leased.model, leased.minimumVersion, isLong(item), item.trial};
 }
 
 const forwarding::InstanceEntry* ItemRunner::chooseInstance(Running& item, base::TimePoint now) {
   const forwarding::InstanceNeed need = needOf(item);
   const std::string next = std::exchange(item.next, {});
-  if (!next.empty() && instances_.isUsable(next, need, now)) {
+  if (!next.empty() && !item.trial && instances_.isUsable(next, need, now)) {
     return instances_.find(next);
   }
   return instances_.select(need, item.tried, node_.random(), now);
@@ -292,6 +298,7 @@
   item.status = status;
   item.lastByteAt = node_.now();
   item.notExecuted = headers.has(names.notExecuted);
+  m_guard.onAnswered(item.instance, item.sentAt);
   if (const auto load = node_.dialect().load(headers.value(names.load))) {
     instances_.onLoad(item.instance, *load, node_.now());
   }
@@ -338,6 +345,9 @@
   const base::TimePoint now = node_.now();
   if (!end.complete) {
     const bool unreached = end.verdict == base::Verdict::kNotRun;
+    if (!unreached) {
+      onBroken(item);
+    }
     onAttemptFailed(key, item, unreached ? SendOutcome::kUnreached : SendOutcome::kFailed, {});
   } else if (item.status == kMisdirected) {
     onAttemptFailed(key, item, SendOutcome::kGone, {});
@@ -346,6 +356,9 @@
   } else if (item.status == kOk && isWhole(item)) {
     instances_.onEnded(item.instance, SendOutcome::kServed, now - item.sentAt, now);
     node_.metrics().count(CounterId::kItemAttemptsEnded, toString(SendOutcome::kServed));
+    if (item.fingerprint) {
+      m_guard.onBorne(*item.fingerprint);
+    }
     onWhole(key, item);
   } else {
     onAttemptFailed(key, item, SendOutcome::kFailed, kRetryDelay);
@@ -355,6 +368,30 @@
   }
 }
 
+const quarantine::RequestFingerprint& ItemRunner::fingerprintOf(Running& item) const {
+  if (!item.fingerprint) {
+    const jobs::LeasedItem& leased = item.run.leased();
+    item.fingerprint = m_guard.fingerprint(
+        {"POST", leased.host, leased.item.path, leased.tenant, leased.item.body});
+  }
+  return *item.fingerprint;
+}
+
+bool ItemRunner::admit(Running& item) {
+  item.trial = false;
+  if (m_guard.idle()) {
+    return true;
+  }
+  const RequestGuard::RunAdmission admission = m_guard.admitRun(fingerprintOf(item));
+  item.trial = admission == RequestGuard::RunAdmission::kTrial;
+  return admission != RequestGuard::RunAdmission::kWait;
+}
+
+void ItemRunner::onBroken(Running& item) {
+  m_guard.onBroken({fingerprintOf(item), item.service, item.instance}, item.run.leased().item.id,
+                   item.sentAt);
+}
+
 bool ItemRunner::isWhole(const Running& item) {
   return !item.unusable && !item.parser.hasRest() && item.run.lastEvent();
 }
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -15,6 +15,7 @@
 #include "jobs/item_run.h"
 #include "jobs/progress_saver.h"
 #include "jobs/run_decisions.h"
+#include "node/request_guard.h"
 #include "node/score_caller.h"
 #include "telemetry/metric.h"
 
@@ -25,13 +26,14 @@
 class ItemRunner {
  public:
   ItemRunner(Node& node, forwarding::InstanceTable& instances, const directory::RouteTable& routes,
-             jobs::LedgerClient& ledgers)
+             jobs::LedgerClient& ledgers, RequestGuard& guard)
       : node_(node),
         instances_(instances),
         routes_(routes),
         ledgers_(ledgers),
         progress_(ledgers, [this] { return runs(); }, {}),
-        scores_(node, instances, routes) {}
+        m_guard(guard),
+        scores_(node, instances, routes, guard) {}
 
   void onView(const directory::DirectoryView& view);
   void tick();
@@ -76,7 +78,9 @@
     base::TimePoint wholeAt{};
     bool scoring = false;                    ///< its scorer is being asked
     std::optional<jobs::ItemState> outcome;  ///< its result waits to be committed
-    bool committed = false;                  ///< its result was handed in, and may have been taken
+    std::optional<quarantine::RequestFingerprint> fingerprint;  ///< once it is needed
+    bool trial = false;      ///< instances ended under it; this run is a trial
+    bool committed = false;  ///< its result was handed in, and may have been taken
   };
 
   /// Neither runs nor is to run.
@@ -94,6 +98,11 @@
   /// Without a renewal of the leases nothing new is sent: a job may have ended.
   [[nodiscard]] bool mayStart(base::TimePoint now) const;
   void startAttempts(base::TimePoint now);
+  /// False when the item is held, since it has ended engines.
+  [[nodiscard]] bool admit(Running& item);
+  [[nodiscard]] const quarantine::RequestFingerprint& fingerprintOf(Running& item) const;
+  /// The run at the item's engine broke off and may have begun.
+  void onBroken(Running& item);
   void startAttempt(const jobs::ItemKey& key, Running& item, base::TimePoint now);
   void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
   void onData(const jobs::ItemKey& key, std::string_view data);
@@ -135,6 +144,7 @@
   const directory::RouteTable& routes_;
   jobs::LedgerClient& ledgers_;
   jobs::ProgressSaver progress_;
+  RequestGuard& m_guard;
   ScoreCaller scores_;
   std::map<jobs::ItemKey, std::unique_ptr<Running>> items_;
   std::uint32_t sharers_ = 1;  ///< gateways that run items
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -36,10 +36,14 @@
   for (const auto& [key, item] : items_) {
     // An engine that has started again knows nothing of its runs: to wait for their silence would
     // cost the whole limit where its end was not seen, as behind a cut.
-    const bool over = now - item->lastByteAt > kSilenceLimit || instances_.hasEnded(item->instance);
+    const bool ended = instances_.hasEnded(item->instance);
+    const bool over = now - item->lastByteAt > kSilenceLimit || ended;
     if (item->exchange.valid() && (item->unusable || over)) {
       node_.upstream().cancel(item->exchange);
       item->exchange = {};
+      if (ended) {
+        onBroken(*item);
+      }
       onAttemptFailed(key, *item, item->unusable ? SendOutcome::kAbandoned : SendOutcome::kFailed,
                       {});
     }
@@ -66,8 +70,9 @@
 
 void ItemRunner::moveFromSlow(base::TimePoint now) {
   for (const auto& [key, item] : items_) {
-    const bool mayMove = item->exchange.valid() && item->paceSince != base::TimePoint{} &&
-                         item->moves < kMostMoves && now - item->firstSentAt > kLongRun;
+    const bool mayMove = item->exchange.valid() && !item->trial &&
+                         item->paceSince != base::TimePoint{} && item->moves < kMostMoves &&
+                         now - item->firstSentAt > kLongRun;
     if (!mayMove) {
       continue;
     }
@@ -82,7 +87,7 @@
 
 void ItemRunner::moveFromQueues(base::TimePoint now) {
   for (const auto& [key, item] : items_) {
-    const bool waits = item->exchange.valid() && item->lastByteAt == item->sentAt &&
+    const bool waits = item->exchange.valid() && !item->trial && item->lastByteAt == item->sentAt &&
                        now - item->sentAt > kQueueLimit && item->queueMoves < kMostQueueMoves;
     if (!waits) {
       continue;
@@ -97,7 +102,7 @@
 
 void ItemRunner::moveFromStalls(base::TimePoint now) {
   for (const auto& [key, item] : items_) {
-    if (!jobs::isStalled(sightOf(*item, now))) {
+    if (item->trial || !jobs::isStalled(sightOf(*item, now))) {
       continue;
     }
     const auto* idle = instances_.findIdle(needOf(*item), {item->instance}, node_.random(), now);
--- a/src/node/score_caller.cpp
+++ b/src/node/score_caller.cpp
@@ -17,6 +17,8 @@
 /// A silent call is broken off after so many times the latency that its route aims at.
 constexpr int kPatienceFactor = 4;
 constexpr base::Duration kLeastPatience = base::milliseconds(200);
+/// How often a held call asks whether it may be made again.
+constexpr base::Duration kHeldDelay = base::milliseconds(100);
 
 }  // namespace
 
@@ -60,13 +62,36 @@
   }
 }
 
+const quarantine::RequestFingerprint& ScoreCaller::fingerprintOf(Call& call) const {
+  if (!call.fingerprint) {
+    call.fingerprint = m_guard.fingerprint(
+        {"POST", call.request.host, call.request.path, call.tenant, call.request.body});
+  }
+  return *call.fingerprint;
+}
+
+bool ScoreCaller::admit(Call& call) {
+  call.trial = false;
+  if (m_guard.idle()) {
+    return true;
+  }
+  const RequestGuard::RunAdmission admission = m_guard.admitRun(fingerprintOf(call));
+  call.trial = admission == RequestGuard::RunAdmission::kTrial;
+  return admission != RequestGuard::RunAdmission::kWait;
+}
+
 void ScoreCaller::send(const jobs::ItemKey& key, Call& call, base::TimePoint now) {
   const directory::Route* route = m_routes.find(call.request.host, call.request.path);
   if (route == nullptr) {
     return;  // it may come back with the next configuration
   }
-  const std::string service = directory::drawService(*route, m_node.random());
-  const auto* entry = m_instances.select({service, {}, 0, false}, call.tried, m_node.random(), now);
+  if (!admit(call)) {
+    call.notBefore = now + kHeldDelay;
+    return;
+  }
+  call.service = directory::drawService(*route, m_node.random());
+  const forwarding::InstanceNeed need{call.service, {}, 0, false, call.trial};
+  const auto* entry = m_instances.select(need, call.tried, m_node.random(), now);
   if (entry == nullptr) {
     return;
   }
@@ -111,6 +136,7 @@
   call.answer.status = status;
   call.answer.notRun = headers.has(names.notExecuted) || status == http::status::kMisdirected;
   call.answer.signature = headers.value(names.signature);
+  m_guard.onAnswered(call.instance, call.sentAt);
   if (const auto load = m_node.dialect().load(headers.value(names.load))) {
     m_instances.onLoad(call.instance, *load, m_node.now());
     call.crowded = load->waiting > 0;
@@ -156,6 +182,12 @@
   call.answer.complete = end.complete;
   if (!end.complete) {
     call.answer.notRun = end.verdict == base::Verdict::kNotRun;
+    if (!call.answer.notRun) {
+      m_guard.onBroken({fingerprintOf(call), call.service, call.instance}, call.request.id,
+                       call.sentAt);
+    }
+  } else if (call.fingerprint && !call.answer.notRun) {
+    m_guard.onBorne(*call.fingerprint);
   }
   const SendOutcome outcome = outcomeOf(call);
   m_instances.onEnded(call.instance, outcome, now - call.sentAt, now);
--- a/src/node/score_caller.h
+++ b/src/node/score_caller.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -14,6 +15,7 @@
 #include "http/upstream_client.h"
 #include "jobs/job_messages.h"
 #include "jobs/scoring_attempts.h"
+#include "node/request_guard.h"
 
 namespace tackpick::node {
 
@@ -26,8 +28,9 @@
   /// Gets the score; nothing when the scorer has failed too often.
   using Callback = std::function<void(const std::string* score)>;
 
-  ScoreCaller(Node& node, forwarding::InstanceTable& instances, const directory::RouteTable& routes)
-      : m_node(node), m_instances(instances), m_routes(routes) {}
+  ScoreCaller(Node& node, forwarding::InstanceTable& instances, const directory::RouteTable& routes,
+              RequestGuard& guard)
+      : m_node(node), m_instances(instances), m_routes(routes), m_guard(guard) {}
 
   /// Calls the item's scorer, from start() on, until it answers or `deadline` has passed.
   void add(const jobs::LeasedItem& leased, base::TimePoint deadline, Callback callback);
@@ -52,8 +55,14 @@
     base::Duration patience{0};  ///< a running call without an answer is broken off after this
     jobs::ScorerAnswer answer;
     bool crowded = false;  ///< requests wait at its server
+    std::string service;
+    std::optional<quarantine::RequestFingerprint> fingerprint;  ///< once it is needed
+    bool trial = false;  ///< servers ended under it; this call is a trial
   };
 
+  /// False when the call is held, since it has ended servers.
+  [[nodiscard]] bool admit(Call& call);
+  [[nodiscard]] const quarantine::RequestFingerprint& fingerprintOf(Call& call) const;
   void send(const jobs::ItemKey& key, Call& call, base::TimePoint now);
   void onHead(const jobs::ItemKey& key, int status, const http::HeaderList& headers);
   void onEnd(const jobs::ItemKey& key, const http::UpstreamEnd& end);
@@ -65,6 +74,7 @@
   Node& m_node;
   forwarding::InstanceTable& m_instances;
   const directory::RouteTable& m_routes;
+  RequestGuard& m_guard;
   forwarding::CallWindow m_window;
   std::map<jobs::ItemKey, Call> m_calls;
 };
--- /dev/null
+++ b/src/quarantine/crash_observer.cpp
@@ -0,0 +1,93 @@
+#include "quarantine/crash_observer.h"
+
+#include <algorithm>
+
+#include "quarantine/quarantine_policy.h"
+
+namespace tackpick::quarantine {
+
+void CrashObserver::onBroken(const Crash& crash, base::TimePoint now) {
+  if (!m_suspects.contains(crash.request)) {
+    makeRoom();
+  }
+  Sight& sight = m_suspects[crash.request][crash.instance];
+  sight.crash = crash;
+  sight.brokenAt = now;
+}
+
+// An answer on a run that was sent before shows that the process did not end. One on a later run
+// shows it only while no successor can be there: an instance that starts again may keep its name.
+bool CrashObserver::showsLife(const Sight& sight, base::TimePoint sentAt,
+                              base::TimePoint now) const {
+  return sentAt <= sight.brokenAt || now - sight.brokenAt < m_settings.shortestRestart;
+}
+
+void CrashObserver::onAnswered(const std::string& instance, base::TimePoint sentAt,
+                               base::TimePoint now) {
+  for (auto& [request, sights] : m_suspects) {
+    const auto seen = sights.find(instance);
+    if (seen != sights.end() && !seen->second.certain && showsLife(seen->second, sentAt, now)) {
+      sights.erase(seen);
+    }
+  }
+  dropCleared();
+}
+
+std::size_t CrashObserver::crashes(const RequestFingerprint& request) const {
+  const auto known = m_suspects.find(request);
+  return known == m_suspects.end() ? 0 : known->second.size();
+}
+
+std::vector<Crash> CrashObserver::takeCertain(base::TimePoint now) {
+  forgetOld(now);
+  std::vector<Crash> certain;
+  for (auto& [request, sights] : m_suspects) {
+    for (auto& [instance, sight] : sights) {
+      sight.certain = sight.certain || now - sight.brokenAt >= m_settings.certainty;
+      if (sight.certain && !sight.told) {
+        sight.told = true;
+        certain.push_back(sight.crash);
+      }
+    }
+  }
+  return certain;
+}
+
+void CrashObserver::tellAgain() {
+  for (auto& [request, sights] : m_suspects) {
+    for (auto& [instance, sight] : sights) {
+      sight.told = false;
+    }
+  }
+}
+
+void CrashObserver::forgetOld(base::TimePoint now) {
+  for (auto& [request, sights] : m_suspects) {
+    std::erase_if(sights,
+                  [&](const auto& entry) { return now - entry.second.brokenAt > kCrashMemory; });
+  }
+  dropCleared();
+}
+
+void CrashObserver::dropCleared() {
+  std::erase_if(m_suspects, [](const auto& suspect) { return suspect.second.empty(); });
+}
+
+void CrashObserver::makeRoom() {
+  if (m_suspects.size() < kMostRequests) {
+    return;
+  }
+  const auto newest = [](const auto& suspect) {
+    base::TimePoint at{};
+    for (const auto& [instance, sight] : suspect.second) {
+      at = std::max(at, sight.brokenAt);
+    }
+    return at;
+  };
+  const auto oldest = std::min_element(
+      m_suspects.begin(), m_suspects.end(),
+      [&](const auto& left, const auto& right) { return newest(left) < newest(right); });
+  m_suspects.erase(oldest);
+}
+
+}  // namespace tackpick::quarantine
--- /dev/null
+++ b/src/quarantine/quarantine_state.cpp
@@ -0,0 +1,76 @@
+#include "quarantine/quarantine_state.h"
+
+#include <algorithm>
+
+#include "quarantine/quarantine_policy.h"
+
+namespace tackpick::quarantine {
+
+void QuarantineState::apply(const HoldRequest& command) {
+  if (isHeld(command.request)) {
+    return;
+  }
+  makeRoom();
+  m_holds[command.request] = {command.service, command.instances, 0,
+                              command.at,      command.at,        nextTrial(command.at, 0)};
+}
+
+void QuarantineState::apply(const NoteTrial& command) {
+  const auto held = m_holds.find(command.request);
+  if (held == m_holds.end()) {
+    return;
+  }
+  Hold& hold = held->second;
+  ++hold.trials;
+  hold.lastAt = command.at;
+  hold.trialAt = nextTrial(command.at, hold.trials);
+}
+
+void QuarantineState::apply(const ReleaseRequest& command) { m_holds.erase(command.request); }
+
+bool QuarantineState::isTrialDue(const RequestFingerprint& request, base::WallTime now) const {
+  const auto held = m_holds.find(request);
+  return held != m_holds.end() && now >= held->second.trialAt;
+}
+
+std::vector<RequestFingerprint> QuarantineState::outlived(base::WallTime now) const {
+  std::vector<RequestFingerprint> requests;
+  for (const auto& [request, hold] : m_holds) {
+    if (now - hold.lastAt > kHoldMemory) {
+      requests.push_back(request);
+    }
+  }
+  return requests;
+}
+
+std::vector<HeldRequest> QuarantineState::told() const {
+  std::vector<HeldRequest> held;
+  held.reserve(m_holds.size());
+  for (const auto& [request, hold] : m_holds) {
+    held.push_back({request, hold.trialAt});
+  }
+  return held;
+}
+
+std::vector<HoldSight> QuarantineState::sights(base::WallTime now) const {
+  std::vector<HoldSight> sights;
+  for (const auto& [request, hold] : m_holds) {
+    const bool last = hold.trialAt == base::WallTime::max();
+    const base::Duration untilTrial = last ? base::Duration::max() : hold.trialAt - now;
+    sights.push_back(
+        {request, hold.service, hold.instances, hold.trials, now - hold.since, untilTrial});
+  }
+  return sights;
+}
+
+void QuarantineState::makeRoom() {
+  if (m_holds.size() < kMostRequests) {
+    return;
+  }
+  m_holds.erase(
+      std::min_element(m_holds.begin(), m_holds.end(), [](const auto& left, const auto& right) {
+        return left.second.lastAt < right.second.lastAt;
+      }));
+}
+
+}  // namespace tackpick::quarantine
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -97,10 +97,21 @@
        "its version, and how long ago a controller confirmed that; at most one line a second",
        "where the age is long, look at the way from this gateway to the controllers' leader"},
       {Id::kRunBroken, "run_broken", kInfo,
-       "the connection to an instance ended under a caller's request that may have run there: the "
-       "request's id and fingerprint. The fingerprint is the same at each try and gateway",
-       "where one fingerprint stands under several instances that ended, that request may have "
-       "ended them"},
+       "the connection to an instance ended under a request, item or scoring call that may have "
+       "run there: its id, its fingerprint, which is the same at each try and gateway, and at how "
+       "many instances this gateway has seen that",
+       "where one fingerprint stands under several instances that ended, it may have ended them"},
+      {Id::kRequestHeld, "request_held", kWarning,
+       "instances ended under a request, at any gateway, so often that it is sent nowhere any "
+       "more, but for a few trials",
+       "find it by its fingerprint in the run_broken lines; `tackpickctl quarantine` lists all, "
+       "`tackpickctl release` ends the hold"},
+      {Id::kRequestReleased, "request_released", kInfo,
+       "a held request is free again: an instance has borne it, an operator released it, or its "
+       "time is over",
+       ""},
+      {Id::kTrialBegun, "trial_begun", kInfo,
+       "this gateway may send a held request to one instance, to see whether it is borne", ""},
       {Id::kConnectionRefused, "connection_refused", kWarning,
        "an internal connection showed a wrong key, version or frame",
        "look for a process of another cluster or release"},
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -54,6 +54,9 @@
   kScoringCallFailed = 4017,
   kUnknownRefused = 4018,
   kRunBroken = 4019,
+  kRequestHeld = 4020,
+  kRequestReleased = 4021,
+  kTrialBegun = 4022,
   kConnectionRefused = 5001,
 };
 
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -14,8 +14,9 @@
 
 /// Counts since the start of the process.
 enum class CounterId : std::uint8_t {
-  kRequestsAnswered,   ///< by status
-  kRequestsGivenUp,    ///< by verdict
+  kRequestsAnswered,  ///< by status
+  kRequestsGivenUp,   ///< by verdict
+  kRequestsHeld,
   kSendsEnded,         ///< by outcome
   kLedgerCalls,        ///< by call and status
   kControlCalls,       ///< by call and status
@@ -49,6 +50,7 @@
   kControllersHeardAge,
   kConfigurationAge,
   kInstances,  ///< by state
+  kHeldRequests,
   kItemsRunning,
   kScoringCalls,
   kResultsWaiting,
