One clock that counts the time of a suspension

Cause: leases, fences, deadlines and the age of what is known were counted with std::chrono::steady_clock, which stands still while a machine is suspended; after the resume a leader or gateway held its lease for young after it had passed to another. Change: one place reads CLOCK_BOOTTIME (base::BootClock), and the timers of the event loops count with it (base::Timer).

--- a/apps/emulator/main.cpp
+++ b/apps/emulator/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "base/timer.h"
 #include "emulator/emulated_engine.h"
 #include "emulator/platform.h"
 #include "http/client.h"
@@ -277,7 +278,7 @@
   SeededRandom random_;
   engine::WeightStore store_;
   http::Client client_;
-  asio::steady_timer announce_timer_;
+  base::Timer announce_timer_;
   asio::signal_set signals_;
   std::unique_ptr<emulator::Platform> platform_;
   std::string platform_url_;
--- a/apps/load/callers.cpp
+++ b/apps/load/callers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/timer.h"
+
 namespace tackpick::load {
 namespace {
 
@@ -38,7 +40,7 @@
 
 void Callers::sendNext(const CallerWorkload& workload) {
   const double gap = random_.exponential(1.0 / (workload.requestsPerSecond * options_.scale));
-  auto timer = std::make_shared<asio::steady_timer>(context_, fromSeconds(gap));
+  auto timer = std::make_shared<base::Timer>(context_, fromSeconds(gap));
   timer->async_wait([this, timer, &workload](const asio::error_code& /*error*/) {
     if (clock_.now() >= end_) {
       --senders_running_;
@@ -173,7 +175,7 @@
     call.gateway = (call.gateway + 1) % options_.gateways.size();
     const auto pause = retryAfterSeconds > 0 ? base::Duration(base::seconds(retryAfterSeconds))
                                              : base::Duration(base::milliseconds(100));
-    auto timer = std::make_shared<asio::steady_timer>(context_, pause);
+    auto timer = std::make_shared<base::Timer>(context_, pause);
     timer->async_wait([this, timer, number](const asio::error_code& /*error*/) { send(number); });
     return;
   }
--- a/apps/load/callers.h
+++ b/apps/load/callers.h
@@ -63,7 +63,7 @@
   http::Client& client_;
   const Options& options_;
   Report& report_;
-  base::SteadyTimeSource clock_;
+  base::MonotonicTimeSource clock_;
   base::SeededRandom random_;
   base::TimePoint end_{};
   std::uint32_t senders_running_ = 0;
--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <map>
 
+#include "base/timer.h"
 #include "callers.h"
 #include "options.h"
 #include "report.h"
@@ -114,8 +115,8 @@
   load::PublishedWeights weights_;
   load::Callers callers_;
   std::vector<std::unique_ptr<load::Trainer>> trainers_;
-  asio::steady_timer progress_;
-  base::SteadyTimeSource clock_;
+  base::Timer progress_;
+  base::MonotonicTimeSource clock_;
   base::TimePoint started_at_{};
   base::TimePoint give_up_at_{};
   base::TimePoint reported_at_{};
--- a/apps/load/trainers.cpp
+++ b/apps/load/trainers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/timer.h"
+
 namespace tackpick::load {
 namespace {
 
@@ -204,7 +206,7 @@
 }
 
 void Trainer::after(base::Duration pause, std::function<void()> then) {
-  auto timer = std::make_shared<asio::steady_timer>(context_, pause);
+  auto timer = std::make_shared<base::Timer>(context_, pause);
   timer->async_wait([timer, then = std::move(then)](const asio::error_code& /*error*/) { then(); });
 }
 
--- a/apps/load/trainers.h
+++ b/apps/load/trainers.h
@@ -76,7 +76,7 @@
   const std::uint64_t number_;
   PublishedWeights& weights_;
   Report& report_;
-  base::SteadyTimeSource clock_;
+  base::MonotonicTimeSource clock_;
   base::SeededRandom random_;
   base::TimePoint end_{};
   base::TimePoint started_at_{};
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace tackpick::base {
 
@@ -51,15 +52,25 @@
   [[nodiscard]] virtual TimePoint now() const = 0;
 };
 
-/// Reads std::chrono::steady_clock.
-class SteadyTimeSource final : public TimeSource {
- public:
-  [[nodiscard]] TimePoint now() const override {
-    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint{std::chrono::duration_cast<Duration>(sinceEpoch)};
+/// This machine's time since its boot, suspensions included: the only place where a monotonic clock
+/// is read. CLOCK_MONOTONIC, which std::chrono::steady_clock reads, stands still while a machine is
+/// suspended: a lease that has long passed to another would seem young after the resume.
+struct BootClock : MonotonicClock {
+  [[nodiscard]] static TimePoint now() {
+    std::timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto sinceBoot =
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint{std::chrono::duration_cast<Duration>(sinceBoot)};
   }
 };
 
+/// Reads BootClock.
+class MonotonicTimeSource final : public TimeSource {
+ public:
+  [[nodiscard]] TimePoint now() const override { return BootClock::now(); }
+};
+
 /// Milliseconds as a floating point number, for reports and metrics.
 [[nodiscard]] inline double toMilliseconds(Duration duration) {
   constexpr double kMicrosecondsPerMillisecond = 1000.0;
--- a/src/emulator/emulated_engine.h
+++ b/src/emulator/emulated_engine.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/timer.h"
 #include "engine/engine_model.h"
 #include "http/server.h"
 
@@ -49,10 +50,10 @@
 
   asio::io_context& context_;
   EmulatedEngineSettings settings_;
-  base::SteadyTimeSource clock_;
+  base::MonotonicTimeSource clock_;
   engine::EngineModel model_;
   std::unordered_map<base::AttemptId, std::shared_ptr<http::Responder>> streams_;
-  asio::steady_timer timer_;
+  base::Timer timer_;
   http::Server server_;
 };
 
--- a/src/emulator/platform.cpp
+++ b/src/emulator/platform.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "base/timer.h"
 #include "runtime/engine_json.h"
 
 namespace tackpick::emulator {
@@ -87,7 +88,7 @@
 
 void Platform::score(const http::Request& request,
                      const std::shared_ptr<http::Responder>& responder) {
-  auto timer = std::make_shared<asio::steady_timer>(context_, settings_.scoreTime);
+  auto timer = std::make_shared<base::Timer>(context_, settings_.scoreTime);
   const std::uint64_t hash = base::hashBytes(request.body);
   timer->async_wait([timer, responder, hash](const asio::error_code& /*error*/) {
     constexpr std::uint64_t kSteps = 1000;
--- a/src/emulator/platform.h
+++ b/src/emulator/platform.h
@@ -46,7 +46,7 @@
 
   asio::io_context& context_;
   const PlatformSettings settings_;
-  base::SteadyTimeSource clock_;
+  base::MonotonicTimeSource clock_;
   std::map<base::EngineId, Seen> seen_;
   http::Server server_;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/timer.h"
+
 namespace tackpick::http {
 namespace {
 
@@ -342,7 +344,7 @@
   }
 
   asio::io_context& context_;
-  asio::steady_timer timer_;
+  base::Timer timer_;
   CURLM* multi_ = nullptr;
   std::uint64_t last_id_ = 0;
   bool in_curl_ = false;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -11,7 +11,7 @@
 
 constexpr int kFirstStatusWithBody = 200;
 
-base::TimePoint steadyNow() { return base::SteadyTimeSource().now(); }
+base::TimePoint steadyNow() { return base::MonotonicTimeSource().now(); }
 
 std::string statusLine(int status) {
   std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/timer.h"
 #include "http/exchange_server.h"
 #include "http/header_collector.h"
 
@@ -101,7 +102,7 @@
 
   std::shared_ptr<ServerShared> shared_;
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  base::Timer timer_;
   http_parser parser_{};
   std::string pending_;  ///< bytes read and not yet parsed
   bool reading_ = false;
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/timer.h"
 #include "http/header_collector.h"
 #include "http/upstream_client.h"
 
@@ -128,7 +129,7 @@
   std::shared_ptr<UpstreamPool> client_;
   const Address address_;
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  base::Timer timer_;
   base::Duration idle_timeout_{};
 
   ExchangeId id_;
--- a/src/node/duty_caller.cpp
+++ b/src/node/duty_caller.cpp
@@ -3,6 +3,7 @@
 #include <numeric>
 #include <utility>
 
+#include "base/timer.h"
 #include "node/node.h"
 #include "telemetry/log.h"
 
@@ -26,7 +27,7 @@
 
   duties::UsageReport report;
   Callback callback;
-  asio::steady_timer deadline;
+  base::Timer deadline;
   http::ExchangeId exchange;
   int status = 0;
 };
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "base/timer.h"
 #include "directory/incarnation.h"
 #include "directory/route_table.h"
 #include "forwarding/attempt_policy.h"
@@ -120,8 +121,8 @@
   const directory::Route route_;
   const std::string host_;
   const std::string tenant_;  ///< empty: nobody in particular
-  asio::steady_timer deadline_timer_;
-  asio::steady_timer hedge_timer_;
+  base::Timer deadline_timer_;
+  base::Timer hedge_timer_;
   forwarding::AttemptPolicy policy_;
   forwarding::InstanceNeed need_;
   std::set<std::string> tried_;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/timer.h"
 #include "cluster/cluster_member.h"
 #include "config/cluster_settings.h"
 #include "directory/directory_role.h"
@@ -98,7 +99,7 @@
   const config::ClusterSettings settings_;
   const edge::Dialect& dialect_;
   asio::io_context context_;
-  base::SteadyTimeSource clock_;
+  base::MonotonicTimeSource clock_;
   base::SystemWallTimeSource wall_clock_;
   telemetry::PrometheusMetrics metrics_;
   std::unique_ptr<base::Random> random_;
@@ -117,7 +118,7 @@
   std::unique_ptr<GatewayFront> gateway_front_;
   std::unique_ptr<MetricsFront> metrics_front_;
 
-  asio::steady_timer ticker_;
+  base::Timer ticker_;
   asio::signal_set signals_;
   bool turn_scheduled_ = false;
   bool stopping_ = false;
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/timer.h"
 #include "config/process_settings.h"
 #include "control/controller.h"
 #include "gateway/gateway.h"
@@ -81,7 +82,7 @@
 
   const config::ProcessSettings settings_;
   asio::io_context context_;
-  base::SteadyTimeSource clock_;
+  base::MonotonicTimeSource clock_;
   std::unique_ptr<base::Random> random_;
   base::NodeId self_;
   base::Incarnation incarnation_;
@@ -100,7 +101,7 @@
   std::unique_ptr<ControlApi> control_api_;
   std::unique_ptr<http::Server> server_;
 
-  asio::steady_timer ticker_;
+  base::Timer ticker_;
   asio::signal_set signals_;
   bool turn_scheduled_ = false;
   bool stopping_ = false;
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 
+#include "base/timer.h"
 #include "transport/peer_network.h"
 
 namespace tackpick::transport {
@@ -46,7 +47,7 @@
 
   PeerNetwork& network_;
   asio::ip::tcp::socket socket_;
-  asio::steady_timer handshake_timer_;
+  base::Timer handshake_timer_;
   const bool dialled_;
   const base::NodeId expected_peer_;
   base::NodeId peer_;
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -123,7 +123,7 @@
   dialled.waiting = true;
   dialled.backoff =
       std::clamp(dialled.backoff * 2, settings_.shortestBackoff, settings_.longestBackoff);
-  dialled.timer = std::make_shared<asio::steady_timer>(context_, dialled.backoff);
+  dialled.timer = std::make_shared<base::Timer>(context_, dialled.backoff);
   dialled.timer->async_wait([this, number](const asio::error_code& error) {
     if (!error && !stopped_) {
       dialled_[number].waiting = false;
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "base/timer.h"
 #include "transport/internal_messages.h"
 
 namespace tackpick::transport {
@@ -73,7 +74,7 @@
     bool waiting = false;
     std::vector<base::Bytes> pending;  ///< to be sent once connected
     std::size_t pendingBytes = 0;
-    std::shared_ptr<asio::steady_timer> timer;
+    std::shared_ptr<base::Timer> timer;
   };
 
   [[nodiscard]] std::optional<Endpoint> addressOf(std::uint32_t number) const;
