Operators list and release requests that are held

tackpickctl quarantine, tackpickctl release FINGERPRINT; the controllers answer GET and DELETE under /v1/quarantine.

--- a/apps/tackpickctl/commands.h
+++ b/apps/tackpickctl/commands.h
@@ -45,5 +45,7 @@
 int members(const Invocation& invocation);
 int token(const Invocation& invocation);
 int status(const Invocation& invocation);
+int quarantine(const Invocation& invocation);
+int release(const Invocation& invocation);
 
 }  // namespace tackpick::ctl
--- a/apps/tackpickctl/main.cpp
+++ b/apps/tackpickctl/main.cpp
@@ -18,11 +18,14 @@
 
 const std::map<std::string, Command>& commands() {
   static const std::map<std::string, Command> kCommands = {
-      {"apply", ctl::apply},     {"diff", ctl::diff},       {"get", ctl::get},
-      {"set", ctl::set},         {"explain", ctl::explain}, {"history", ctl::history},
-      {"watch", ctl::watch},     {"engines", ctl::engines}, {"drain", ctl::drain},
-      {"tenants", ctl::tenants}, {"members", ctl::members}, {"token", ctl::token},
-      {"status", ctl::status},
+      {"apply", ctl::apply},     {"diff", ctl::diff},
+      {"get", ctl::get},         {"set", ctl::set},
+      {"explain", ctl::explain}, {"history", ctl::history},
+      {"watch", ctl::watch},     {"engines", ctl::engines},
+      {"drain", ctl::drain},     {"tenants", ctl::tenants},
+      {"members", ctl::members}, {"token", ctl::token},
+      {"status", ctl::status},   {"quarantine", ctl::quarantine},
+      {"release", ctl::release},
   };
   return kCommands;
 }
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "directory/call_name.h"
+#include "edge/quarantine_call.h"
 #include "edge/unanswered.h"
 #include "http/status.h"
 #include "node/node.h"
@@ -36,7 +37,8 @@
 
 void ControlFront::onRequest(const http::RawRequest& request,
                              const std::shared_ptr<http::Exchange>& exchange) {
-  edge::ControlCall call = node_.dialect().controlCall(request);
+  const std::optional<edge::ControlCall> own = edge::quarantineCall(request);
+  edge::ControlCall call = own ? *own : node_.dialect().controlCall(request);
   if (std::holds_alternative<edge::UnknownCall>(call)) {
     exchange->respond(kNotFound, {}, {});
     return;
@@ -93,6 +95,9 @@
 
 edge::Answer ControlFront::answerFor(const directory::DirectoryRequest& request,
                                      directory::DirectoryReply reply) const {
+  if (const auto own = edge::quarantineAnswer(request, reply)) {
+    return *own;
+  }
   if (std::holds_alternative<directory::InstanceBeat>(request)) {
     // Later heartbeats come here too, so that each controller takes a part of them.
     const transport::Endpoint& own = node_.settings().control;
--- a/src/quarantine/request_fingerprint.cpp
+++ b/src/quarantine/request_fingerprint.cpp
@@ -4,6 +4,7 @@
 #include <openssl/hmac.h>
 
 #include <array>
+#include <charconv>
 #include <cinttypes>
 #include <cstdio>
 #include <cstring>
@@ -27,6 +28,21 @@
   return {digits.data(), kDigits};
 }
 
+std::optional<RequestFingerprint> RequestFingerprint::parse(std::string_view text) {
+  constexpr std::size_t kHalf = 16;
+  constexpr int kHexadecimal = 16;
+  if (text.size() != 2 * kHalf) {
+    return std::nullopt;
+  }
+  RequestFingerprint parsed;
+  const char* middle = text.data() + kHalf;
+  const auto high = std::from_chars(text.data(), middle, parsed.high, kHexadecimal);
+  const auto low = std::from_chars(middle, middle + kHalf, parsed.low, kHexadecimal);
+  const bool whole = high.ec == std::errc() && high.ptr == middle && low.ec == std::errc() &&
+                     low.ptr == middle + kHalf;
+  return whole ? std::optional(parsed) : std::nullopt;
+}
+
 RequestFingerprint fingerprintOf(const RequestIdentity& request, std::string_view key) {
   std::string bytes;
   for (const std::string_view part :
--- a/src/quarantine/request_fingerprint.h
+++ b/src/quarantine/request_fingerprint.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,8 @@
 
   /// 32 hexadecimal digits.
   [[nodiscard]] std::string text() const;
+  /// Nothing when `text` is none of those.
+  [[nodiscard]] static std::optional<RequestFingerprint> parse(std::string_view text);
 
   template <class Archive>
   void serialize(Archive& archive) {
