--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -324,3 +324,60 @@
   controller.run(base::milliseconds(200));
   cr_assert_eq(controller.role->state().heldVersions().at("e0").at("m"), 6U);
 }
+
+namespace {
+
+constexpr tackpick::quarantine::RequestFingerprint kRequest{1, 2};
+
+tackpick::quarantine::ReportCrashes crashAt(const std::string& instance) {
+  return {{{kRequest, "s", instance}}};
+}
+
+directory::DirectoryStatus statusOf(const transport::CommandResponse& answer) {
+  return base::decode<directory::DirectoryReply>(answer.payload)->status;
+}
+
+}  // namespace
+
+Test(directory_role, third_instance_that_ended_puts_a_request_on_hold_that_outlives_the_leader) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  controller.ask(crashAt("i-1"));
+  controller.ask(crashAt("i-2"));
+  controller.ask(crashAt("i-2"));
+  controller.run(base::milliseconds(100));
+  cr_assert(controller.view().heldRequests.empty(), "two may be chance");
+  controller.ask(crashAt("i-3"));
+  controller.run(base::milliseconds(100));
+  cr_assert_eq(controller.view().heldRequests.size(), 1U);
+  controller.start();
+  controller.run(base::seconds(3));
+  cr_assert_eq(controller.view().heldRequests.size(), 1U);
+}
+
+Test(directory_role, trial_of_a_held_request_is_granted_to_one_gateway) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  for (const char* instance : {"i-1", "i-2", "i-3"}) {
+    controller.ask(crashAt(instance));
+  }
+  controller.run(base::seconds(1));
+  controller.answers.clear();
+  controller.ask(tackpick::quarantine::AskTrial{kRequest});
+  controller.run(base::milliseconds(50));
+  cr_assert(statusOf(controller.answers.back()) == directory::DirectoryStatus::kConflict,
+            "none is due yet");
+  controller.run(base::seconds(4));
+  controller.answers.clear();
+  for (int gateway = 0; gateway < 3; ++gateway) {
+    controller.ask(tackpick::quarantine::AskTrial{kRequest});
+  }
+  controller.run(base::milliseconds(50));
+  const auto granted = std::count_if(
+      controller.answers.begin(), controller.answers.end(),
+      [](const auto& answer) { return statusOf(answer) == directory::DirectoryStatus::kDone; });
+  cr_assert_eq(granted, 1);
+  controller.ask(tackpick::quarantine::ReleaseRequest{kRequest});
+  controller.run(base::milliseconds(50));
+  cr_assert(controller.view().heldRequests.empty());
+}
--- a/test/integration/quarantine_test.cpp
+++ b/test/integration/quarantine_test.cpp
@@ -31,6 +31,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kAccepted = 202;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kGateways = 3;
@@ -42,10 +43,10 @@
 /// Within this time all gateways must know what any of them has seen.
 constexpr auto kKnownEverywhere = std::chrono::milliseconds(3000);
 
-/// Engines that end under requests to `/q/end`, each replaced by a new one that does too.
+/// Engines that end under requests to `path`, each replaced by a new one that does too.
 class EndingEngines {
  public:
-  explicit EndingEngines(Cluster& cluster) : m_cluster(cluster) {
+  EndingEngines(Cluster& cluster, std::string path) : m_cluster(cluster), m_path(std::move(path)) {
     for (std::size_t i = 0; i < kEngines; ++i) {
       add();
     }
@@ -76,7 +77,7 @@
  private:
   void add() {
     m_engines.push_back(std::make_unique<StandInEngine>("i-" + std::to_string(m_engines.size())));
-    m_engines.back()->endOn("/q/end");
+    m_engines.back()->endOn(m_path);
     m_replaced.push_back(false);
     report(*m_engines.back());
   }
@@ -90,6 +91,7 @@
   }
 
   Cluster& m_cluster;
+  const std::string m_path;
   std::vector<std::unique_ptr<StandInEngine>> m_engines;
   std::vector<bool> m_replaced;
   std::uint64_t m_sequence = 0;
@@ -127,6 +129,29 @@
   }
 }
 
+void endAsManyAsAllowed(Callers& callers, EndingEngines& engines) {
+  for (int tries = 0; tries < 20 && engines.ended() < kMostEnded; ++tries) {
+    callers.ask("/q/end");
+    engines.tend();
+  }
+  cr_assert_geq(engines.ended(), kMostEnded);
+}
+
+/// The requests that are held, as an operator reads them.
+Json holds(Cluster& cluster) {
+  return Json::parse(cluster.control("GET", "/v1/quarantine", nullptr).body)["held"];
+}
+
+/// A batch of four items, of which one ends each engine that runs it.
+std::string batchWithOneThatEnds() {
+  Json made = Json::parse(tackpick::test::batch(4));
+  made["items"][0]["path"] = "/b/end";
+  for (std::size_t i = 0; i < made["items"].size(); ++i) {
+    made["items"][i]["group"] = "g" + std::to_string(i);
+  }
+  return made.dump();
+}
+
 }  // namespace
 
 Test(quarantine, request_that_ends_every_engine_is_held_back_at_all_gateways) {
@@ -136,14 +161,10 @@
       cluster.control("POST", "/Configuration.Replace", tenantConfiguration(1, Json::array()))
           .status,
       kOk);
-  EndingEngines engines(cluster);
+  EndingEngines engines(cluster, "/q/end");
   configure(cluster, callers);
 
-  for (int tries = 0; tries < 20 && engines.ended() < kMostEnded; ++tries) {
-    callers.ask("/q/end");
-    engines.tend();
-  }
-  cr_assert_geq(engines.ended(), kMostEnded);
+  endAsManyAsAllowed(callers, engines);
   std::this_thread::sleep_for(kKnownEverywhere);
   engines.tend();
 
@@ -160,3 +181,79 @@
   cr_assert_leq(engines.ended(), endedSoFar + 1, "%zu engines ended under further tries",
                 engines.ended() - endedSoFar);
 }
+
+Test(quarantine, hold_outlives_leader_and_gateways_and_ends_by_an_operators_word) {
+  Cluster cluster({.gateways = kGateways});
+  Callers callers(cluster);
+  EndingEngines engines(cluster, "/q/end");
+  configure(cluster, callers);
+  endAsManyAsAllowed(callers, engines);
+  waitUntil([&] { return holds(cluster).size() == 1; }, "the request is held");
+
+  const std::string leader = cluster.leader("127.0.1.");
+  cluster.machine(leader).process->kill();
+  for (const std::string& address : cluster.addresses("127.0.3.")) {
+    cluster.machine(address).process->kill();
+    cluster.start(cluster.machine(address), false);
+  }
+  cluster.start(cluster.machine(leader), false);
+  waitUntil([&] { return holds(cluster).size() == 1; }, "the next leader holds it");
+  engines.tend();
+  waitUntil([&] { return callers.ask("/q/sound").status == kOk; }, "a gateway serves again");
+  const std::size_t endedSoFar = engines.ended();
+  for (std::size_t tries = 0; tries < kGateways; ++tries) {
+    const int status = callers.ask("/q/end").status;
+    cr_expect(status == kBadGateway || status == kUnavailable, "held, or not ready: %d", status);
+  }
+  cr_assert_leq(engines.ended(), endedSoFar + 1, "one trial may have been due");
+
+  const std::string fingerprint = holds(cluster)[0]["fingerprint"];
+  cr_assert_eq(cluster.control("DELETE", "/v1/quarantine/none", nullptr).status, 400);
+  cr_assert_eq(cluster.control("DELETE", "/v1/quarantine/" + fingerprint, nullptr).status, kOk);
+  cr_assert_eq(cluster.control("DELETE", "/v1/quarantine/" + fingerprint, nullptr).status, 404);
+  cr_assert(holds(cluster).empty());
+  engines.tend();
+  const std::size_t endedBefore = engines.ended();
+  waitUntil(
+      [&] {
+        engines.tend();
+        callers.ask("/q/end");
+        return engines.ended() > endedBefore;
+      },
+      "a released request is sent again");
+}
+
+// An item has no caller who could give up: it went from engine to engine until its time was over.
+Test(quarantine, item_that_ends_engines_is_held_and_the_others_finish) {
+  Cluster cluster({.gateways = kGateways});
+  Callers callers(cluster);
+  EndingEngines engines(cluster, "/b/end");
+  configure(cluster, callers);
+  waitUntil(
+      [&] {
+        return cluster.gateway("POST", "/b/x", batchWithOneThatEnds(), "job").status == kAccepted;
+      },
+      "a batch is accepted");
+  waitUntil(
+      [&] {
+        engines.tend();
+        const HttpAnswer answer = cluster.gateway("GET", "/lots/job");
+        return answer.status == kOk && Json::parse(answer.body)["results"].size() == 3;
+      },
+      "the sound items are whole");
+  waitUntil(
+      [&] {
+        engines.tend();
+        return holds(cluster).size() == 1;
+      },
+      "the item is held");
+  constexpr int kRounds = 60;
+  for (int round = 0; round < kRounds; ++round) {
+    engines.tend();
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  constexpr std::size_t kTrialsByThen = 1;
+  cr_assert_leq(engines.ended(), kMostEnded + kTrialsByThen);
+  cr_assert_eq(Json::parse(cluster.gateway("GET", "/lots/job").body)["results"].size(), 3U,
+               "the held item is not given up before its time");
+}
--- a/test/quarantine/request_fingerprint_test.cpp
+++ b/test/quarantine/request_fingerprint_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 using tackpick::quarantine::fingerprintOf;
+using tackpick::quarantine::RequestFingerprint;
 using tackpick::quarantine::RequestIdentity;
 
 namespace {
@@ -19,6 +20,15 @@
   cr_assert_eq(fingerprintOf(kRequest, kKey).text().size(), 32);
 }
 
+Test(request_fingerprint, is_read_from_its_text_and_from_nothing_else) {
+  const RequestFingerprint known = fingerprintOf(kRequest, kKey);
+  cr_assert(RequestFingerprint::parse(known.text()) == known);
+  cr_assert_not(RequestFingerprint::parse(""));
+  cr_assert_not(RequestFingerprint::parse(known.text() + "0"));
+  cr_assert_not(RequestFingerprint::parse(std::string(32, 'g')));
+  cr_assert_not(RequestFingerprint::parse("-" + std::string(31, '1')));
+}
+
 Test(request_fingerprint, tells_every_part_apart) {
   const auto known = fingerprintOf(kRequest, kKey);
   RequestIdentity other = kRequest;
