An answer that was on its way when its instance ended shows no life; no 503 for what ran before

Cause, read: a gateway may read the end of one connection before the answer that another one brought, and took that answer for a sign of life; a suspect that found no instance was told that it never ran, which is false over all of its tries.

--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -107,6 +107,8 @@
   void deliver(const Send& send);
   void answerOwn(int status);
   void countAnswer(int status);
+  /// Whether this or an earlier try of the request may have run.
+  [[nodiscard]] bool mayHaveRun() const;
   void giveUp();
   void onDeadline();
   void onCallerGone();
@@ -374,18 +376,24 @@
 void ForwardedRequest::giveUp() {
   if (failure_) {
     deliver(*failure_);
-  } else if (policy_.verdict() == base::Verdict::kNotRun) {
-    answerOwn(kUnavailable);
-  } else {
+  } else if (mayHaveRun()) {
     answerOwn(kBadGateway);
+  } else {
+    answerOwn(kUnavailable);
   }
 }
 
+bool ForwardedRequest::mayHaveRun() const {
+  // Under another id: an answer that says it never ran would be false for the caller's request.
+  const bool ranBefore = m_fingerprint && m_guard.isSuspect(*m_fingerprint);
+  return policy_.verdict() != base::Verdict::kNotRun || ranBefore;
+}
+
 void ForwardedRequest::onDeadline() {
   if (done_) {
     return;
   }
-  if (policy_.running() == 0 && policy_.verdict() == base::Verdict::kNotRun) {
+  if (policy_.running() == 0 && !mayHaveRun()) {
     answerOwn(kUnavailable);
   } else {
     answerOwn(kGatewayTimeout);
--- a/src/node/request_guard.cpp
+++ b/src/node/request_guard.cpp
@@ -71,6 +71,10 @@
   return m_gate.admit(request, m_node.now(), m_node.wallClock().wallNow());
 }
 
+bool RequestGuard::isSuspect(const quarantine::RequestFingerprint& request) const {
+  return m_gate.observer().crashes(request) > 0 || admit(request) != quarantine::Admission::kFree;
+}
+
 base::Duration RequestGuard::untilTrial(const quarantine::RequestFingerprint& request) const {
   return m_gate.untilTrial(request, m_node.now(), m_node.wallClock().wallNow());
 }
@@ -133,8 +137,7 @@
 }
 
 void RequestGuard::onBorne(const quarantine::RequestFingerprint& request) {
-  const bool suspected = m_gate.observer().crashes(request) > 0;
-  if (!suspected && admit(request) == quarantine::Admission::kFree) {
+  if (!isSuspect(request)) {
     return;
   }
   m_gate.observer().forget(request);
--- a/src/node/request_guard.h
+++ b/src/node/request_guard.h
@@ -36,6 +36,8 @@
   [[nodiscard]] quarantine::RequestFingerprint fingerprint(
       const quarantine::RequestIdentity& request) const;
   [[nodiscard]] quarantine::Admission admit(const quarantine::RequestFingerprint& request) const;
+  /// Instances have ended under it: in an earlier try it has run.
+  [[nodiscard]] bool isSuspect(const quarantine::RequestFingerprint& request) const;
   /// How long a caller of a held request should wait.
   [[nodiscard]] base::Duration untilTrial(const quarantine::RequestFingerprint& request) const;
   /// Asks for the trial that is due. The callback gets true when this gateway may send the request
--- a/src/quarantine/crash_observer.cpp
+++ b/src/quarantine/crash_observer.cpp
@@ -15,11 +15,14 @@
   sight.brokenAt = now;
 }
 
-// An answer on a run that was sent before shows that the process did not end. One on a later run
-// shows it only while no successor can be there: an instance that starts again may keep its name.
+// A run that was sent after the break is answered only by a process that lives: this one, or its
+// successor under the same name, which takes some time to be there. A run that was sent before may
+// have been answered before the process ended.
 bool CrashObserver::showsLife(const Sight& sight, base::TimePoint sentAt,
                               base::TimePoint now) const {
-  return sentAt <= sight.brokenAt || now - sight.brokenAt < m_settings.shortestRestart;
+  const base::Duration since = now - sight.brokenAt;
+  return sentAt > sight.brokenAt ? since < m_settings.shortestRestart
+                                 : since >= m_settings.longestWay;
 }
 
 void CrashObserver::onAnswered(const std::string& instance, base::TimePoint sentAt,
--- a/src/quarantine/request_gate.h
+++ b/src/quarantine/request_gate.h
@@ -31,6 +31,7 @@
   HoldChanges onTold(const std::vector<HeldRequest>& held, base::WallTime clusterTime,
                      base::TimePoint now);
   [[nodiscard]] CrashObserver& observer() { return m_observer; }
+  [[nodiscard]] const CrashObserver& observer() const { return m_observer; }
   /// Nothing is known of any request: all are free, and no fingerprint needs to be made.
   [[nodiscard]] bool idle() const { return m_held.empty() && m_observer.empty(); }
   /// `wall`: what this machine's clock shows.
--- a/test/quarantine/crash_observer_test.cpp
+++ b/test/quarantine/crash_observer_test.cpp
@@ -32,9 +32,11 @@
 Test(crash_observer, instance_that_answers_others_has_not_ended) {
   CrashObserver observer;
   observer.onBroken({kRequest, "servers", "i-1"}, at(0));
-  observer.onAnswered("i-2", at(-10), at(20));
+  observer.onAnswered("i-2", at(10), at(20));
   cr_assert_eq(observer.crashes(kRequest), 1, "another instance says nothing of this one");
   observer.onAnswered("i-1", at(-10), at(20));
+  cr_assert_eq(observer.crashes(kRequest), 1, "that answer was on its way when the instance ended");
+  observer.onAnswered("i-1", at(-10), at(100));
   cr_assert(observer.empty());
   cr_assert(observer.takeCertain(at(300)).empty());
 }
