--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -45,6 +45,8 @@
       {"forget-earlier-leases", "a new leader waits out its predecessor's leases",
        "drifting-clocks",
        [](Options& options) { options.controller.leases.mutants.forgetEarlierLeases = true; }},
+      {"stop-clock-in-suspension", "the clock of leases counts the time of a suspension", "frozen",
+       [](Options& options) { options.suspensionStopsClock = true; }},
       {"serve-without-lease", "a gateway serves only under its lease", "frozen",
        [](Options& options) { options.gateway.viewMutants.serveWithoutLease = true; }},
       {"accept-older-revision", "a gateway's revision never goes back", "bad-network",
--- a/src/simulation/node_host.cpp
+++ b/src/simulation/node_host.cpp
@@ -43,7 +43,8 @@
 base::TimePoint NodeHost::localNow() const {
   // Every machine's clock starts elsewhere and runs at its own rate.
   constexpr base::Duration kOffsetPerMachine = base::seconds(1000);
-  const auto elapsed = static_cast<double>(environment_.loop.now().time_since_epoch().count());
+  const base::Duration run = environment_.loop.now().time_since_epoch() - m_clockLag;
+  const auto elapsed = static_cast<double>(run.count());
   return base::TimePoint{kOffsetPerMachine * number_} +
          base::Duration(static_cast<base::Duration::rep>(elapsed * clock_rate_));
 }
@@ -167,10 +168,18 @@
   disk_.crash(environment_.random);
 }
 
+void NodeHost::freeze() {
+  frozen_ = isRunning();
+  m_frozenAt = environment_.loop.now();
+}
+
 void NodeHost::thaw() {
   if (!frozen_) {
     return;
   }
+  if (environment_.options.suspensionStopsClock) {
+    m_clockLag += environment_.loop.now() - m_frozenAt;
+  }
   environment_.say("node " + std::to_string(number_) + " wakes");
   frozen_ = false;
   // Timers and sockets are ready together: either may be served first.
--- a/src/simulation/node_host.h
+++ b/src/simulation/node_host.h
@@ -47,7 +47,7 @@
   void restart();  ///< with the data folder as the crash left it
   /// The disk is lost; a new machine takes the place, under a new identity. Returns it.
   base::NodeId replace();
-  void freeze() { frozen_ = isRunning(); }
+  void freeze();
   void thaw();
   void beginPlannedStop();
   SimulatedDisk& disk() { return disk_; }
@@ -133,6 +133,8 @@
   std::uint64_t epoch_ = 0;
   bool running_ = false;
   bool frozen_ = false;
+  base::TimePoint m_frozenAt{};
+  base::Duration m_clockLag{0};  ///< of a clock that stood still while its machine was suspended
   bool stopping_ = false;
   bool dies_in_turn_ = false;  ///< the next turn is the last: some of its messages go out
   base::TimePoint stop_began_at_{};
--- a/src/simulation/options.h
+++ b/src/simulation/options.h
@@ -76,6 +76,9 @@
   base::Duration warmUp{0};                       ///< before idle time and the like count
   bool metering = false;                          ///< measure what each role costs
   double clockDrift = 0.01;                       ///< rates lie within 1 +- this
+  /// Mutant: a machine's clock stands still while its process is frozen, as the operating system's
+  /// monotonic clock does while a machine is suspended. What is shipped reads one that goes on.
+  bool suspensionStopsClock = false;
 
   LoadOptions load;
   FaultIntervals faults;
