--- a/test/integration/soak_clients.cpp
+++ b/test/integration/soak_clients.cpp
@@ -15,6 +15,7 @@
 constexpr long kCallSeconds = 3;
 constexpr auto kPause = std::chrono::milliseconds(40);
 constexpr int kItems = 4;
+constexpr const char* kEndingPath = "/q/end";
 
 const std::map<std::string, std::string>& callerHeaders() {
   static const std::map<std::string, std::string> kHeaders = {{"Host", "batches.example"},
@@ -199,16 +200,28 @@
   ++m_served;
 }
 
+void EndingCaller::step() {
+  const std::string id = "ending" + std::to_string(++m_tries);
+  (void)callGateway(m_context, m_random, "POST", kEndingPath, "two seats", id);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+}
+
 EngineLife::EngineLife(SoakContext context, std::string name, std::uint64_t seed)
     : m_context(context),
       m_name(std::move(name)),
       m_random(seed),
-      m_engine(std::make_unique<StandInEngine>(m_name)) {}
+      m_engine(std::make_unique<StandInEngine>(m_name)) {
+  m_engine->endOn(kEndingPath);
+}
 
 void EngineLife::step() {
   std::string body;
   {
     const std::lock_guard lock(m_mutex);
+    if (m_engine->hasEnded()) {
+      ++m_endedByRequests;
+      beginLife();
+    }
     body = m_engine->heartbeat(++m_sequence, m_born).dump();
   }
   const std::string address = m_context.addresses.controller(m_random);
@@ -223,8 +236,13 @@
 
 void EngineLife::restart() {
   const std::lock_guard lock(m_mutex);
+  beginLife();
+}
+
+void EngineLife::beginLife() {
   m_engine.reset();
   m_engine = std::make_unique<StandInEngine>(m_name);
+  m_engine->endOn(kEndingPath);
   ++m_born;
   m_sequence = 0;
 }
--- a/test/integration/soak_clients.h
+++ b/test/integration/soak_clients.h
@@ -127,6 +127,20 @@
   std::atomic<std::size_t> m_served = 0;
 };
 
+/// Sends one request that ends each engine that runs it, again and again, under another id and at
+/// any gateway.
+class EndingCaller {
+ public:
+  EndingCaller(SoakContext context, std::uint64_t seed) : m_context(context), m_random(seed) {}
+
+  void step();
+
+ private:
+  const SoakContext m_context;
+  base::SeededRandom m_random;
+  std::uint64_t m_tries = 0;
+};
+
 /// Sends the heartbeats of an engine that may start again under its name.
 class EngineLife {
  public:
@@ -135,8 +149,12 @@
   void step();
   /// The engine dies, and another life of it begins at another port.
   void restart();
+  /// Lives that a request has ended.
+  [[nodiscard]] std::size_t endedByRequests() const { return m_endedByRequests; }
 
  private:
+  void beginLife();
+
   const SoakContext m_context;
   const std::string m_name;
   base::SeededRandom m_random;
@@ -144,6 +162,7 @@
   std::unique_ptr<StandInEngine> m_engine;
   std::uint64_t m_born = 1;
   std::uint64_t m_sequence = 0;
+  std::atomic<std::size_t> m_endedByRequests = 0;
 };
 
 }  // namespace tackpick::test
--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -1,7 +1,8 @@
 /// Real processes under a seeded series of overlapping faults, while operators, trainers and
 /// callers check what they are told: kills, freezes, planned stops, lost disks, machines replaced
 /// at other addresses until none of the first that keep state is left, engines that start again
-/// under their names, and the loss of every process at once.
+/// under their names, a request that ends each engine that runs it, and the loss of every process
+/// at once.
 ///
 /// TACKPICK_SOAK_SEEDS=101-150 runs those seeds instead of CI's; TACKPICK_SOAK_GATEWAYS=40 makes
 /// the cluster larger: five controllers, five ledgers (no spare one, which could take the place
@@ -57,7 +58,8 @@
         m_trainer(context(), seed + 2),
         m_caller(context(), seed + 3),
         m_firstEngine(context(), "i-1", seed + 4),
-        m_secondEngine(context(), "i-2", seed + 5) {
+        m_secondEngine(context(), "i-2", seed + 5),
+        m_endingCaller(context(), seed + 6) {
     tellAddresses();
     for (const char* net : {kControllers, kLedgers}) {
       const std::vector<std::string> first = m_cluster.addresses(net);
@@ -73,6 +75,7 @@
     const test::Repeating trainers([this] { m_trainer.step(); });
     const test::Repeating callers([this] { m_caller.step(); });
     waitForProgress("at the start");
+    const test::Repeating endings([this] { m_endingCaller.step(); });
     while (!m_first.empty() && m_problem.text().empty()) {
       disturb();
       rest(m_random.below(600));
@@ -84,6 +87,7 @@
     endWhatIsDue(true);
     restartEverything();
     waitForProgress("after the loss of every process");
+    checkEndings();
     return m_problem.text();
   }
 
@@ -195,6 +199,17 @@
     waitFor([&] { return m_cluster.logged(successor, votes) > known; }, successor + " votes");
   }
 
+  /// Three ends hold the request, three trials may follow. What a gateway saw dies with it where it
+  /// is killed before it could tell, and this soak kills them all the time.
+  void checkEndings() {
+    constexpr std::size_t kMostEnded = 6;
+    constexpr std::size_t kUntold = 4;
+    const std::size_t ended = m_firstEngine.endedByRequests() + m_secondEngine.endedByRequests();
+    if (ended > kMostEnded + kUntold) {
+      m_problem.report("one request ended " + std::to_string(ended) + " engines");
+    }
+  }
+
   void waitForWholeGroups() {
     for (const char* net : {kControllers, kLedgers}) {
       waitFor([&] { return m_cluster.isWhole(net); }, std::string("a whole group ") + net);
@@ -240,6 +255,7 @@
   test::KeptCaller m_caller;
   test::EngineLife m_firstEngine;
   test::EngineLife m_secondEngine;
+  test::EndingCaller m_endingCaller;
   /// What ends a fault at a machine, and when.
   using Ending = std::pair<std::chrono::steady_clock::time_point, std::function<void()>>;
   std::map<std::string, Ending> m_endings;
