A fourth figure of an instance's load is read and used

Change: the figure multiplies the cost of an instance for 200 ms. Unit tests (the first failed before).

--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -12,6 +12,8 @@
 
 /// Reports of load older than this say nothing.
 constexpr base::Duration kLoadFreshness = base::milliseconds(800);
+/// The time that work takes changes many times a second.
+constexpr base::Duration kWorkTimeFreshness = base::milliseconds(200);
 constexpr double kLatencyWeight = 0.2;
 constexpr double kPaceWeight = 0.15;
 /// Instances drawn at random, of which the cheapest is taken.
@@ -184,6 +186,12 @@
   return std::max({static_cast<double>(entry.inFlight), reported, shared});
 }
 
+double InstanceTable::workTime(const InstanceEntry& entry, base::TimePoint now) {
+  constexpr double kUsualPercent = 100.0;
+  const bool fresh = now - entry.loadAt < kWorkTimeFreshness;
+  return fresh ? entry.load.workTimePercent / kUsualPercent : 1.0;
+}
+
 double InstanceTable::cost(const InstanceEntry& entry, const InstanceNeed& need,
                            base::TimePoint now) const {
   const double slots = std::max<double>(1.0, entry.record.slots);
@@ -191,7 +199,8 @@
   if (need.model.empty()) {
     const double away = entry.record.zone != settings_.zone ? kOtherZoneCost / slots : 0.0;
     constexpr double kUnknownLatencyMs = 10.0;
-    return (occupied + away) * (entry.latencyMs > 0 ? entry.latencyMs : kUnknownLatencyMs);
+    return (occupied + away) * workTime(entry, now) *
+           (entry.latencyMs > 0 ? entry.latencyMs : kUnknownLatencyMs);
   }
   return jobs::engineCost(entry.paceMs, occupied);
 }
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -53,6 +53,8 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// How long work takes there now, in percent of what is usual: others use the machine too.
+  std::uint32_t workTimePercent = 100;
 };
 
 /// What a request needs of an instance.
@@ -152,6 +154,8 @@
   [[nodiscard]] static bool serves(const InstanceEntry& entry, const InstanceNeed& need);
   /// Requests at an instance, as far as this gateway knows.
   [[nodiscard]] static double busyness(const InstanceEntry& entry, base::TimePoint now);
+  /// How long work takes there now; 1: as usual, or not known.
+  [[nodiscard]] static double workTime(const InstanceEntry& entry, base::TimePoint now);
   [[nodiscard]] static bool isSound(const InstanceEntry& entry, const InstanceNeed& need,
                                     base::TimePoint now);
   [[nodiscard]] static bool hasRoom(const InstanceEntry& entry, base::TimePoint now);
--- a/test/forwarding/forwarding_test.cpp
+++ b/test/forwarding/forwarding_test.cpp
@@ -369,3 +369,23 @@
   cr_assert(table.isUsable(second, {"s", "", 0, false}, base::TimePoint{}));
   cr_assert_not(table.isUsable(first, {"s", "", 0, false}, base::TimePoint{}));
 }
+
+Test(instance_table, instance_whose_machine_is_used_by_others_gets_less_for_that_moment) {
+  Fixture fixture({view("a"), view("b")});
+  fixture.table.onLoad("a", {1, 0, 4, 400}, fixture.now);
+  fixture.table.onLoad("b", {1, 0, 4, 100}, fixture.now);
+  int atSlow = 0;
+  constexpr int kDrawn = 400;
+  for (int i = 0; i < kDrawn; ++i) {
+    atSlow +=
+        fixture.table.select(kNeed, {}, fixture.random, fixture.now)->record.id == "a" ? 1 : 0;
+  }
+  cr_assert_lt(atSlow, kDrawn / 3, "only where both draws give it");
+  fixture.now += base::milliseconds(300);
+  atSlow = 0;
+  for (int i = 0; i < kDrawn; ++i) {
+    atSlow +=
+        fixture.table.select(kNeed, {}, fixture.random, fixture.now)->record.id == "a" ? 1 : 0;
+  }
+  cr_assert_gt(atSlow, kDrawn / 3, "what was told is no longer so");
+}
