Crash evidence is walked over only when something is due; engines that start again in a drain or a load

CrashObserver looked at all suspects 50 times a second for the ten minutes that it keeps them (read, not measured).

--- a/src/node/request_guard.cpp
+++ b/src/node/request_guard.cpp
@@ -83,7 +83,7 @@
                             std::function<void(bool granted)> callback) {
   m_node.member().call(
       directory::DirectoryRequest{quarantine::AskTrial{request}}, kTrialDeadline, m_node.now(),
-      [this, request, callback = std::move(callback)](const directory::DirectoryReply* reply) {
+      [request, callback = std::move(callback)](const directory::DirectoryReply* reply) {
         const bool granted = reply != nullptr && reply->status == directory::DirectoryStatus::kDone;
         if (granted) {
           logEvent(EventId::kTrialBegun, Detail().add("fingerprint", request.text()).text());
--- a/src/quarantine/crash_observer.cpp
+++ b/src/quarantine/crash_observer.cpp
@@ -5,6 +5,11 @@
 #include "quarantine/quarantine_policy.h"
 
 namespace tackpick::quarantine {
+namespace {
+
+constexpr base::Duration kForgetInterval = base::seconds(10);
+
+}  // namespace
 
 void CrashObserver::onBroken(const Crash& crash, base::TimePoint now) {
   if (!m_suspects.contains(crash.request)) {
@@ -13,6 +18,7 @@
   Sight& sight = m_suspects[crash.request][crash.instance];
   sight.crash = crash;
   sight.brokenAt = now;
+  m_dueAt = std::min(m_dueAt, now + m_settings.certainty);
 }
 
 // A run that was sent after the break is answered only by a process that lives: this one, or its
@@ -42,7 +48,11 @@
 }
 
 std::vector<Crash> CrashObserver::takeCertain(base::TimePoint now) {
+  if (now < m_dueAt) {
+    return {};
+  }
   forgetOld(now);
+  m_dueAt = now + kForgetInterval;
   std::vector<Crash> certain;
   for (auto& [request, sights] : m_suspects) {
     for (auto& [instance, sight] : sights) {
@@ -50,6 +60,8 @@
       if (sight.certain && !sight.told) {
         sight.told = true;
         certain.push_back(sight.crash);
+      } else if (!sight.certain) {
+        m_dueAt = std::min(m_dueAt, sight.brokenAt + m_settings.certainty);
       }
     }
   }
@@ -62,6 +74,7 @@
       sight.told = false;
     }
   }
+  m_dueAt = base::TimePoint::min();
 }
 
 void CrashObserver::forgetOld(base::TimePoint now) {
--- a/src/quarantine/crash_observer.h
+++ b/src/quarantine/crash_observer.h
@@ -61,6 +61,9 @@
   void makeRoom();
 
   const CrashObserverSettings m_settings;
+  /// Nothing becomes certain or is forgotten before: suspects are kept for minutes, and whoever
+  /// asks for news many times a second must not walk over all of them each time.
+  base::TimePoint m_dueAt = base::TimePoint::max();
   std::map<RequestFingerprint, Sights> m_suspects;
 };
 
--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -291,6 +291,54 @@
   cr_assert_eq(wholeBatch(cluster, "two", 2).size(), 2U);
 }
 
+// The former life gets no new work, ever; the new one is another engine.
+Test(cluster, engine_that_starts_again_in_the_midst_of_a_drain_gets_work) {
+  constexpr std::uint64_t kBorn = 1'000'000;
+  constexpr std::uint64_t kBornAgain = 2'000'000;
+  Cluster cluster;
+  cr_assert_eq(
+      cluster.control("POST", "/Configuration.Replace", tenantConfiguration(2, Json::array()))
+          .status,
+      kOk);
+  const StandInEngine formerLife("i-1");
+  const std::string path = "/Instances.Heartbeat/i-1";
+  cr_assert_eq(cluster.control("POST", path, formerLife.heartbeat(5, kBorn)).status, kOk);
+  const auto ask = [&] { return cluster.gateway("POST", "/q/1", "", "r").status; };
+  waitUntil([&] { return ask() == kOk; }, "it is used");
+  Json draining = formerLife.heartbeat(6, kBorn);
+  draining["state"] = "draining";
+  cr_assert_eq(cluster.control("POST", path, draining).status, kOk);
+  waitUntil([&] { return ask() == 503; }, "it gets no new work");
+  const StandInEngine newLife("i-1");
+  cr_assert_eq(cluster.control("POST", path, newLife.heartbeat(1, kBornAgain)).status, kOk);
+  waitUntil([&] { return ask() == kOk; }, "the new life is used");
+  draining["sequence"] = 7;
+  cr_assert_eq(cluster.control("POST", path, draining).status, kOk);
+  cr_assert_eq(ask(), kOk, "what the former life says late does not concern the new one");
+}
+
+Test(cluster, engine_that_starts_again_in_the_midst_of_a_load_is_ordered_anew) {
+  constexpr std::uint64_t kBorn = 1'000'000;
+  constexpr std::uint64_t kBornAgain = 2'000'000;
+  Cluster cluster;
+  cr_assert_eq(cluster.control("POST", "/Configuration.Replace", batchConfiguration(2)).status,
+               kOk);
+  const StandInEngine formerLife("i-1");
+  const std::string path = "/Instances.Heartbeat/i-1";
+  cr_assert_eq(cluster.control("POST", path, formerLife.heartbeat(5, kBorn)).status, kOk);
+  cr_assert_eq(cluster.control("POST", "/version-put", {{"model", "m"}, {"version", 2}}).status,
+               kOk);
+  waitUntil([&] { return formerLife.orders() > 0; }, "it is ordered to load");
+  const StandInEngine newLife("i-1");
+  std::uint64_t sequence = 0;
+  waitUntil(
+      [&] {
+        (void)cluster.control("POST", path, newLife.heartbeat(++sequence, kBornAgain));
+        return newLife.orders() > 0;
+      },
+      "an order that the former life has taken is none for the new one");
+}
+
 Test(cluster, tenants_see_their_own_and_lose_what_their_keys_lose) {
   Cluster cluster;
   const Json before = {{{"name", "a"}, {"apiKeys", {"key-a", "key-a2"}}},
--- a/test/integration/stand_in_engine.cpp
+++ b/test/integration/stand_in_engine.cpp
@@ -67,6 +67,11 @@
     exchange->respond(kMisdirected, headers, {});
     return;
   }
+  if (request.target == "/order") {
+    ++m_orders;
+    exchange->respond(kAccepted, headers, {});
+    return;
+  }
   {
     const std::lock_guard lock(m_mutex);
     m_ran.push_back(request);
--- a/test/integration/stand_in_engine.h
+++ b/test/integration/stand_in_engine.h
@@ -31,6 +31,8 @@
   /// connection is closed, and none is taken any more.
   void endOn(const std::string& pathPrefix);
   [[nodiscard]] bool hasEnded() const { return m_ended; }
+  /// Orders to change its weights that it has taken; it never carries them out.
+  [[nodiscard]] std::size_t orders() const { return m_orders; }
   /// Exchanges that never end.
   [[nodiscard]] std::size_t stalled() const;
   [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
@@ -49,6 +51,7 @@
   const std::string m_id;
   std::atomic<bool> m_stalled = false;
   std::atomic<bool> m_ended = false;
+  std::atomic<std::size_t> m_orders = 0;
   std::string m_endOn;  ///< empty: nothing ends it
   std::uint16_t m_advertised = 0;
   mutable std::mutex m_mutex;
--- a/test/quarantine/crash_observer_test.cpp
+++ b/test/quarantine/crash_observer_test.cpp
@@ -50,6 +50,15 @@
   cr_assert(observer.empty());
 }
 
+Test(crash_observer, each_crash_becomes_certain_in_its_own_time) {
+  CrashObserver observer;
+  observer.onBroken({kRequest, "servers", "i-1"}, at(0));
+  observer.onBroken({kOther, "servers", "i-2"}, at(200));
+  cr_assert_eq(observer.takeCertain(at(300)).size(), 1);
+  cr_assert(observer.takeCertain(at(499)).empty());
+  cr_assert_eq(observer.takeCertain(at(500)).size(), 1);
+}
+
 Test(crash_observer, several_broken_runs_at_one_instance_are_one_crash) {
   CrashObserver observer;
   observer.onBroken({kRequest, "servers", "i-1"}, at(0));
