--- a/test/base/time_source_test.cpp
+++ b/test/base/time_source_test.cpp
@@ -6,32 +6,13 @@
 /// long been given to somebody else. Here the machine is suspended by a stand-in for the system
 /// call that reads clocks.
 #include <criterion/criterion.h>
-#include <sys/syscall.h>
 #include <unistd.h>
 
-#include <atomic>
-#include <ctime>
-
+#include "base/suspended_machine.h"
 #include "base/time.h"
 
 namespace base = tackpick::base;
-
-namespace {
-
-/// How long the machine has been suspended since its start.
-std::atomic<std::int64_t> suspendedSeconds = 0;
-
-}  // namespace
-
-// Takes the place of the C library's function in this program.
-extern "C" int clock_gettime(clockid_t clock, struct timespec* time) noexcept {
-  const auto result = static_cast<int>(syscall(SYS_clock_gettime, clock, time));
-  const bool standsStill = clock == CLOCK_MONOTONIC || clock == CLOCK_MONOTONIC_RAW;
-  if (!standsStill) {
-    time->tv_sec += suspendedSeconds;
-  }
-  return result;
-}
+using tackpick::test::suspendedSeconds;
 
 Test(time_source, counts_the_time_of_a_suspension) {
   const base::MonotonicTimeSource clock;
--- a/test/runtime/timer_test.cpp
+++ b/test/runtime/timer_test.cpp
@@ -3,33 +3,15 @@
 #include "base/timer.h"
 
 #include <criterion/criterion.h>
-#include <sys/syscall.h>
-#include <unistd.h>
 
 #include <asio.hpp>
-#include <atomic>
 #include <chrono>
-#include <ctime>
 #include <functional>
 
-namespace base = tackpick::base;
-
-namespace {
-
-/// How long the machine has been suspended since its start.
-std::atomic<std::int64_t> suspendedSeconds = 0;
+#include "base/suspended_machine.h"
 
-}  // namespace
-
-// Takes the place of the C library's function in this program.
-extern "C" int clock_gettime(clockid_t clock, struct timespec* time) noexcept {
-  const auto result = static_cast<int>(syscall(SYS_clock_gettime, clock, time));
-  const bool standsStill = clock == CLOCK_MONOTONIC || clock == CLOCK_MONOTONIC_RAW;
-  if (!standsStill) {
-    time->tv_sec += suspendedSeconds;
-  }
-  return result;
-}
+namespace base = tackpick::base;
+using tackpick::test::suspendedSeconds;
 
 Test(timer, deadline_that_passed_in_a_suspension_is_over_at_the_resume) {
   asio::io_context context;
