A new leader orders weights once the former one's orders have arrived

Cause: a new leader of the controllers gave no order for what was left of the order lease (3.1 s after the former's last note), whoever it was. The lease is there so that holders do not take turns (A, B, A) within it; a controller that has not given orders lately cannot.

Change: the log keeps the newest note of each holder; OrderLease waits for the rest of the other's lease only where this process gave orders within one lease before it (or may have, before a restart); else for the former leader's last order, which may wait for its connection (600 ms, and a margin). Reports of usage, which may be carried out long after they were sent, wait as before.

--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -269,17 +269,17 @@
   for (const auto& [id, versions] : state_.heldVersions()) {
     reports_.try_emplace(id, ReportedEngine{leader_since_, versions});
   }
-  orders_.reset(order_lease_.freeFrom(), state_.homes());
+  orders_.reset(order_lease_.freeFrom(leader_since_), state_.homes());
   // Which engines are in reserve must be known before the first view is told, or all would be news.
   (void)orders_.step(state_, reports_, {}, replica_.raft().currentTerm(), now);
-  usage_.reset(state_.usage(), order_lease_.freeFrom());
+  usage_.reset(state_.usage(), order_lease_.restOfLease());
   begun_ = true;
 }
 
 DirectoryActions DirectoryRole::finish(base::TimePoint now) {
   replica_.finish(now, actions_.messages);
   observeLeadership(now);
-  observeOrderNote(now);
+  observeOrderNotes(now);
   if (!begun_ && leads(now)) {
     beginLeading(now);
   }
@@ -320,9 +320,9 @@
   observed_term_ = raft.currentTerm();
 }
 
-void DirectoryRole::observeOrderNote(base::TimePoint now) {
-  if (state_.orderNote().index > 0) {
-    order_lease_.onNote(state_.orderNote().holder, state_.orderNote().index, now);
+void DirectoryRole::observeOrderNotes(base::TimePoint now) {
+  for (const auto& [holder, index] : state_.orderNotes()) {
+    order_lease_.onNote(holder, index, now);
   }
 }
 
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -134,7 +134,7 @@
   [[nodiscard]] std::vector<cluster::GroupNode> nodesOf(NodeRole role, base::TimePoint now) const;
 
   void observeLeadership(base::TimePoint now);
-  void observeOrderNote(base::TimePoint now);
+  void observeOrderNotes(base::TimePoint now);
   /// Has it noted in the log that this controller gives orders, and gives them then.
   void giveNoted(std::vector<VersionOrder> orders, base::TimePoint now);
   /// Reports the usage of windows that are over.
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -175,7 +175,13 @@
 }
 
 void DirectoryState::applyTyped(const NoteOrders& command) {
-  data_.orderNote = {command.holder, applying_};
+  constexpr std::size_t kHoldersKept = 16;
+  data_.orderNotes[command.holder] = applying_;
+  if (data_.orderNotes.size() > kHoldersKept) {
+    data_.orderNotes.erase(std::min_element(
+        data_.orderNotes.begin(), data_.orderNotes.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; }));
+  }
 }
 
 base::Bytes DirectoryState::takeSnapshot() const { return base::encode(data_); }
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -38,16 +38,10 @@
   }
   /// The model that each engine follows, as that was last written.
   [[nodiscard]] const std::map<std::string, std::string>& homes() const { return data_.homes; }
-  /// Who last noted that it gives orders, and the index of that note; index 0: nobody did.
-  struct OrderNote {
-    base::NodeId holder;
-    consensus::LogIndex index = 0;
-    template <class Archive>
-    void serialize(Archive& archive) {
-      archive(holder, index);
-    }
-  };
-  [[nodiscard]] const OrderNote& orderNote() const { return data_.orderNote; }
+  /// Who has noted that it gives orders, with the index of its newest note. The few latest holders
+  /// are kept.
+  using OrderNotes = std::map<base::NodeId, consensus::LogIndex>;
+  [[nodiscard]] const OrderNotes& orderNotes() const { return data_.orderNotes; }
   /// True when that instance has said that it leaves for good, another has its address, or it has
   /// started again since.
   [[nodiscard]] bool hasLeft(const std::string& id) const {
@@ -81,14 +75,14 @@
     std::map<std::string, std::uint64_t> versions;
     std::set<base::NodeId> ledgerFounders;
     std::map<std::string, Retirement> retirements;
-    OrderNote orderNote;
+    OrderNotes orderNotes;
     duties::UsageState usage;
     quarantine::QuarantineState quarantine;
 
     template <class Archive>
     void serialize(Archive& archive) {
       archive(revision, configuration, instances, heldVersions, homes, leftInOrder, versions,
-              ledgerFounders, retirements, orderNote, usage, quarantine);
+              ledgerFounders, retirements, orderNotes, usage, quarantine);
     }
   };
 
--- a/src/directory/order_lease.cpp
+++ b/src/directory/order_lease.cpp
@@ -1,22 +1,39 @@
 #include "directory/order_lease.h"
 
+#include <algorithm>
+
 namespace tackpick::directory {
 
 void OrderLease::onNote(base::NodeId holder, consensus::LogIndex index, base::TimePoint now) {
-  if (!m_note || m_note->index < index) {
-    m_note = Note{holder, index, now};
+  if (holder == m_self && (!m_own || m_own->index < index)) {
+    m_own = Note{holder, index, now};
+  }
+  if (!m_newest || m_newest->index < index) {
+    m_newest = Note{holder, index, now};
   }
 }
 
-base::TimePoint OrderLease::freeFrom() const {
-  if (!m_note || m_note->holder == m_self) {
+bool OrderLease::wouldTakeTurns(const Note& other) const {
+  return m_own && givenBy(other) - givenBy(*m_own) <= m_settings.duration;
+}
+
+base::TimePoint OrderLease::freeFrom(base::TimePoint leadingSince) const {
+  if (!m_newest || m_newest->holder == m_self) {
     return {};
   }
-  if (m_note->index > m_lastIndex) {
-    return m_note->notedAt + m_settings.duration;
+  const base::TimePoint arrived = leadingSince + m_settings.transit;
+  return wouldTakeTurns(*m_newest) ? std::max(arrived, restOfLease()) : arrived;
+}
+
+base::TimePoint OrderLease::restOfLease() const {
+  if (!m_newest || m_newest->holder == m_self) {
+    return {};
+  }
+  // How much older than this process the orders are is not known.
+  if (isOlderThanProcess(*m_newest) && m_settings.enginesCheckFences) {
+    return {};
   }
-  // The orders are older than this process. How much older is not known.
-  return m_settings.enginesCheckFences ? base::TimePoint{} : m_startedAt + m_settings.duration;
+  return givenBy(*m_newest) + m_settings.duration;
 }
 
 }  // namespace tackpick::directory
--- a/src/directory/order_lease.h
+++ b/src/directory/order_lease.h
@@ -12,16 +12,20 @@
 
 /// Knobs of OrderLease.
 struct OrderLeaseSettings {
-  /// Orders of two leaders must lie so far apart.
+  /// Two holders must not take turns within this time.
   base::Duration duration = base::milliseconds(3100);
+  /// A former leader gives no order once another leads, but the last one may still wait for its
+  /// connection: no longer than an upstream connection attempt, with a margin.
+  base::Duration transit = base::milliseconds(700);
   /// Engines refuse orders with a lower fence than they have seen, so that a leader which was
   /// replaced while this process did not run cannot undo what this one orders.
   bool enginesCheckFences = false;
 };
 
-/// A leader writes a note into the log before it gives orders. Whoever follows it learns from the
-/// note when, at the latest, the last of them can have been given, and waits for the rest of the
-/// lease only. Deterministic; owned by one thread.
+/// A leader writes a note into the log before it gives orders. From the notes a new leader learns
+/// whether it would take turns with another: it gives orders, another does, and it does so again.
+/// Only then it waits for the rest of the other's lease; else until the former leader's orders have
+/// arrived. Deterministic; owned by one thread.
 class OrderLease {
  public:
   /// `lastIndex`: of the log when this process started; notes up to there are older than it.
@@ -29,10 +33,13 @@
              base::TimePoint startedAt)
       : m_self(self), m_settings(settings), m_lastIndex(lastIndex), m_startedAt(startedAt) {}
 
-  /// The newest note in the log, as it is applied: who gives orders, and the note's index.
+  /// The newest note of a holder in the log, as it is applied.
   void onNote(base::NodeId holder, consensus::LogIndex index, base::TimePoint now);
-  /// When this process may give its first order as a leader; the past when it need not wait.
-  [[nodiscard]] base::TimePoint freeFrom() const;
+  /// When this process may give its first order, being leader since `leadingSince`.
+  [[nodiscard]] base::TimePoint freeFrom(base::TimePoint leadingSince) const;
+  /// The same for calls that may be carried out long after they were sent: the whole rest of
+  /// another holder's lease; the past when this process need not wait.
+  [[nodiscard]] base::TimePoint restOfLease() const;
 
  private:
   struct Note {
@@ -41,11 +48,22 @@
     base::TimePoint notedAt{};
   };
 
+  [[nodiscard]] bool isOlderThanProcess(const Note& note) const {
+    return note.index <= m_lastIndex;
+  }
+  /// When the orders of the note were given, at the latest.
+  [[nodiscard]] base::TimePoint givenBy(const Note& note) const {
+    return isOlderThanProcess(note) ? m_startedAt : note.notedAt;
+  }
+  /// This process gave orders so shortly before the other holder that it would take turns with it.
+  [[nodiscard]] bool wouldTakeTurns(const Note& other) const;
+
   const base::NodeId m_self;
   const OrderLeaseSettings m_settings;
   const consensus::LogIndex m_lastIndex;
   const base::TimePoint m_startedAt;
-  std::optional<Note> m_note;
+  std::optional<Note> m_newest;
+  std::optional<Note> m_own;
 };
 
 }  // namespace tackpick::directory
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -192,7 +192,8 @@
   settings.instanceSilence = settings_.instanceHeartbeat + kHeartbeatSlack;
   settings.orders.silenceLimit = settings.instanceSilence;
   constexpr base::Duration kOrderMargin = base::milliseconds(100);
-  settings.orderLease = {settings_.orderLease + kOrderMargin, settings_.enginesCheckFences};
+  settings.orderLease.duration = settings_.orderLease + kOrderMargin;
+  settings.orderLease.enginesCheckFences = settings_.enginesCheckFences;
   constexpr double kMicrosPerSecond = 1e6;
   // Callers of other duties share the rate.
   constexpr double kShareOfRate = 0.5;
