The soak has two trainers, uneven engines that load weights, and changing priorities

Cause: the soak's engines never carried an order out and all ran alike; one trainer with weights that never changed, one tenant. What is planned for several models was not under faults there.

Change: stand-in engines may load weights (nothing new is taken meanwhile, runs go on and tell the version of each event), report them, and run at a pace of their own; two trainers, of two tenants, publish a version or two at once after each batch and check that no text comes from weights that are too old or never published; the tenants' priorities change with every configuration.

--- a/test/integration/soak_clients.cpp
+++ b/test/integration/soak_clients.cpp
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <chrono>
 
 #include "http/status.h"
@@ -17,19 +18,25 @@
 constexpr int kItems = 4;
 constexpr const char* kEndingPath = "/q/end";
 
-const std::map<std::string, std::string>& callerHeaders() {
-  static const std::map<std::string, std::string> kHeaders = {{"Host", "batches.example"},
-                                                              {"Authorization", "Token key-a"}};
-  return kHeaders;
+std::map<std::string, std::string> callerHeaders(const std::string& key) {
+  return {{"Host", "batches.example"}, {"Authorization", "Token " + key}};
 }
 
+/// Two models and two tenants, whose priorities change with every version.
 Json configurationOf(std::uint64_t version) {
-  return tenantConfiguration(version, {{{"name", "a"}, {"apiKeys", {"key-a"}}}});
+  constexpr std::uint64_t kPriorities = 2;
+  const std::uint64_t first = version % kPriorities;
+  Json made = tenantConfiguration(
+      version, {{{"name", "a"}, {"apiKeys", {"key-a"}}, {"priority", first}},
+                {{"name", "b"}, {"apiKeys", {"key-b"}}, {"priority", kPriorities - 1 - first}}});
+  made["services"][0]["engine"]["models"] = {{{"name", "m"}}, {{"name", "n"}}};
+  return made;
 }
 
-HttpAnswer callGateway(const SoakContext& context, base::Random& random, const std::string& method,
-                       const std::string& path, const std::string& body, const std::string& id) {
-  std::map<std::string, std::string> headers = callerHeaders();
+HttpAnswer callGatewayAs(const std::string& key, const SoakContext& context, base::Random& random,
+                         const std::string& method, const std::string& path,
+                         const std::string& body, const std::string& id) {
+  std::map<std::string, std::string> headers = callerHeaders(key);
   headers["Request-Id"] = id;
   const std::string address = context.addresses.gateway(random);
   return call({method, context.cluster.gatewayUrl(address, path), body, {}, headers, kCallSeconds});
@@ -120,26 +127,65 @@
   }
 }
 
+HttpAnswer Trainer::callGateway(const std::string& method, const std::string& path,
+                                const std::string& body, const std::string& id) {
+  return callGatewayAs(m_key, m_context, m_random, method, path, body, id);
+}
+
 void Trainer::step() {
   if (m_acceptedBatch) {
     read();
+  } else if (m_toPublish > 0) {
+    publish();
   } else {
     submit();
   }
 }
 
+void Trainer::publish() {
+  const Json version = {{"model", m_model}, {"version", m_published + 1}};
+  const std::string address = m_context.addresses.controller(m_random);
+  const HttpAnswer answer = call({"POST",
+                                  m_context.cluster.controlUrl(address, "/version-put"),
+                                  version.dump(),
+                                  {},
+                                  {},
+                                  kCallSeconds});
+  if (answer.status == kOk) {
+    ++m_published;
+    --m_toPublish;
+  }
+}
+
 void Trainer::submit() {
   if (m_name.empty()) {
-    m_name = "batch" + std::to_string(++m_batches);
+    m_name = m_model + std::to_string(++m_batches);
+    m_minimum = std::max<std::uint64_t>(m_published, 2) - 1;
     m_seen.clear();
   }
-  const HttpAnswer answer = callGateway(m_context, m_random, "POST", "/b/x", batch(kItems), m_name);
+  Json submission = Json::parse(batch(kItems));
+  submission["model"] = m_model;
+  submission["minimumVersion"] = m_minimum;
+  for (Json& item : submission["items"]) {
+    item["headers"]["Model"] = m_model;
+  }
+  const HttpAnswer answer = callGateway("POST", "/b/x", submission.dump(), m_name);
   m_acceptedBatch = answer.status == kAccepted;
 }
 
+void Trainer::checkVersions(const Json& result) {
+  for (const Json& version : result["versions"]) {
+    const std::uint64_t made = version.get<std::uint64_t>();
+    if (made < m_minimum || made > m_published) {
+      m_context.problem.report("a text of " + m_name + ", which allows " +
+                               std::to_string(m_minimum) + " to " + std::to_string(m_published) +
+                               ", is " + result.dump());
+    }
+  }
+}
+
 void Trainer::read() {
-  const HttpAnswer answer =
-      callGateway(m_context, m_random, "GET", "/lots/" + m_name + "?afterRevision=0", "", "");
+  const HttpAnswer answer = callGateway("GET", "/lots/" + m_name + "?afterRevision=0", "", "");
   if (answer.status == kNotFound) {
     m_context.problem.report("accepted batch " + m_name + " is not found");
   }
@@ -155,11 +201,14 @@
     if (results[at]["message"] != "ab0\nab1\nab2\nab3\nab4") {
       m_context.problem.report("a text of " + m_name + " is " + result);
     }
+    checkVersions(results[at]);
   }
   if (results.size() == kItems) {
-    callGateway(m_context, m_random, "DELETE", "/lots/" + m_name, "", "");
+    constexpr double kBurst = 0.3;
+    callGateway("DELETE", "/lots/" + m_name, "", "");
     m_name.clear();
     m_acceptedBatch = false;
+    m_toPublish = m_random.chance(kBurst) ? 2 : 1;
     ++m_whole;
   }
 }
@@ -177,7 +226,7 @@
     connection = curl_easy_init();
   }
   const std::string id = "kept" + std::to_string(++m_requests);
-  std::map<std::string, std::string> headers = callerHeaders();
+  std::map<std::string, std::string> headers = callerHeaders("key-a");
   headers["Request-Id"] = id;
   const HttpAnswer answer =
       callOn(connection,
@@ -202,15 +251,18 @@
 
 void EndingCaller::step() {
   const std::string id = "ending" + std::to_string(++m_tries);
-  (void)callGateway(m_context, m_random, "POST", kEndingPath, "two seats", id);
+  (void)callGatewayAs("key-a", m_context, m_random, "POST", kEndingPath, "two seats", id);
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
 }
 
 EngineLife::EngineLife(SoakContext context, std::string name, std::uint64_t seed)
-    : m_context(context),
-      m_name(std::move(name)),
-      m_random(seed),
-      m_engine(std::make_unique<StandInEngine>(m_name)) {
+    : m_context(context), m_name(std::move(name)), m_random(seed) {
+  constexpr std::uint64_t kSlowestPaceMs = 80;
+  constexpr std::uint64_t kLongestLoadMs = 600;
+  m_behaviour.pace = base::milliseconds(m_random.below(kSlowestPaceMs));
+  m_behaviour.loadTime = base::milliseconds(1 + m_random.below(kLongestLoadMs));
+  m_behaviour.versions = {{"m", 1}, {"n", 1}};
+  m_engine = std::make_unique<StandInEngine>(m_name, m_behaviour);
   m_engine->endOn(kEndingPath);
 }
 
@@ -240,8 +292,9 @@
 }
 
 void EngineLife::beginLife() {
+  m_behaviour.versions = m_engine->versions();
   m_engine.reset();
-  m_engine = std::make_unique<StandInEngine>(m_name);
+  m_engine = std::make_unique<StandInEngine>(m_name, m_behaviour);
   m_engine->endOn(kEndingPath);
   ++m_born;
   m_sequence = 0;
--- a/test/integration/soak_clients.h
+++ b/test/integration/soak_clients.h
@@ -83,23 +83,36 @@
   std::atomic<std::uint64_t> m_accepted = 0;
 };
 
-/// Submits batches, reads them whole and ends them. A batch that was accepted is there from then
-/// on, and a position that was read stays as it is.
+/// Publishes weights of its model, now and then two versions at once, submits a batch that allows
+/// the newest two, reads it whole and ends it. A batch that was accepted is there from then on, a
+/// position that was read stays as it is, and no text comes from weights that are too old or that
+/// were never published.
 class Trainer {
  public:
-  Trainer(SoakContext context, std::uint64_t seed) : m_context(context), m_random(seed) {}
+  /// `key`: of the tenant whose batches these are.
+  Trainer(SoakContext context, std::string model, std::string key, std::uint64_t seed)
+      : m_context(context), m_model(std::move(model)), m_key(std::move(key)), m_random(seed) {}
 
   void step();
   /// Batches read whole.
   [[nodiscard]] std::size_t whole() const { return m_whole; }
 
  private:
+  void publish();
   void submit();
   void read();
+  void checkVersions(const runtime::Json& result);
+  HttpAnswer callGateway(const std::string& method, const std::string& path,
+                         const std::string& body, const std::string& id);
 
   const SoakContext m_context;
+  const std::string m_model;
+  const std::string m_key;
   base::SeededRandom m_random;
-  std::string m_name = {};  ///< of the batch under way; empty: none
+  std::uint64_t m_published = 1;  ///< newest version that was accepted
+  std::uint64_t m_toPublish = 0;  ///< versions before the next batch
+  std::uint64_t m_minimum = 1;    ///< of the batch under way
+  std::string m_name = {};        ///< of the batch under way; empty: none
   bool m_acceptedBatch = false;
   std::uint64_t m_batches = 0;
   std::map<std::size_t, std::string> m_seen;  ///< results by position
@@ -158,6 +171,7 @@
   const SoakContext m_context;
   const std::string m_name;
   base::SeededRandom m_random;
+  EngineBehaviour m_behaviour;  ///< drawn once: engines differ
   std::mutex m_mutex;
   std::unique_ptr<StandInEngine> m_engine;
   std::uint64_t m_born = 1;
--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -2,7 +2,8 @@
 /// callers check what they are told: kills, freezes, planned stops, lost disks, machines replaced
 /// at other addresses until none of the first that keep state is left, engines that start again
 /// under their names, a request that ends each engine that runs it, and the loss of every process
-/// at once.
+/// at once. Engines run at different paces and load weights; two trainers publish them, now and
+/// then two versions at once, for tenants whose priorities change all the time.
 ///
 /// TACKPICK_SOAK_SEEDS=101-150 runs those seeds instead of CI's; TACKPICK_SOAK_GATEWAYS=40 makes
 /// the cluster larger: five controllers, five ledgers (no spare one, which could take the place
@@ -55,7 +56,8 @@
         m_random(seed),
         m_cluster(layoutWanted()),
         m_operator(context(), seed + 1),
-        m_trainer(context(), seed + 2),
+        m_trainer(context(), "m", "key-a", seed + 2),
+        m_secondTrainer(context(), "n", "key-b", seed + 7),
         m_caller(context(), seed + 3),
         m_firstEngine(context(), "i-1", seed + 4),
         m_secondEngine(context(), "i-2", seed + 5),
@@ -72,7 +74,8 @@
     const test::Repeating beats1([this] { m_firstEngine.step(); });
     const test::Repeating beats2([this] { m_secondEngine.step(); });
     const test::Repeating operators([this] { m_operator.step(); });
-    const test::Repeating trainers([this] { m_trainer.step(); });
+    const test::Repeating trainer1([this] { m_trainer.step(); });
+    const test::Repeating trainer2([this] { m_secondTrainer.step(); });
     const test::Repeating callers([this] { m_caller.step(); });
     waitForProgress("at the start");
     const test::Repeating endings([this] { m_endingCaller.step(); });
@@ -235,9 +238,11 @@
   void waitForProgress(const std::string& when) {
     const std::uint64_t accepted = m_operator.accepted();
     const std::size_t whole = m_trainer.whole();
+    const std::size_t secondWhole = m_secondTrainer.whole();
     const std::size_t served = m_caller.served();
     waitFor([&] { return m_operator.accepted() > accepted; }, "a change " + when);
     waitFor([&] { return m_trainer.whole() > whole; }, "a batch " + when);
+    waitFor([&] { return m_secondTrainer.whole() > secondWhole; }, "another batch " + when);
     waitFor([&] { return m_caller.served() > served; }, "an answer " + when);
   }
 
@@ -252,6 +257,7 @@
   test::SelfFormedCluster m_cluster;
   test::Operator m_operator;
   test::Trainer m_trainer;
+  test::Trainer m_secondTrainer;
   test::KeptCaller m_caller;
   test::EngineLife m_firstEngine;
   test::EngineLife m_secondEngine;
