Weights are loaded for the steps that are open and expected

Cause: VersionOrders gave loads to the model whose version was published first. It knew neither when a model's next step comes nor which version it needs, so steps found no engine ready while others loaded far ahead.

Change: StepForecast learns cadence, minimum, lag and size of steps from the open work that the ledgers' leader tells and from publications. LoadBudget learns from the times of loads how many may run at once, never fewer than the settings allow. WeightsPlan (ModelRanking for each model) orders the loads: open steps without places by slack, then expected ones by time, steps within one load time of each other by the share of places that they have. Engines that serve a step which is beginning are left to it. The former order stays as OldestFirst, behind LoadPolicy; it is used where a service has one model or nothing is known of its steps, and LoadOrder::kOldestFirst selects it. An engine whose weights were taken back by an older order that came late is ordered again at once, not after the rest of four seconds. VersionOrders::sight() tells the figures by model and the budget.

--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -1,9 +1,11 @@
 #include "directory/version_orders.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 #include "base/sorted_cursor.h"
+#include "directory/oldest_first.h"
+#include "directory/weights_plan.h"
 
 namespace tackpick::directory {
 namespace {
@@ -27,6 +29,13 @@
       });
 }
 
+std::unique_ptr<const LoadPolicy> makePolicy(const VersionOrderSettings& settings) {
+  if (settings.loadOrder == LoadOrder::kOldestFirst) {
+    return std::make_unique<OldestFirst>(settings.settlingTime);
+  }
+  return std::make_unique<WeightsPlan>(settings.settlingTime);
+}
+
 }  // namespace
 
 std::string_view toString(OrderOutcome outcome) {
@@ -45,9 +54,20 @@
   return "unknown";
 }
 
+VersionOrders::VersionOrders(VersionOrderSettings settings)
+    : settings_(settings),
+      m_homes(settings.homes, settings.silenceLimit),
+      m_forecast(settings.forecast),
+      m_budget(settings.budget),
+      m_policy(makePolicy(settings)) {}
+
 void VersionOrders::reset(base::TimePoint ordersFrom, Homes homes) {
   orders_from_ = ordersFrom;
   m_homes.reset(std::move(homes));
+  m_forecast.reset();
+  m_budget.reset();
+  m_told.reset();
+  m_sight = {};
   published_.clear();
   given_.clear();
 }
@@ -58,6 +78,26 @@
     items[model] = jobs::itemsOf(open);
   }
   m_homes.note(items, now);
+  m_told = ToldWork{works, now};
+}
+
+void VersionOrders::noteTold(const DirectoryState& state) {
+  if (m_told) {
+    m_forecast.note(m_told->works, state.versions(), m_told->at);
+    m_told.reset();
+  }
+}
+
+void VersionOrders::noteLoaded(const ReportedEngines& engines, base::TimePoint now) {
+  for (auto& [instance, given] : given_) {
+    if (!given.isDone && versionOf(engines, instance, given.model) >= given.version) {
+      given.isDone = true;
+      // An older order that is carried out after this one takes it back: it may be given again.
+      given.loadingUntil = now;
+      given.retryAt = now;
+      m_budget.onLoaded(instance, now);
+    }
+  }
 }
 
 bool VersionOrders::isLoading(const std::string& instance, const ReportedEngines& engines,
@@ -67,17 +107,6 @@
          versionOf(engines, instance, given->second.model) < given->second.version;
 }
 
-std::map<std::string, VersionOrders::ModelLoad> VersionOrders::loadByModel(
-    const ReportedEngines& engines, base::TimePoint now) const {
-  std::map<std::string, ModelLoad> loads;
-  for (const auto& [instance, model] : homes()) {
-    ModelLoad& load = loads[model];
-    ++load.engines;
-    load.loading += isLoading(instance, engines, now) ? 1 : 0;
-  }
-  return loads;
-}
-
 void VersionOrders::notePublished(const DirectoryState& state, base::TimePoint now) {
   for (const auto& [model, version] : state.versions()) {
     Published& published = published_[model];
@@ -87,11 +116,6 @@
   }
 }
 
-bool VersionOrders::isDue(const std::string& model, std::uint64_t held, std::uint64_t published,
-                          base::TimePoint now) const {
-  return held + 1 < published || now - published_.at(model).seenAt >= settings_.settlingTime;
-}
-
 bool VersionOrders::mayOrder(const InstanceRecord& record, const ReportedEngines& engines,
                              base::TimePoint now) const {
   const auto engine = engines.find(record.id);
@@ -104,35 +128,6 @@
          versionOf(engines, record.id, given->second.model) >= given->second.version;
 }
 
-std::vector<const InstanceRecord*> VersionOrders::oldestVersionFirst(
-    const DirectoryState& state, const ReportedEngines& engines) const {
-  struct Ranked {
-    base::TimePoint publishedAt{};
-    std::uint64_t held = 0;
-    const InstanceRecord* record = nullptr;
-  };
-  std::vector<Ranked> ranked;
-  ranked.reserve(homes().size());
-  for (const auto& [id, model] : homes()) {
-    const InstanceRecord& record = state.instances().at(id);
-    const auto published = published_.find(model);
-    if (published == published_.end()) {
-      ranked.push_back({{}, 0, &record});
-    } else {
-      ranked.push_back({published->second.seenAt, versionOf(engines, id, model), &record});
-    }
-  }
-  std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
-    return std::tuple(left.publishedAt, left.held) < std::tuple(right.publishedAt, right.held);
-  });
-  std::vector<const InstanceRecord*> records;
-  records.reserve(ranked.size());
-  for (const Ranked& entry : ranked) {
-    records.push_back(entry.record);
-  }
-  return records;
-}
-
 std::vector<std::string> VersionOrders::dueReports(const ReportedEngines& engines,
                                                    base::TimePoint now) {
   std::vector<std::string> due;
@@ -154,63 +149,133 @@
   return std::max(settings_.concurrentLoads, share);
 }
 
+ModelLoadStates VersionOrders::modelStates(const DirectoryState& state, base::TimePoint now) const {
+  ModelLoadStates models;
+  for (const auto& [model, published] : published_) {
+    models[model] = {published.version, published.seenAt, {}, {}, {}};
+  }
+  for (const Service& service : state.configuration().services) {
+    if (service.models.size() < 2) {
+      continue;  // nobody to share with: each engine loads what is published
+    }
+    for (const std::string& model : service.models) {
+      const auto found = models.find(model);
+      if (found != models.end()) {
+        found->second.needs = m_forecast.needs(model, found->second.published, now);
+      }
+    }
+  }
+  return models;
+}
+
+VersionOrders::Fleet VersionOrders::observe(const DirectoryState& state,
+                                            const ReportedEngines& engines,
+                                            base::TimePoint now) const {
+  Fleet fleet;
+  fleet.models = modelStates(state, now);
+  fleet.knowsSteps = std::any_of(fleet.models.begin(), fleet.models.end(),
+                                 [](const auto& model) { return !model.second.needs.empty(); });
+  base::SortedCursor records(state.instances());
+  base::SortedCursor reports(engines);
+  for (const auto& [id, home] : homes()) {
+    const InstanceRecord* record = records.find(id);
+    const ReportedEngine* report = reports.find(id);
+    ModelEngines& ofModel = fleet.engines[home];
+    ++ofModel.all;
+    const bool loading = isLoading(id, engines, now);
+    ofModel.loading += loading ? 1 : 0;
+    fleet.loading += loading ? 1 : 0;
+    const auto model = fleet.models.find(home);
+    if (record == nullptr || report == nullptr || model == fleet.models.end() || record->leaving ||
+        now - report->heardAt > settings_.silenceLimit) {
+      continue;
+    }
+    const auto version = report->versions.find(home);
+    const std::uint64_t held = version == report->versions.end() ? 0 : version->second;
+    const std::uint64_t soon = loading ? model->second.published : held;
+    auto& places = loading ? model->second.placesLoading : model->second.placesReady;
+    places[soon] += record->slots;
+    if (held < model->second.published && mayOrder(*record, engines, now) &&
+        findService(state.configuration(), record->service) != nullptr) {
+      fleet.candidates.push_back({&id, &home, held, record->slots});
+    }
+  }
+  return fleet;
+}
+
 std::vector<VersionOrder> VersionOrders::step(const DirectoryState& state,
                                               const ReportedEngines& engines,
                                               const std::map<std::string, double>& demand,
                                               std::uint64_t term, base::TimePoint now) {
   std::vector<VersionOrder> orders;
   notePublished(state, now);
+  noteTold(state);
+  noteLoaded(engines, now);
   std::erase_if(given_,
                 [&](const auto& given) { return !state.instances().contains(given.first); });
   m_homes.assign(state, engines, demand, now);
+  m_budget.setLeast(mostLoads());
+  Fleet fleet = observe(state, engines, now);
+  updateSight(fleet, now);
   if (now < orders_from_) {
     return orders;
   }
-  std::map<std::string, ModelLoad> loads = loadByModel(engines, now);
-  std::size_t running = 0;
-  for (const auto& [model, load] : loads) {
-    running += load.loading;
-  }
-  for (const InstanceRecord* candidate : oldestVersionFirst(state, engines)) {
-    const InstanceRecord& record = *candidate;
-    const std::string& id = record.id;
-    const auto home = homes().find(id);
-    if (running >= mostLoads() || home == homes().end()) {
-      continue;
-    }
-    const auto published = state.versions().find(home->second);
-    const std::uint64_t held = versionOf(engines, id, home->second);
-    if (published == state.versions().end() || held >= published->second ||
-        !isDue(home->second, held, published->second, now) || !mayOrder(record, engines, now)) {
-      continue;
+  const base::Duration loadTime = m_budget.loadTime().value_or(settings_.usualLoad);
+  for (const PlannedLoad& load : m_policy->plan(fleet.candidates, fleet.models, loadTime, now)) {
+    if (fleet.loading >= m_sight.budget) {
+      break;
     }
+    ModelEngines& ofModel = fleet.engines[*load.candidate->model];
     constexpr std::size_t kWholePercent = 100;
-    ModelLoad& load = loads[home->second];
     const std::size_t most =
-        (load.engines * static_cast<std::size_t>(settings_.loadingPercent) + kWholePercent - 1) /
+        (ofModel.all * static_cast<std::size_t>(settings_.loadingPercent) + kWholePercent - 1) /
         kWholePercent;
-    if (load.loading >= most) {
+    if (!load.isIdle && ofModel.loading >= most) {
       continue;
     }
-    if (findService(state.configuration(), record.service) == nullptr) {
-      continue;
+    ++fleet.loading;
+    ++ofModel.loading;
+    orders.push_back(giveOrder(state, *load.candidate, term, now));
+    if (!orders.back().finishRunsFirst) {
+      m_budget.onBegun(orders.back().instance, fleet.loading, now);
     }
-    VersionOrder order{id,
-                       record.host,
-                       record.port,
-                       home->second,
-                       published->second,
-                       term,
-                       wantsSingleVersion(state.configuration(), record.service)};
-    given_[id] = {order.model, order.version, now + settings_.orderTimeout,
-                  now + settings_.orderTimeout, now + settings_.firstReport};
-    orders.push_back(std::move(order));
-    ++running;
-    ++load.loading;
   }
   return orders;
 }
 
+VersionOrder VersionOrders::giveOrder(const DirectoryState& state, const LoadCandidate& candidate,
+                                      std::uint64_t term, base::TimePoint now) {
+  const InstanceRecord& record = state.instances().at(*candidate.instance);
+  VersionOrder order{record.id,
+                     record.host,
+                     record.port,
+                     *candidate.model,
+                     state.versions().at(*candidate.model),
+                     term,
+                     wantsSingleVersion(state.configuration(), record.service)};
+  given_[record.id] = {order.model, order.version, now + settings_.orderTimeout,
+                       now + settings_.orderTimeout, now + settings_.firstReport};
+  return order;
+}
+
+void VersionOrders::updateSight(const Fleet& fleet, base::TimePoint now) {
+  m_sight = {};
+  m_sight.loading = fleet.loading;
+  m_sight.budget = fleet.knowsSteps ? m_budget.most() : mostLoads();
+  for (const auto& [name, model] : fleet.models) {
+    ModelWeightsSight& sight = m_sight.models[name];
+    sight.published = model.published;
+    if (!model.needs.empty()) {
+      const StepNeed& first = model.needs.front();
+      sight.neededVersion = first.version;
+      sight.placesNeeded = first.places;
+      sight.expectedIn = first.expectedAt - now;
+    }
+    sight.placesReady = placesFrom(model.placesReady, sight.neededVersion);
+    sight.placesLoading = placesFrom(model.placesLoading, sight.neededVersion);
+  }
+}
+
 void VersionOrders::onOutcome(const VersionOrder& order, OrderOutcome outcome,
                               base::TimePoint now) {
   const auto found = given_.find(order.instance);
@@ -220,6 +285,9 @@
   }
   constexpr base::Duration kBusyRetry = base::milliseconds(700);
   constexpr base::Duration kRefusedRetry = base::seconds(2);
+  if (outcome != OrderOutcome::kTaken) {
+    m_budget.onAbandoned(order.instance);
+  }
   if (outcome == OrderOutcome::kBusy) {
     found->second.retryAt = now + kBusyRetry;
     found->second.loadingUntil = found->second.retryAt;
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -15,10 +16,19 @@
 #include "directory/directory_messages.h"
 #include "directory/directory_state.h"
 #include "directory/engine_homes.h"
+#include "directory/load_budget.h"
+#include "directory/load_policy.h"
+#include "directory/step_forecast.h"
 #include "jobs/open_work.h"
 
 namespace tackpick::directory {
 
+/// In which order engines load.
+enum class LoadOrder : std::uint8_t {
+  kOldestFirst,  ///< as versions were published
+  kByNeed,       ///< for open and expected steps, where a service has several models
+};
+
 /// Knobs of VersionOrders.
 struct VersionOrderSettings {
   /// Engines that may load at once, however few there are; a store of weights slows down when many
@@ -27,8 +37,9 @@
   /// ... and this share of all engines with models, so that a large fleet gets a version in as many
   /// rounds as a small one.
   int concurrentPercent = 20;
+  LoadOrder loadOrder = LoadOrder::kByNeed;
   /// Of the engines that follow one model, at most this share loads at once, so that the others
-  /// take new work.
+  /// take new work. Those that no open step can use are not counted.
   int loadingPercent = 50;
   /// A new version is ordered this much later on engines that hold the one before: the work that
   /// comes with a new version may still run there, and an engine that loads takes none.
@@ -43,7 +54,11 @@
   base::Duration uncertainLoad = base::milliseconds(1500);
   /// Engines silent for longer get no orders.
   base::Duration silenceLimit = base::seconds(4);
+  /// How long a load takes, before any was seen.
+  base::Duration usualLoad = base::seconds(1);
   EngineHomesSettings homes;
+  StepForecastSettings forecast;
+  LoadBudgetSettings budget;
 };
 
 /// An order to change the weights of a model on one engine.
@@ -68,12 +83,29 @@
 
 [[nodiscard]] std::string_view toString(OrderOutcome outcome);
 
+/// Where the weights of one model stand.
+struct ModelWeightsSight {
+  std::uint64_t published = 0;
+  /// Oldest version that its most urgent step needs; zero: its steps are unknown.
+  std::uint64_t neededVersion = 0;
+  std::uint32_t placesReady = 0;    ///< of engines that hold that version or newer
+  std::uint32_t placesLoading = 0;  ///< of engines that load it
+  std::uint32_t placesNeeded = 0;
+  std::optional<base::Duration> expectedIn;  ///< below zero: it is open, or late
+};
+
+/// Where the weights of all models stand, as of the last turn.
+struct WeightsSight {
+  std::map<std::string, ModelWeightsSight> models;
+  std::size_t loading = 0;  ///< engines
+  std::size_t budget = 0;   ///< ... that may load at once
+};
+
 /// The leading controller's. Deterministic; owned by one thread. Each engine gets the versions of
 /// the model that it follows (EngineHomes), so that a version costs as few loads as it can.
 class VersionOrders {
  public:
-  explicit VersionOrders(VersionOrderSettings settings)
-      : settings_(settings), m_homes(settings.homes, settings.silenceLimit) {}
+  explicit VersionOrders(VersionOrderSettings settings);
 
   /// Call when this controller becomes leader. It gives no order before `ordersFrom`; engines keep
   /// the `homes` that the former leader gave them.
@@ -97,6 +129,7 @@
   [[nodiscard]] bool isLoading(const std::string& instance, const ReportedEngines& engines,
                                base::TimePoint now) const;
   void onOutcome(const VersionOrder& order, OrderOutcome outcome, base::TimePoint now);
+  [[nodiscard]] const WeightsSight& sight() const { return m_sight; }
 
  private:
   struct Given {
@@ -105,30 +138,52 @@
     base::TimePoint retryAt{};
     base::TimePoint loadingUntil{};  ///< at the latest
     base::TimePoint reportAt{};      ///< when to ask for its versions next
+    bool isDone = false;             ///< the version was reported
   };
 
   /// The engines that follow one model.
-  struct ModelLoad {
-    std::size_t engines = 0;
+  struct ModelEngines {
+    std::size_t all = 0;
     std::size_t loading = 0;
   };
 
+  /// What open work that was told is planned with, once versions named before it are applied.
+  struct ToldWork {
+    jobs::OpenWorks works;
+    base::TimePoint at{};
+  };
+
+  /// Engines at a turn, those first that come first by id.
+  struct Fleet {
+    ModelLoadStates models;
+    std::map<std::string, ModelEngines> engines;
+    std::vector<LoadCandidate> candidates;
+    std::size_t loading = 0;
+    bool knowsSteps = false;  ///< of one model at least
+  };
+
   [[nodiscard]] std::size_t mostLoads() const;
   void notePublished(const DirectoryState& state, base::TimePoint now);
-  [[nodiscard]] std::map<std::string, ModelLoad> loadByModel(const ReportedEngines& engines,
-                                                             base::TimePoint now) const;
-  [[nodiscard]] bool isDue(const std::string& model, std::uint64_t held, std::uint64_t published,
-                           base::TimePoint now) const;
-  /// All engines with a home, those first whose model's version was published first; of one model,
-  /// those first that hold the oldest: new work may need more than they hold.
-  [[nodiscard]] std::vector<const InstanceRecord*> oldestVersionFirst(
-      const DirectoryState& state, const ReportedEngines& engines) const;
+  void noteTold(const DirectoryState& state);
+  /// Loads that have ended since the last turn.
+  void noteLoaded(const ReportedEngines& engines, base::TimePoint now);
+  [[nodiscard]] Fleet observe(const DirectoryState& state, const ReportedEngines& engines,
+                              base::TimePoint now) const;
+  [[nodiscard]] ModelLoadStates modelStates(const DirectoryState& state, base::TimePoint now) const;
   [[nodiscard]] bool mayOrder(const InstanceRecord& record, const ReportedEngines& engines,
                               base::TimePoint now) const;
+  [[nodiscard]] VersionOrder giveOrder(const DirectoryState& state, const LoadCandidate& candidate,
+                                       std::uint64_t term, base::TimePoint now);
+  void updateSight(const Fleet& fleet, base::TimePoint now);
 
   const VersionOrderSettings settings_;
   base::TimePoint orders_from_{};
   EngineHomes m_homes;
+  StepForecast m_forecast;
+  LoadBudget m_budget;
+  std::unique_ptr<const LoadPolicy> m_policy;
+  std::optional<ToldWork> m_told;
+  WeightsSight m_sight;
   std::map<std::string, Given> given_;  ///< latest order by instance
   struct Published {
     std::uint64_t version = 0;
