--- a/src/directory/engine_homes.cpp
+++ b/src/directory/engine_homes.cpp
@@ -45,14 +45,15 @@
 
 }  // namespace
 
+std::uint64_t versionOf(const ReportedEngine& engine, const std::string& model) {
+  const auto version = engine.versions.find(model);
+  return version == engine.versions.end() ? 0 : version->second;
+}
+
 std::uint64_t versionOf(const ReportedEngines& engines, const std::string& instance,
                         const std::string& model) {
   const auto engine = engines.find(instance);
-  if (engine == engines.end()) {
-    return 0;
-  }
-  const auto version = engine->second.versions.find(model);
-  return version == engine->second.versions.end() ? 0 : version->second;
+  return engine == engines.end() ? 0 : versionOf(engine->second, model);
 }
 
 void EngineHomes::reset(Homes homes) {
@@ -263,8 +264,7 @@
         now - report->heardAt > m_silenceLimit) {
       continue;
     }
-    const auto version = report->versions.find(model);
-    const std::uint64_t held = version == report->versions.end() ? 0 : version->second;
+    const std::uint64_t held = versionOf(*report, model);
     candidates.push_back({held, byZone[{held, record.zone}]++, &id});
   }
   for (Candidate& candidate : candidates) {
--- a/src/directory/engine_homes.h
+++ b/src/directory/engine_homes.h
@@ -22,6 +22,7 @@
 using ReportedEngines = std::map<std::string, ReportedEngine>;
 
 /// The version of `model` that an engine reported; zero when it reported none.
+[[nodiscard]] std::uint64_t versionOf(const ReportedEngine& engine, const std::string& model);
 [[nodiscard]] std::uint64_t versionOf(const ReportedEngines& engines, const std::string& instance,
                                       const std::string& model);
 
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -89,8 +89,10 @@
 }
 
 void VersionOrders::noteLoaded(const ReportedEngines& engines, base::TimePoint now) {
+  base::SortedCursor reports(engines);
   for (auto& [instance, given] : given_) {
-    if (!given.isDone && versionOf(engines, instance, given.model) >= given.version) {
+    const ReportedEngine* engine = reports.find(instance);
+    if (!given.isDone && engine != nullptr && versionOf(*engine, given.model) >= given.version) {
       given.isDone = true;
       // An older order that is carried out after this one takes it back: it may be given again.
       given.loadingUntil = now;
@@ -100,11 +102,20 @@
   }
 }
 
+bool VersionOrders::isUnderWay(const Given& given, const ReportedEngine& engine,
+                               base::TimePoint now) {
+  return now < given.loadingUntil && versionOf(engine, given.model) < given.version;
+}
+
 bool VersionOrders::isLoading(const std::string& instance, const ReportedEngines& engines,
                               base::TimePoint now) const {
   const auto given = given_.find(instance);
-  return given != given_.end() && now < given->second.loadingUntil &&
-         versionOf(engines, instance, given->second.model) < given->second.version;
+  if (given == given_.end()) {
+    return false;
+  }
+  const auto engine = engines.find(instance);
+  return engine == engines.end() ? now < given->second.loadingUntil
+                                 : isUnderWay(given->second, engine->second, now);
 }
 
 void VersionOrders::notePublished(const DirectoryState& state, base::TimePoint now) {
@@ -116,18 +127,6 @@
   }
 }
 
-bool VersionOrders::mayOrder(const InstanceRecord& record, const ReportedEngines& engines,
-                             base::TimePoint now) const {
-  const auto engine = engines.find(record.id);
-  if (record.leaving || engine == engines.end() ||
-      now - engine->second.heardAt > settings_.silenceLimit) {
-    return false;
-  }
-  const auto given = given_.find(record.id);
-  return given == given_.end() || now >= given->second.retryAt ||
-         versionOf(engines, record.id, given->second.model) >= given->second.version;
-}
-
 std::vector<std::string> VersionOrders::dueReports(const ReportedEngines& engines,
                                                    base::TimePoint now) {
   std::vector<std::string> due;
@@ -177,25 +176,32 @@
                                  [](const auto& model) { return !model.second.needs.empty(); });
   base::SortedCursor records(state.instances());
   base::SortedCursor reports(engines);
+  base::SortedCursor orders(given_);
   for (const auto& [id, home] : homes()) {
     const InstanceRecord* record = records.find(id);
     const ReportedEngine* report = reports.find(id);
+    const Given* given = orders.find(id);
+    const bool loading = given != nullptr && (report == nullptr ? now < given->loadingUntil
+                                                                : isUnderWay(*given, *report, now));
     ModelEngines& ofModel = fleet.engines[home];
     ++ofModel.all;
-    const bool loading = isLoading(id, engines, now);
     ofModel.loading += loading ? 1 : 0;
     fleet.loading += loading ? 1 : 0;
     const auto model = fleet.models.find(home);
-    if (record == nullptr || report == nullptr || model == fleet.models.end() || record->leaving ||
-        now - report->heardAt > settings_.silenceLimit) {
+    const bool isUsable = record != nullptr && report != nullptr && !record->leaving &&
+                          now - report->heardAt <= settings_.silenceLimit;
+    if (!isUsable || model == fleet.models.end()) {
       continue;
     }
-    const auto version = report->versions.find(home);
-    const std::uint64_t held = version == report->versions.end() ? 0 : version->second;
-    const std::uint64_t soon = loading ? model->second.published : held;
-    auto& places = loading ? model->second.placesLoading : model->second.placesReady;
-    places[soon] += record->slots;
-    if (held < model->second.published && mayOrder(*record, engines, now) &&
+    ModelLoadState& weights = model->second;
+    const std::uint64_t held = versionOf(*report, home);
+    if (loading) {
+      weights.placesLoading[weights.published] += record->slots;
+    } else {
+      weights.placesReady[held] += record->slots;
+    }
+    const bool isFree = given == nullptr || given->isDone || now >= given->retryAt;
+    if (held < weights.published && isFree &&
         findService(state.configuration(), record->service) != nullptr) {
       fleet.candidates.push_back({&id, &home, held, record->slots});
     }
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -170,8 +170,9 @@
   [[nodiscard]] Fleet observe(const DirectoryState& state, const ReportedEngines& engines,
                               base::TimePoint now) const;
   [[nodiscard]] ModelLoadStates modelStates(const DirectoryState& state, base::TimePoint now) const;
-  [[nodiscard]] bool mayOrder(const InstanceRecord& record, const ReportedEngines& engines,
-                              base::TimePoint now) const;
+  /// True while the engine is expected to carry out the order.
+  [[nodiscard]] static bool isUnderWay(const Given& given, const ReportedEngine& engine,
+                                       base::TimePoint now);
   [[nodiscard]] VersionOrder giveOrder(const DirectoryState& state, const LoadCandidate& candidate,
                                        std::uint64_t term, base::TimePoint now);
   void updateSight(const Fleet& fleet, base::TimePoint now);
