Figures of the weights plan: places ready, loading and needed by model

The controllers' leader tells them at its metrics address, with the engines that load and the budget; DirectoryRole::weights() gives the same to others.

--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -78,6 +78,10 @@
 
   [[nodiscard]] const DirectoryState& state() const { return state_; }
   [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+  /// Where the weights of all models stand; nothing while this controller does not lead.
+  [[nodiscard]] const WeightsSight* weights() const {
+    return begun_ && replica_.raft().isLeader() ? &orders_.sight() : nullptr;
+  }
   /// Of the controllers' group, as its leader sees it.
   [[nodiscard]] const std::optional<cluster::GroupHealth>& groupHealth() const {
     return service_.health();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -82,6 +82,7 @@
   void onPeerLost(std::uint32_t number);
   void onView(const directory::DirectoryView& view);
   void sendOrder(const directory::VersionOrder& order);
+  void reportWeights();
   void sendUsageReport(const duties::UsageReport& report);
   void askForReport(const directory::InstanceRecord& engine);
   void sendAll(const transport::Outbox& outbox);
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -86,6 +86,20 @@
                .text());
 }
 
+void Node::reportWeights() {
+  const directory::WeightsSight* leading = directory_->weights();
+  const directory::WeightsSight sight = leading == nullptr ? directory::WeightsSight{} : *leading;
+  for (const auto& [name, version] : directory_->state().versions()) {
+    const auto found = sight.models.find(name);
+    const auto model = found == sight.models.end() ? directory::ModelWeightsSight{} : found->second;
+    metrics_.set(GaugeId::kPlacesReady, name, model.placesReady);
+    metrics_.set(GaugeId::kPlacesLoading, name, model.placesLoading);
+    metrics_.set(GaugeId::kPlacesNeeded, name, model.placesNeeded);
+  }
+  metrics_.set(GaugeId::kEnginesLoading, static_cast<double>(sight.loading));
+  metrics_.set(GaugeId::kLoadBudget, static_cast<double>(sight.budget));
+}
+
 void Node::reportFigures() {
   if (const consensus::Replica* own = replica()) {
     const consensus::RaftConsensus& raft = own->raft();
@@ -100,6 +114,9 @@
     metrics_.set(GaugeId::kLogBytes, static_cast<double>(log_->logBytes()));
     metrics_.set(GaugeId::kSnapshotBytes, static_cast<double>(log_->snapshotBytes()));
   }
+  if (directory_) {
+    reportWeights();
+  }
   if (ledger_) {
     const auto& kept = ledger_->state().jobs();
     const auto open = std::count_if(kept.begin(), kept.end(),
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -58,6 +58,11 @@
   kOpenJobs,
   kKeptJobs,
   kPublishedVersion,  ///< by model
+  kPlacesReady,       ///< by model
+  kPlacesLoading,     ///< by model
+  kPlacesNeeded,      ///< by model
+  kEnginesLoading,
+  kLoadBudget,
 };
 
 /// Times, in buckets.
