Items are placed by what they need and when they are due

Cause: placement compared paces only. A text of 145 events, which ends in 5.8 s on one engine and in 12.6 s on another, went wherever cost said; what was known of a pace had no age, an engine once seen slow stayed slow until the others were full, each new leader of the ledgers began without paces, and a gateway moved texts by the engine's average, due or not.

Change: - EnginePace and PaceBook: recent and long-run pace of a machine, with the age of the evidence. Without news the expected pace returns to the long run (half of the way each 2 s) and over minutes to the median of its zone; an engine never seen gets that median. Reports that cannot be true are dropped; of contradicting gateways the later sample counts. Paces belong to the machine: an engine that starts again has its machine's. - LeaseItems.paces tells the age of each sample and the work time that the engine last said; JobReply.wantsPaces asks a gateway that has told a new leader none. Gateways take over paces to an engine's next incarnation. - EnginePlacement::place(ItemNeed): a heap for each class of paces. An item goes to the slowest class where it ends in time even if its text is 2.7 times as long as expected, else where it ends soonest. Without estimate or due time: the cheapest, as before. - A text leaves a slow engine when, at the pace that its run has kept for 1.5 s, it would end late and another engine ends it clearly sooner (run_decisions.h). Without estimate or due time: the rule as before. - EnginePlacement::sight() for an operator's view.

With the choice of classes taken out, two of them fail (short_text_leaves_the_fast_engine_free, engine_that_slows_gets_no_more...). All test programs but test_integration were run: no failure. Existing tests only follow the new signatures (a report and `now` in place of a number). A first try compared momentary slowness only between classes: an engine slow for a moment still got a text without slack from its own class (seen by engine_slow_for_a_moment_gets_no_text_without_slack); such engines have a class of the pace at that moment now.

--- a/src/forwarding/instance_table.cpp
+++ b/src/forwarding/instance_table.cpp
@@ -16,6 +16,10 @@
 constexpr base::Duration kWorkTimeFreshness = base::milliseconds(200);
 constexpr double kLatencyWeight = 0.2;
 constexpr double kPaceWeight = 0.15;
+/// Of what the ledgers are told, which average it over gateways.
+constexpr double kRecentPaceWeight = 0.3;
+/// What was measured before says nothing of an engine's present pace.
+constexpr base::Duration kPaceMemory = base::seconds(2);
 /// Instances drawn at random, of which the cheapest is taken.
 constexpr int kDraws = 2;
 constexpr int kDrawsWhenLong = 6;
@@ -81,7 +85,7 @@
   const auto [known, added] = entries_.try_emplace(instance.record.id);
   InstanceEntry& entry = known->second;
   if (added) {
-    endEarlier(instance.record.id);
+    endEarlier(instance.record.id, entry);
     entry.favour = base::hashBytes(settings_.gateway + "/" + instance.record.id);
   } else {
     withdrawPlaces(entry);
@@ -104,15 +108,27 @@
   addPlaces(entry);
 }
 
-void InstanceTable::endEarlier(const std::string& id) {
+void InstanceTable::endEarlier(const std::string& id, InstanceEntry& successor) {
   const std::string name = directory::instanceName(id);
   const auto unnamed = entries_.find(name);
   if (id != name && unnamed != entries_.end()) {
-    unnamed->second.ended = true;
+    endEntry(unnamed->second, successor);
   }
   for (auto known = entries_.lower_bound(directory::firstKey(name));
        known != entries_.end() && known->first < id; ++known) {
-    known->second.ended = true;
+    endEntry(known->second, successor);
+  }
+  if (successor.paceMs > 0) {
+    m_paced.insert(id);
+  }
+}
+
+void InstanceTable::endEntry(InstanceEntry& earlier, InstanceEntry& successor) {
+  earlier.ended = true;
+  if (earlier.paceMs > 0) {
+    successor.paceMs = earlier.paceMs;
+    successor.recentPaceMs = earlier.recentPaceMs;
+    successor.paceAt = earlier.paceAt;
   }
 }
 
@@ -238,13 +254,23 @@
                                                double gain, base::Random& random,
                                                base::TimePoint now) const {
   const InstanceEntry* here = find(current);
-  if (here == nullptr || here->paceMs <= 0 || here->loading) {
+  return here == nullptr || here->paceMs <= 0
+             ? nullptr
+             : findPaced(need, current, here->paceMs / gain, random, now);
+}
+
+const InstanceEntry* InstanceTable::findPaced(const InstanceNeed& need, const std::string& current,
+                                              double longestPaceMs, base::Random& random,
+                                              base::TimePoint now) const {
+  const InstanceEntry* here = find(current);
+  if (here == nullptr || here->loading) {
     return nullptr;
   }
   std::vector<const InstanceEntry*> faster;
   for (const std::string& id : m_paced) {
     const InstanceEntry& entry = entries_.at(id);
-    if (isSound(entry, need, now) && hasRoom(entry, now) && entry.paceMs * gain <= here->paceMs) {
+    if (id != current && isSound(entry, need, now) && hasRoom(entry, now) &&
+        entry.paceMs <= longestPaceMs) {
       faster.push_back(&entry);
     }
   }
@@ -378,7 +404,7 @@
   }
 }
 
-void InstanceTable::onPace(const std::string& id, base::Duration perEvent) {
+void InstanceTable::onPace(const std::string& id, base::Duration perEvent, base::TimePoint now) {
   const auto found = entries_.find(id);
   if (found == entries_.end() || found->second.loading) {
     return;
@@ -386,6 +412,10 @@
   InstanceEntry& entry = found->second;
   const double sample = base::toMilliseconds(perEvent);
   entry.paceMs = entry.paceMs > 0 ? entry.paceMs + kPaceWeight * (sample - entry.paceMs) : sample;
+  const bool recent = entry.recentPaceMs > 0 && now - entry.paceAt <= kPaceMemory;
+  entry.recentPaceMs =
+      recent ? entry.recentPaceMs + kRecentPaceWeight * (sample - entry.recentPaceMs) : sample;
+  entry.paceAt = now;
   m_paced.insert(id);
 }
 
@@ -420,10 +450,13 @@
   return found == entries_.end() ? nullptr : &found->second;
 }
 
-std::map<std::string, double> InstanceTable::paces() const {
-  std::map<std::string, double> paces;
+std::map<std::string, jobs::PaceReport> InstanceTable::paces(base::TimePoint now) const {
+  std::map<std::string, jobs::PaceReport> paces;
+  // In the order of the ids: of one engine's incarnations the latest comes last.
   for (const std::string& id : m_paced) {
-    paces.emplace(id, entries_.at(id).paceMs);
+    const InstanceEntry& entry = entries_.at(id);
+    paces[directory::instanceName(id)] = {entry.recentPaceMs, now - entry.paceAt,
+                                          entry.load.workTimePercent, now - entry.loadAt};
   }
   return paces;
 }
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "directory/directory_messages.h"
 #include "jobs/engine_room.h"
+#include "jobs/pace_report.h"
 
 namespace tackpick::forwarding {
 
@@ -79,7 +80,9 @@
   std::uint32_t sharedLoad = 0;  ///< requests of all gateways, as the ledgers count them
   base::TimePoint sharedLoadAt{};
   double paceMs = 0;  ///< moving average of the time between two events of a stream; zero: none yet
-  double latencyMs = 0;  ///< moving average of served requests; zero: none yet
+  double recentPaceMs = 0;   ///< the same over the last few runs, for the ledgers
+  base::TimePoint paceAt{};  ///< when they were last measured
+  double latencyMs = 0;      ///< moving average of served requests; zero: none yet
   std::uint32_t failures = 0;
   base::TimePoint avoidUntil{};
   std::uint64_t favour = 0;  ///< of those in its zone, this gateway favours the lowest
@@ -114,7 +117,7 @@
                base::TimePoint now);
   /// Events of a stream came so far apart on average. Passed over while the engine changes its
   /// weights, which slows it for a moment.
-  void onPace(const std::string& id, base::Duration perEvent);
+  void onPace(const std::string& id, base::Duration perEvent, base::TimePoint now);
   /// An instance where a stream would go on faster: at least `gain` times as fast as at `current`,
   /// with room. Of two drawn at random the cheaper one, so that gateways do not all choose the
   /// same. Nothing when there is none.
@@ -122,6 +125,10 @@
   [[nodiscard]] const InstanceEntry* findFaster(const InstanceNeed& need,
                                                 const std::string& current, double gain,
                                                 base::Random& random, base::TimePoint now) const;
+  /// The same where a stream is at most `longestPaceMs` milliseconds from event to event.
+  [[nodiscard]] const InstanceEntry* findPaced(const InstanceNeed& need, const std::string& current,
+                                               double longestPaceMs, base::Random& random,
+                                               base::TimePoint now) const;
   /// An instance with room that has not been tried and refuses nothing now; nothing when there is
   /// none.
   [[nodiscard]] const InstanceEntry* findIdle(const InstanceNeed& need,
@@ -139,8 +146,8 @@
   void onVersion(const std::string& id, const std::string& model, std::uint64_t version);
 
   [[nodiscard]] const InstanceEntry* find(const std::string& id) const;
-  /// Milliseconds between two events of a stream, by engine, where that is known.
-  [[nodiscard]] std::map<std::string, double> paces() const;
+  /// Paces of engines, by their names, where they are known.
+  [[nodiscard]] std::map<std::string, jobs::PaceReport> paces(base::TimePoint now) const;
   /// Instances of a service that do not leave.
   [[nodiscard]] std::size_t count(const std::string& service) const;
   /// Places at engines, by model and the version of it that they hold.
@@ -177,8 +184,10 @@
   [[nodiscard]] static const InstanceEntry* leastBusy(
       const std::vector<const InstanceEntry*>& candidates, base::TimePoint now);
   void takeIn(const directory::InstanceView& instance);
-  /// The instance's earlier incarnations have ended.
-  void endEarlier(const std::string& id);
+  /// The instance's earlier incarnations have ended. It runs on their machine, so that it takes
+  /// over their pace.
+  void endEarlier(const std::string& id, InstanceEntry& successor);
+  void endEntry(InstanceEntry& earlier, InstanceEntry& successor);
   /// Answers under way may still arrive for what is gone; it only gets nothing new.
   void remove(const std::string& id);
   /// Forgets those that are gone and that no answer is expected of any more.
--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -1,6 +1,7 @@
 #include "jobs/engine_placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "jobs/engine_cost.h"
@@ -8,7 +9,17 @@
 namespace tackpick::jobs {
 namespace {
 
-constexpr double kPaceWeight = 0.3;
+/// Between taking over the expected paces: they change over seconds, and there may be 10,000.
+constexpr base::Duration kPaceInterval = base::milliseconds(100);
+/// Between two classes. Paces of equal engines differ by the prompts that they read meanwhile; a
+/// class holds what differs by no more, so that equal engines are filled evenly.
+constexpr double kClassRatio = 1.6;
+/// A text may be so much longer than expected: estimates err with a spread of 0.5 (log-normal), of
+/// which this is twice.
+constexpr double kLengthMargin = 2.7;
+/// From the placement to the first event, and from the last one to the result: a lease on its way,
+/// a prompt that is read, a commit.
+constexpr base::Duration kOverhead = base::milliseconds(500);
 /// One item may wait for so many places.
 constexpr std::uint32_t kPlacesPerWaiting = 8;
 
@@ -47,9 +58,13 @@
 void EnginePlacement::takeIn(PlacementEngine told) {
   const auto [known, added] = m_engines.try_emplace(told.id);
   Engine& engine = known->second;
+  if (!added) {
+    detach(engine);
+  }
   m_taking -= !added && engine.told.takesItems ? 1 : 0;
   m_taking += told.takesItems ? 1 : 0;
   engine.told = std::move(told);
+  attach(engine);
   if (engine.told.takesItems && !engine.told.reserve) {
     m_inUse.emplace(known->first, &engine);
   } else {
@@ -64,6 +79,27 @@
   forgetSearches();
 }
 
+const std::string& EnginePlacement::machineOf(const PlacementEngine& told) {
+  return told.machine.empty() ? told.id : told.machine;
+}
+
+void EnginePlacement::attach(Engine& engine) {
+  const std::string& machine = machineOf(engine.told);
+  engine.pace = &m_paces.attach(machine, engine.told.zone);
+  m_byMachine[machine].insert(&engine);
+  takePace(engine, m_pacesAt);
+}
+
+void EnginePlacement::detach(Engine& engine) {
+  const std::string& machine = machineOf(engine.told);
+  m_paces.detach(machine, m_pacesAt);
+  const auto engines = m_byMachine.find(machine);
+  engines->second.erase(&engine);
+  if (engines->second.empty()) {
+    m_byMachine.erase(engines);
+  }
+}
+
 void EnginePlacement::forgetSearches() {
   m_heaps.clear();
   m_reserveFrom.clear();
@@ -75,6 +111,7 @@
     return;
   }
   m_taking -= known->second.told.takesItems ? 1 : 0;
+  detach(known->second);
   m_loaded.erase(&known->second);
   m_inUse.erase(known->first);
   forgetSearches();
@@ -86,16 +123,50 @@
   return found == m_engines.end() ? nullptr : &found->second;
 }
 
-void EnginePlacement::notePace(const std::string& id, double paceMs) {
-  Engine* engine = find(id);
-  if (paceMs <= 0 || engine == nullptr) {
+void EnginePlacement::notePaces(const std::map<std::string, PaceReport>& reports,
+                                base::TimePoint now) {
+  for (const auto& [machine, report] : reports) {
+    const auto engines = m_byMachine.find(machine);
+    if (engines == m_byMachine.end() || !m_paces.note(machine, report, now)) {
+      continue;
+    }
+    for (Engine* engine : engines->second) {
+      takePace(*engine, now);
+    }
+  }
+}
+
+void EnginePlacement::takePaces(base::TimePoint now) {
+  if (now - m_pacesAt < kPaceInterval) {
     return;
   }
-  engine->paceMs =
-      engine->paceMs > 0 ? engine->paceMs + kPaceWeight * (paceMs - engine->paceMs) : paceMs;
+  m_pacesAt = now;
+  m_paces.refresh(now);
+  for (auto& [id, engine] : m_engines) {
+    takePace(engine, now);
+  }
+}
+
+void EnginePlacement::takePace(Engine& engine, base::TimePoint now) {
+  engine.paceMs = m_paces.expectedMs(*engine.pace, now);
+  const EnginePace& pace = engine.pace->pace;
+  engine.momentaryDelay = pace.momentaryDelay(now);
+  // Apart from those of its pace: within a class engines are compared by the pace alone.
+  constexpr double kUsualPercent = 100.0;
+  engine.paceClass = paceClassOf(engine.paceMs * pace.workTimePercent(now) / kUsualPercent);
 }
 
-void EnginePlacement::setLoads(const std::map<std::string, std::uint32_t>& loads) {
+std::size_t EnginePlacement::paceClassOf(double paceMs) const {
+  if (paceMs <= 0 || m_paces.typicalMs() <= 0) {
+    return kTypicalClass;
+  }
+  constexpr auto kMiddle = static_cast<double>(kTypicalClass);
+  const double steps = std::round(std::log(paceMs / m_paces.typicalMs()) / std::log(kClassRatio));
+  return static_cast<std::size_t>(kMiddle + std::clamp(steps, -kMiddle, kMiddle));
+}
+
+void EnginePlacement::setLoads(const std::map<std::string, std::uint32_t>& loads,
+                               base::TimePoint now) {
   for (Engine* engine : std::exchange(m_loaded, {})) {
     engine->load = 0;
   }
@@ -104,6 +175,7 @@
       addLoad(*engine, items);
     }
   }
+  takePaces(now);
   forgetSearches();
 }
 
@@ -141,22 +213,114 @@
   }
 }
 
-EnginePlacement::Heap EnginePlacement::candidatesFor(const std::string& model,
-                                                     std::uint64_t minimumVersion) const {
-  Heap heap;
+std::vector<EngineSight> EnginePlacement::sight(base::TimePoint now) const {
+  std::vector<EngineSight> sights;
+  sights.reserve(m_engines.size());
+  for (const auto& [id, engine] : m_engines) {
+    const EnginePace& pace = engine.pace->pace;
+    sights.push_back({id, engine.told.zone, m_paces.expectedMs(*engine.pace, now),
+                      pace.workTimePercent(now), pace.age(now), engine.load});
+  }
+  return sights;
+}
+
+EnginePlacement::ClassHeaps EnginePlacement::candidatesFor(const std::string& model,
+                                                           std::uint64_t minimumVersion) const {
+  ClassHeaps heaps;
   std::size_t index = 0;
   for (const auto& [id, engine] : m_inUse) {
     ++index;
     if (holds(engine->told, model, minimumVersion)) {
-      heap.push_back({cost(*engine), index, engine});
+      heaps.at(engine->paceClass).push_back({cost(*engine), index, engine});
+    }
+  }
+  for (Heap& heap : heaps) {
+    std::make_heap(heap.begin(), heap.end());
+  }
+  return heaps;
+}
+
+EnginePlacement::ClassHeaps& EnginePlacement::heapsFor(const std::string& model,
+                                                       std::uint64_t minimumVersion) {
+  const auto key = std::pair(model, minimumVersion);
+  auto found = m_heaps.find(key);
+  if (found == m_heaps.end()) {
+    found = m_heaps.emplace(key, candidatesFor(model, minimumVersion)).first;
+  }
+  return found->second;
+}
+
+void EnginePlacement::settle(Heap& heap) {
+  while (!heap.empty()) {
+    const Candidate front = heap.front();
+    const double costNow = cost(*front.engine);
+    if (!isFull(*front.engine) && costNow <= front.cost) {
+      return;
+    }
+    std::pop_heap(heap.begin(), heap.end());
+    heap.pop_back();
+    // Its cost may have risen since: items of another model were placed there.
+    if (!isFull(*front.engine)) {
+      heap.push_back({costNow, front.index, front.engine});
+      std::push_heap(heap.begin(), heap.end());
     }
   }
-  std::make_heap(heap.begin(), heap.end());
-  return heap;
+}
+
+bool EnginePlacement::isSafe(const Engine& engine, const ItemNeed& need) {
+  if (engine.load >= engine.told.slots) {
+    return false;
+  }
+  const double delayMs = base::toMilliseconds(kOverhead + engine.momentaryDelay);
+  const double runMs = kLengthMargin * need.restEvents * cost(engine);
+  return delayMs + runMs <= base::toMilliseconds(need.untilDue);
+}
+
+EnginePlacement::Heap* EnginePlacement::slowestSafe(ClassHeaps& heaps, const ItemNeed& need) {
+  if (!need.isKnown()) {
+    return nullptr;
+  }
+  const auto safe = std::find_if(heaps.rbegin(), heaps.rend(), [&](const Heap& heap) {
+    return !heap.empty() && isSafe(*heap.front().engine, need);
+  });
+  return safe == heaps.rend() ? nullptr : &*safe;
+}
+
+EnginePlacement::Heap* EnginePlacement::soonest(ClassHeaps& heaps, const ItemNeed& need) {
+  const auto endOf = [&](const Candidate& front) {
+    const double runMs = need.isKnown() ? need.restEvents * front.cost +
+                                              base::toMilliseconds(front.engine->momentaryDelay)
+                                        : front.cost;
+    return std::pair(runMs, front.index);
+  };
+  Heap* best = nullptr;
+  for (Heap& heap : heaps) {
+    const bool better =
+        !heap.empty() && (best == nullptr || endOf(heap.front()) < endOf(best->front()));
+    best = better ? &heap : best;
+  }
+  return best;
+}
+
+std::string EnginePlacement::placeInUse(const ItemNeed& need) {
+  ClassHeaps& heaps = heapsFor(need.model, need.minimumVersion);
+  std::for_each(heaps.begin(), heaps.end(), settle);
+  Heap* chosen = slowestSafe(heaps, need);
+  chosen = chosen != nullptr ? chosen : soonest(heaps, need);
+  if (chosen == nullptr) {
+    return {};
+  }
+  std::pop_heap(chosen->begin(), chosen->end());
+  Candidate& candidate = chosen->back();
+  Engine& engine = *candidate.engine;
+  addLoad(engine, 1);
+  candidate.cost = cost(engine);
+  std::push_heap(chosen->begin(), chosen->end());
+  return engine.told.id;
 }
 
 std::string EnginePlacement::place(const ItemNeed& need) {
-  std::string engine = placeInUse(need.model, need.minimumVersion);
+  std::string engine = placeInUse(need);
   return engine.empty() ? placeInReserve(need.model, need.minimumVersion) : engine;
 }
 
@@ -179,34 +343,4 @@
   return {};
 }
 
-std::string EnginePlacement::placeInUse(const std::string& model, std::uint64_t minimumVersion) {
-  const auto key = std::pair(model, minimumVersion);
-  auto found = m_heaps.find(key);
-  if (found == m_heaps.end()) {
-    found = m_heaps.emplace(key, candidatesFor(model, minimumVersion)).first;
-  }
-  Heap& heap = found->second;
-  while (!heap.empty()) {
-    std::pop_heap(heap.begin(), heap.end());
-    const Candidate cheapest = heap.back();
-    heap.pop_back();
-    Engine& engine = *cheapest.engine;
-    if (isFull(engine)) {
-      continue;
-    }
-    // Its cost may have risen since: items of another model were placed there.
-    const double costNow = cost(engine);
-    const bool chosen = costNow <= cheapest.cost;
-    if (chosen) {
-      addLoad(engine, 1);
-    }
-    heap.push_back({chosen ? cost(engine) : costNow, cheapest.index, &engine});
-    std::push_heap(heap.begin(), heap.end());
-    if (chosen) {
-      return engine.told.id;
-    }
-  }
-  return {};
-}
-
 }  // namespace tackpick::jobs
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -275,7 +275,7 @@
   plan_outdated_ = false;
   plan_.clear();
   queue_.dropSettled(state);
-  placement_.setLoads(items_by_engine_);
+  placement_.setLoads(items_by_engine_, now);
   std::size_t age = 0;
   for (QueuedJob& queued : queue_.jobs()) {
     planJob(queued, age, *state.find(queued.id), now);
--- a/src/jobs/item_need.h
+++ b/src/jobs/item_need.h
@@ -17,6 +17,9 @@
   double restEvents = 0;
   /// Until its result is due; the longest duration where no due time is known.
   base::Duration untilDue = base::Duration::max();
+
+  /// Whether the item ends in time can be told.
+  [[nodiscard]] bool isKnown() const { return restEvents > 0 && untilDue != base::Duration::max(); }
 };
 
 }  // namespace tackpick::jobs
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -17,6 +17,7 @@
 #include "base/serialization.h"
 #include "base/time.h"
 #include "jobs/engine_room.h"
+#include "jobs/pace_report.h"
 
 namespace tackpick::jobs {
 
@@ -211,10 +212,10 @@
 /// A gateway renews its leases and asks for more. Leases live in the leader's memory only.
 struct LeaseItems {
   std::vector<HeldItem> held;
-  std::map<std::string, double> paces;  ///< by engine: milliseconds between two events of a stream
-  EngineRoom wanted;                    ///< for further items
-  bool leaving = false;                 ///< all its other leases are given back
-  std::string zone;                     ///< the gateway's
+  std::map<std::string, PaceReport> paces;  ///< by the name of the engine
+  EngineRoom wanted;                        ///< for further items
+  bool leaving = false;                     ///< all its other leases are given back
+  std::string zone;                         ///< the gateway's
   template <class Archive>
   void serialize(Archive& archive) {
     archive(held, paces, wanted, leaving, zone);
@@ -319,11 +320,13 @@
   std::uint32_t sharers = 0;  ///< LeaseItems: gateways that share the places of all engines
   /// LeaseItems that tell paces: items of all gateways, by the engine where they run.
   std::map<std::string, std::uint32_t> itemsByEngine;
+  /// LeaseItems: this leader has not heard paces of the gateway; its next call should tell them.
+  bool wantsPaces = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(status, total, results, elsewhere, body, leased, revoked, standby, sharers,
-            itemsByEngine);
+            itemsByEngine, wantsPaces);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -92,10 +92,9 @@
 }
 
 void JobRole::onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now) {
-  for (const auto& [engine, pace] : request.paces) {
-    leases_.placement().notePace(engine, pace);
-  }
+  leases_.placement().notePaces(request.paces, now);
   JobReply reply;
+  reply.wantsPaces = notePacesTold(caller.node, !request.paces.empty());
   reply.revoked = leases_.renew(caller.node, request.held, state_, now);
   if (request.leaving) {
     leases_.giveBack(caller.node, request.held, state_);
@@ -114,6 +113,13 @@
   replyWith(caller, reply);
 }
 
+bool JobRole::notePacesTold(base::NodeId gateway, bool told) {
+  if (told) {
+    m_pacesTold.insert(gateway);
+  }
+  return !m_pacesTold.contains(gateway);
+}
+
 LeasedItem JobRole::describe(const GrantedItem& granted, base::TimePoint now) const {
   const ItemKey& key = granted.key;
   const Job& owner = *state_.find(key.job);
@@ -167,6 +173,7 @@
 
 void JobRole::onPeerLost(std::uint32_t number, base::TimePoint now) {
   leases_.onGatewayLost(number, settings_.lostGatewayGrace, now);
+  std::erase_if(m_pacesTold, [&](base::NodeId node) { return base::nodeNumber(node) == number; });
 }
 
 void JobRole::replyWith(const Caller& caller, const JobReply& reply) {
@@ -269,6 +276,7 @@
     leader_since_ = now;
     service_.endTerm();
     leases_.reset(raft.currentTerm(), now, settings_.leaseGrace);
+    m_pacesTold.clear();
     gathering_.reset();
     seen_jobs_.reset();
   }
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,8 @@
   void replyWith(const Caller& caller, const JobReply& reply);
   void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
   [[nodiscard]] OpenWork workOf(const std::string& id, const Job& job, base::TimePoint now) const;
+  /// Notes whether a gateway told paces in its call; true when it should in its next.
+  [[nodiscard]] bool notePacesTold(base::NodeId gateway, bool told);
   [[nodiscard]] LeasedItem describe(const GrantedItem& granted, base::TimePoint now) const;
   void observeLeadership(base::TimePoint now);
   /// Hands jobs that are new to this leader to the leases.
@@ -122,6 +125,7 @@
   std::optional<std::uint64_t> seen_jobs_;  ///< JobState::jobChanges() when they were taken up
   base::TimePoint slow_work_at_{};
   std::vector<PendingRead> reads_;
+  std::set<base::NodeId> m_pacesTold;  ///< gateways that told paces in this term
 };
 
 }  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/pace_report.h
@@ -0,0 +1,25 @@
+/// \file
+/// What a gateway has seen of an engine's pace.
+#pragma once
+
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace tackpick::jobs {
+
+/// Ages are durations, since clocks of machines differ.
+struct PaceReport {
+  double paceMs = 0;      ///< milliseconds between two events of a stream
+  base::Duration age{0};  ///< since the last event that it was measured by
+  /// How long work takes at this moment, in percent of what is usual there, as the engine said.
+  std::uint32_t workTimePercent = 100;
+  base::Duration workTimeAge{0};  ///< since the engine said so
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(paceMs, age, workTimePercent, workTimeAge);
+  }
+};
+
+}  // namespace tackpick::jobs
--- a/src/jobs/run_decisions.h
+++ b/src/jobs/run_decisions.h
@@ -2,7 +2,9 @@
 /// What a gateway decides about the runs of its items, from what it sees of them.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 
 #include "base/time.h"
 
@@ -41,4 +43,49 @@
   return run.begun && run.silence > kStallLimit && run.moves < kMostMoves;
 }
 
+/// Moves of a run to faster engines.
+inline constexpr std::uint32_t kMostMovesToFaster = 4;
+/// Elsewhere a text goes on at least so much faster. A batch that has just begun reads prompts
+/// between its events and seems up to 1.5 times slower than others for a second.
+inline constexpr double kLeastMoveGain = 1.7;
+
+/// Events that are still expected of a text that has `events`, `sinceLease` of them made under this
+/// lease, when `restAtLease` were expected at its beginning; zero: unknown. A text that outgrows
+/// what was expected goes on for a part of its length.
+[[nodiscard]] inline double restOfText(double restAtLease, std::uint64_t sinceLease,
+                                       std::uint64_t events) {
+  constexpr double kOutgrownShare = 0.25;
+  return restAtLease <= 0 ? 0.0
+                          : std::max(restAtLease - static_cast<double>(sinceLease),
+                                     kOutgrownShare * static_cast<double>(events));
+}
+
+/// A run at the pace that it keeps to, and what is left of its text.
+struct RunOutlook {
+  double paceMs = 0;                                ///< between two events
+  double restEvents = 0;                            ///< zero: unknown
+  base::Duration untilDue = base::Duration::max();  ///< the longest duration: unknown
+  std::uint32_t moves = 0;                          ///< to faster engines so far
+
+  /// Whether it ends in time can be told.
+  [[nodiscard]] bool isKnown() const { return restEvents > 0 && untilDue != base::Duration::max(); }
+};
+
+/// The longest pace of another engine, in milliseconds, at which the run should go on there;
+/// nothing when it stays: it ends in time where it is, or no engine can make it end clearly sooner.
+[[nodiscard]] inline std::optional<double> paceWorthMoving(const RunOutlook& run) {
+  /// The prompt is read again, and a place may have to be waited for.
+  constexpr double kMoveCostMs = 400;
+  /// Less is within the error of paces.
+  constexpr double kLeastGainMs = 400;
+  const double endsInMs = run.restEvents * run.paceMs;
+  const bool late = endsInMs > base::toMilliseconds(run.untilDue);
+  if (!run.isKnown() || !late || run.moves >= kMostMovesToFaster) {
+    return std::nullopt;
+  }
+  const double sooner = (endsInMs - kMoveCostMs - kLeastGainMs) / run.restEvents;
+  const double longest = std::min(sooner, run.paceMs / kLeastMoveGain);
+  return longest > 0 ? std::optional(longest) : std::nullopt;
+}
+
 }  // namespace tackpick::jobs
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -112,7 +112,7 @@
   }
   if (now - paces_told_at_ >= kPaceInterval) {
     paces_told_at_ = now;
-    request.paces = instances_.paces();
+    request.paces = instances_.paces(now);
   }
   leasing_ = true;
   lease_at_ = now;
@@ -165,6 +165,9 @@
     sharers_ = reply.sharers;
     sharers_told_ = true;
   }
+  if (reply.wantsPaces) {
+    paces_told_at_ = {};
+  }
   const base::TimePoint now = node_.now();
   noteLeased(reply.leased);
   for (const auto& [engine, items] : reply.itemsByEngine) {
@@ -253,6 +256,7 @@
   item.parser = jobs::StreamEventParser(names.weightsField);
   item.paceSince = {};
   item.paceEvents = 0;
+  item.pace = {};
   instances_.onSent(item.instance);
   http::UpstreamEvents events;
   events.onHead = [this, key](int status, const http::HeaderList& headers) {
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -15,6 +15,7 @@
 #include "jobs/item_run.h"
 #include "jobs/progress_saver.h"
 #include "jobs/run_decisions.h"
+#include "jobs/run_pace.h"
 #include "node/request_guard.h"
 #include "node/score_caller.h"
 #include "telemetry/metric.h"
@@ -71,6 +72,7 @@
     base::Duration begunAfter{0};  ///< from its first send to its first event
     std::uint32_t paceEvents = 0;  ///< events since the pace was last noted
     base::TimePoint paceSince{};
+    jobs::RunPace pace;  ///< of the running attempt
     base::TimePoint firstSentAt{};
     bool notExecuted = false;
     bool unusable = false;  ///< the running attempt's answer must not be used
@@ -111,8 +113,12 @@
   static void noteLeased(const std::vector<jobs::LeasedItem>& leased);
   void retryLater(Running& item, base::Duration delay);
   void cutSilent(base::TimePoint now);
-  /// Continues items elsewhere that have run long on an engine much slower than another.
+  /// Continues items elsewhere that would end late on a slow engine or, where that cannot be told,
+  /// have run long on one much slower than another.
   void moveFromSlow(base::TimePoint now);
+  [[nodiscard]] const forwarding::InstanceEntry* findFaster(const Running& item,
+                                                            base::TimePoint now) const;
+  [[nodiscard]] static jobs::RunOutlook outlookOf(const Running& item, base::TimePoint now);
   /// Sends items elsewhere that wait at a full engine while another has room.
   void moveFromQueues(base::TimePoint now);
   [[nodiscard]] jobs::RunSight sightOf(const Running& item, base::TimePoint now) const;
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -21,11 +21,6 @@
 constexpr std::uint32_t kPaceEvents = 6;
 /// An item that has run for so long may be one of the few that run very long: moving it pays.
 constexpr base::Duration kLongRun = base::milliseconds(900);
-/// A batch that has just begun reads prompts between its events and seems up to 1.5 times slower
-/// than others for a second; slow engines are so 2.8 times and more. With 1.25, texts that decided
-/// steps left sound engines for full ones and lost 1.2 s of 7.2 (read from logs of 983 moves).
-constexpr double kMoveGain = 1.7;
-constexpr std::uint32_t kMostMoves = 4;
 /// Without a byte for so long after it was sent, an item waits for a place.
 constexpr base::Duration kQueueLimit = base::milliseconds(500);
 constexpr std::uint32_t kMostQueueMoves = 3;
@@ -51,6 +46,7 @@
 }
 
 void ItemRunner::notePace(Running& item, base::TimePoint now) {
+  item.pace.onEvent(now);
   if (item.paceSince == base::TimePoint{}) {
     item.paceSince = now;  // the first event also waited for its prompt
     return;
@@ -58,7 +54,7 @@
   if (++item.paceEvents < kPaceEvents) {
     return;
   }
-  instances_.onPace(item.instance, (now - item.paceSince) / item.paceEvents);
+  instances_.onPace(item.instance, (now - item.paceSince) / item.paceEvents, now);
   item.paceSince = now;
   item.paceEvents = 0;
 }
@@ -68,16 +64,43 @@
   return item.moves > 0 || item.run.leased().item.expectedTokens > kLongFactor * typical_tokens_;
 }
 
+jobs::RunOutlook ItemRunner::outlookOf(const Running& item, base::TimePoint now) {
+  const jobs::LeasedItem& leased = item.run.leased();
+  const std::uint64_t events = item.run.lastEvent().value_or(0);
+  const std::uint64_t atLease = leased.progress ? leased.progress->point.event : 0;
+  jobs::RunOutlook outlook;
+  outlook.paceMs = item.pace.sustainedMs(now).value_or(0);
+  outlook.restEvents =
+      jobs::restOfText(leased.restEvents, events - std::min(atLease, events), events);
+  outlook.moves = item.moves;
+  if (leased.untilDue != base::Duration::max()) {
+    outlook.untilDue = leased.untilDue - (now - item.leasedAt);
+  }
+  return outlook;
+}
+
+const forwarding::InstanceEntry* ItemRunner::findFaster(const Running& item,
+                                                        base::TimePoint now) const {
+  const jobs::RunOutlook outlook = outlookOf(item, now);
+  const forwarding::InstanceNeed need = needOf(item);
+  if (!outlook.isKnown()) {
+    const bool ranLong = now - item.firstSentAt > kLongRun;
+    return ranLong ? instances_.findFaster(need, item.instance, jobs::kLeastMoveGain,
+                                           node_.random(), now)
+                   : nullptr;
+  }
+  const std::optional<double> longestPaceMs = jobs::paceWorthMoving(outlook);
+  return longestPaceMs
+             ? instances_.findPaced(need, item.instance, *longestPaceMs, node_.random(), now)
+             : nullptr;
+}
+
 void ItemRunner::moveFromSlow(base::TimePoint now) {
   for (const auto& [key, item] : items_) {
     const bool mayMove = item->exchange.valid() && !item->trial &&
-                         item->paceSince != base::TimePoint{} && item->moves < kMostMoves &&
-                         now - item->firstSentAt > kLongRun;
-    if (!mayMove) {
-      continue;
-    }
-    const auto* faster =
-        instances_.findFaster(needOf(*item), item->instance, kMoveGain, node_.random(), now);
+                         item->paceSince != base::TimePoint{} &&
+                         item->moves < jobs::kMostMovesToFaster;
+    const auto* faster = mayMove ? findFaster(*item, now) : nullptr;
     if (faster != nullptr) {
       ++item->moves;
       moveTo(key, *item, faster->record.id, "slow");
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "directory/incarnation.h"
 #include "node/control_front.h"
 #include "node/duty_caller.h"
 #include "node/gateway_front.h"
@@ -44,7 +45,8 @@
     const bool takesItems = !instance.record.leaving && !instance.loading && !instance.silent &&
                             instance.record.slots > 0 && !instance.versions.empty();
     engines.push_back({instance.record.id, instance.record.slots, instance.versions,
-                       instance.record.zone, takesItems, instance.reserve});
+                       instance.record.zone, takesItems, instance.reserve,
+                       directory::instanceName(instance.record.id)});
   }
   return engines;
 }
--- /dev/null
+++ b/test/jobs/engine_placement_test.cpp
@@ -0,0 +1,175 @@
+/// Items placed by what they still need and when they are due.
+#include "jobs/engine_placement.h"
+
+#include <criterion/criterion.h>
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+
+namespace {
+
+constexpr base::TimePoint kNow{base::seconds(100)};
+constexpr base::Duration kDue = base::milliseconds(7500);
+constexpr std::uint32_t kSlots = 4;
+
+jobs::PlacementEngine engine(const std::string& id, const std::string& zone = "z") {
+  return {id, kSlots, {{"m", 1}}, zone};
+}
+
+jobs::ItemNeed need(double restEvents, base::Duration untilDue = kDue) {
+  return {"m", 1, restEvents, untilDue};
+}
+
+/// One slow engine, one of usual speed, and enough others for that to be typical.
+struct Fixture {
+  Fixture() {
+    placement.setEngines({engine("slow"), engine("fast"), engine("other")});
+    tell(90);
+  }
+
+  void tell(double slowMs, double fastMs = 41) {
+    now += base::milliseconds(500);
+    placement.notePaces({{"slow", {slowMs}}, {"fast", {fastMs}}, {"other", {41}}}, now);
+    placement.setLoads({{"other", kSlots}}, now);
+  }
+
+  jobs::EnginePlacement placement;
+  base::TimePoint now = kNow;
+};
+
+}  // namespace
+
+Test(placement_by_need, long_text_goes_where_it_ends_soonest) {
+  Fixture fixture;
+  cr_assert_eq(fixture.placement.place(need(140)), "fast");
+}
+
+Test(placement_by_need, short_text_leaves_the_fast_engine_free) {
+  Fixture fixture;
+  for (std::uint32_t i = 0; i < kSlots; ++i) {
+    cr_assert_eq(fixture.placement.place(need(20)), "slow");
+  }
+  cr_assert_eq(fixture.placement.place(need(20)), "fast", "the slow one is full");
+}
+
+Test(placement_by_need, text_that_may_turn_out_long_keeps_a_margin) {
+  Fixture fixture;
+  cr_assert_eq(fixture.placement.place(need(60)), "fast", "it may have 130 events");
+}
+
+Test(placement_by_need, text_that_is_late_goes_where_it_ends_soonest) {
+  Fixture fixture;
+  cr_assert_eq(fixture.placement.place(need(20, base::seconds(-1))), "fast");
+  cr_assert_eq(fixture.placement.place(need(20, base::milliseconds(1000))), "fast");
+}
+
+Test(placement_by_need, slow_engine_does_not_stand_idle_while_work_waits) {
+  Fixture fixture;
+  std::map<std::string, std::uint32_t> placed;
+  for (std::uint32_t i = 0; i < 2 * kSlots; ++i) {
+    ++placed[fixture.placement.place(need(140))];
+  }
+  cr_assert_eq(placed["slow"], kSlots);
+  cr_assert_eq(placed["fast"], kSlots);
+}
+
+Test(placement_by_need, without_an_estimate_or_a_due_time_the_cheapest_is_taken) {
+  Fixture fixture;
+  cr_assert_eq(fixture.placement.place(need(0)), "fast");
+  cr_assert_eq(fixture.placement.place(need(20, base::Duration::max())), "fast");
+  cr_assert_eq(fixture.placement.place({"m", 1}), "fast");
+}
+
+Test(placement_by_need, equal_engines_are_filled_evenly) {
+  jobs::EnginePlacement byNeed;
+  jobs::EnginePlacement byCost;
+  for (jobs::EnginePlacement* placement : {&byNeed, &byCost}) {
+    for (const char* id : {"e0", "e1", "e2", "e3", "e4"}) {
+      placement->changeEngines({engine(id)}, {});
+    }
+    // Prompts that are read meanwhile make equal engines seem so different.
+    placement->notePaces({{"e0", {44}}, {"e1", {46}}, {"e2", {49}}, {"e3", {53}}, {"e4", {58}}},
+                         kNow);
+    placement->setLoads({}, kNow);
+  }
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(byNeed.place(need(30)), byCost.place({"m", 1}));
+  }
+}
+
+Test(placement_by_need, engine_that_slows_gets_no_more_long_texts_and_later_gets_them_again) {
+  Fixture fixture;
+  fixture.placement.setLoads({{"other", kSlots}, {"slow", kSlots}}, fixture.now);
+  cr_assert_eq(fixture.placement.place(need(140)), "fast");
+  for (int report = 0; report < 4; ++report) {
+    fixture.tell(90, 170);
+  }
+  cr_assert_eq(fixture.placement.place(need(140)), "slow");
+  cr_assert_eq(fixture.placement.place(need(10)), "fast", "a short one bears it");
+  // Nothing runs there, so that nobody tells of its recovery.
+  fixture.now += base::seconds(12);
+  fixture.placement.notePaces({{"slow", {90}}, {"other", {41}}}, fixture.now);
+  fixture.placement.setLoads({{"other", kSlots}}, fixture.now);
+  cr_assert_eq(fixture.placement.place(need(140)), "fast");
+}
+
+Test(placement_by_need, engine_slow_for_a_moment_gets_no_text_without_slack) {
+  Fixture fixture;
+  jobs::PaceReport moment{41};
+  moment.workTimePercent = 250;
+  fixture.now += base::milliseconds(500);
+  fixture.placement.changeEngines({engine("second")}, {});
+  fixture.placement.notePaces({{"fast", moment}, {"second", {42}}}, fixture.now);
+  fixture.placement.setLoads({{"other", kSlots}}, fixture.now);
+  cr_assert_eq(fixture.placement.place(need(140)), "second");
+  cr_assert_eq(fixture.placement.place({"m", 1}), "fast", "without a need only the pace counts");
+}
+
+Test(placement_by_need, new_leader_without_paces_places_evenly_and_learns_from_one_call) {
+  jobs::EnginePlacement placement;
+  placement.setEngines({engine("a"), engine("b"), engine("c")});
+  placement.setLoads({}, kNow);
+  cr_assert_eq(placement.place(need(140)), "a");
+  cr_assert_eq(placement.place(need(140)), "b");
+  placement.notePaces({{"a", {140, base::milliseconds(400)}}, {"b", {40}}, {"c", {40}}}, kNow);
+  placement.setLoads({}, kNow + base::milliseconds(100));
+  cr_assert_eq(placement.place(need(140)), "b");
+  cr_assert_eq(placement.place(need(140)), "c");
+  cr_assert_eq(placement.place(need(140)), "b");
+}
+
+Test(placement_by_need, engine_that_starts_again_has_its_machines_pace) {
+  Fixture fixture;
+  const auto incarnation = [](const std::string& id) {
+    jobs::PlacementEngine born = engine(id);
+    born.machine = "fast";
+    return born;
+  };
+  for (int report = 0; report < 4; ++report) {
+    fixture.tell(90, 170);
+  }
+  fixture.placement.changeEngines({incarnation("fast#2")}, {"fast"});
+  fixture.placement.setLoads({{"other", kSlots}}, fixture.now);
+  cr_assert_eq(fixture.placement.place(need(140)), "slow");
+  fixture.placement.notePaces({{"fast", {170}}}, fixture.now);
+  fixture.placement.changeEngines({incarnation("fast#3")}, {});
+  fixture.placement.changeEngines({}, {"fast#2"});
+  cr_assert_eq(fixture.placement.place(need(140)), "slow", "two lives overlap");
+}
+
+Test(placement_by_need, sight_tells_paces_their_age_and_items) {
+  Fixture fixture;
+  fixture.placement.changeEngines({engine("unseen")}, {});
+  fixture.placement.setLoads({{"slow", 3}}, fixture.now);
+  const auto sights = fixture.placement.sight(fixture.now + base::milliseconds(200));
+  cr_assert_eq(sights.size(), 4U);
+  const jobs::EngineSight& slow = sights[2];
+  cr_assert_eq(slow.id, "slow");
+  cr_assert_eq(slow.zone, "z");
+  cr_assert_float_eq(slow.paceMs, 90, 0.1);
+  cr_assert_eq(slow.items, 3U);
+  cr_assert(slow.sampleAge == base::milliseconds(200));
+  cr_assert_eq(sights[3].id, "unseen");
+  cr_assert_not(sights[3].sampleAge.has_value());
+  cr_assert_float_eq(sights[3].paceMs, 41, 0.1, "typical");
+}
--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -26,6 +26,11 @@
           return storage::SegmentedLog::open(disk, {"cluster", kSelf, kGroup}, {{kSelf}, {}});
         },
         [](const base::Error&) { return std::unique_ptr<storage::SegmentedLog>(); });
+    restart();
+  }
+
+  /// Only the log is left.
+  void restart() {
     role =
         std::make_unique<jobs::JobRole>(kSelf, kGroup, jobs::JobRoleSettings{}, *log, random, now);
     run(base::seconds(3));
@@ -133,6 +138,27 @@
   cr_assert_gt(ledger.role->workChanges(), submitted);
 }
 
+Test(job_role, new_leader_asks_for_paces_and_places_by_them) {
+  LoneLedger ledger;
+  jobs::LeaseItems call;
+  call.zone = "z";
+  cr_assert(ledger.ask(call).wantsPaces);
+  call.paces = {{"fast", {40}}, {"slow", {140}}};
+  cr_assert_not(ledger.ask(call).wantsPaces);
+  call.paces.clear();
+  cr_assert_not(ledger.ask(call).wantsPaces, "it was told in this term");
+  ledger.restart();
+  ledger.role->setEngines({{"a-slow", 4, {{"", 1}}, "z"}, {"fast", 4, {{"", 1}}, "z"}});
+  cr_assert(ledger.ask(call).wantsPaces);
+  (void)ledger.ask(submission("a"));
+  call.paces = {{"fast", {40}}, {"a-slow", {140, base::seconds(1)}}};
+  call.wanted.add("", 1, 4);
+  const jobs::JobReply reply = ledger.ask(call);
+  cr_assert_not(reply.wantsPaces);
+  cr_assert_eq(reply.leased.size(), 1U);
+  cr_assert_eq(reply.leased.front().engine, "fast");
+}
+
 Test(job_role, leased_item_names_its_tenant) {
   LoneLedger ledger;
   (void)ledger.ask(submission("a"));
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr base::TimePoint kNow{base::seconds(1)};
 constexpr base::NodeId kGateway = base::makeNodeId(1, 1);
 constexpr base::NodeId kOther = base::makeNodeId(2, 1);
 
@@ -261,8 +262,8 @@
 Test(engine_placement, fast_engines_fill_before_slow_ones) {
   jobs::EnginePlacement placement;
   placement.setEngines({{"slow", 4, {{"m", 5}}}, {"fast", 4, {{"m", 5}}}});
-  placement.notePace("slow", 50);
-  placement.notePace("fast", 38);
+  placement.notePaces({{"slow", {50}}}, kNow);
+  placement.notePaces({{"fast", {38}}}, kNow);
   for (int i = 0; i < 4; ++i) {
     cr_assert_eq(placement.place({"m", 5}), "fast");
   }
@@ -272,7 +273,7 @@
 Test(engine_placement, least_loaded_of_those_that_are_new_enough) {
   jobs::EnginePlacement placement;
   placement.setEngines({{"a", 2, {{"m", 5}}}, {"b", 2, {{"m", 6}}}, {"c", 2, {{"n", 9}}}});
-  placement.setLoads({{"a", 1}});
+  placement.setLoads({{"a", 1}}, kNow);
   cr_assert_eq(placement.place({"m", 5}), "b");
   cr_assert_eq(placement.place({"m", 6}), "b");
   cr_assert_eq(placement.place({"m", 6}), "", "full");
@@ -284,9 +285,9 @@
 Test(engine_placement, slow_engines_get_less) {
   jobs::EnginePlacement placement;
   placement.setEngines({{"fast", 8, {{"m", 1}}}, {"slow", 8, {{"m", 1}}}});
-  placement.notePace("fast", 40);
-  placement.notePace("slow", 140);
-  placement.setLoads({});
+  placement.notePaces({{"fast", {40}}}, kNow);
+  placement.notePaces({{"slow", {140}}}, kNow);
+  placement.setLoads({}, kNow);
   for (int i = 0; i < 9; ++i) {
     cr_assert_eq(placement.place({"m", 1}), "fast", "one may wait there");
   }
@@ -299,8 +300,8 @@
 Test(engine_placement, pace_outlasts_a_change_of_weights) {
   jobs::EnginePlacement placement;
   placement.setEngines({{"slow", 4, {{"m", 1}}}, {"fast", 4, {{"m", 1}}}});
-  placement.notePace("slow", 140);
-  placement.notePace("fast", 40);
+  placement.notePaces({{"slow", {140}}}, kNow);
+  placement.notePaces({{"fast", {40}}}, kNow);
   placement.changeEngines({{"slow", 4, {{"m", 1}}, {}, false}}, {});
   placement.changeEngines({{"slow", 4, {{"m", 2}}}}, {});
   cr_assert_eq(placement.place({"m", 1}), "fast");
@@ -316,7 +317,7 @@
     cr_assert_eq(placement.place({"m", 1}), engine);
   }
   cr_assert_eq(placement.place({"m", 1}), "");
-  placement.setLoads({{"a", 2}});
+  placement.setLoads({{"a", 2}}, kNow);
   cr_assert_eq(placement.place({"m", 2}), "used");
   cr_assert_eq(placement.place({"m", 2}), "used");
   cr_assert_eq(placement.place({"m", 2}), "", "those in reserve hold old weights");
@@ -338,7 +339,7 @@
   placement.setEngines(engines);
   const std::clock_t begun = std::clock();
   for (int plan = 0; plan < kPlans; ++plan) {
-    placement.setLoads({{"e1", 1}, {"e2", 6}});
+    placement.setLoads({{"e1", 1}, {"e2", 6}}, kNow);
     for (int item = 0; item < 100; ++item) {
       cr_assert_not(placement.place({item % 2 == 0 ? "m" : "n", 1}).empty());
     }
