Slow engines get short texts only while places at fast ones are short

Texts much longer than their estimate went to the slow zone although fast places were free, and a text that moves only when its plain estimate says late moves too late.

Change: slower classes count only while 85 % of the places at faster ones are taken; the margin of a text's length there is 4; for moves one spread is added to the estimate of the rest, and the run's pace counts after 1 s (two halves of 500 ms) in place of 1.5 s.

--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -14,9 +14,12 @@
 /// Between two classes. Paces of equal engines differ by the prompts that they read meanwhile; a
 /// class holds what differs by no more, so that equal engines are filled evenly.
 constexpr double kClassRatio = 1.6;
-/// A text may be so much longer than expected: estimates err with a spread of 0.5 (log-normal), of
-/// which this is twice.
-constexpr double kLengthMargin = 2.7;
+/// A text may be so much longer than expected: estimates err with a spread of 0.5 (log-normal), and
+/// one text of some 400 is longer than this.
+constexpr double kLengthMargin = 4.0;
+/// Places are short when this part of them is taken. Until then an item on a fast engine is in
+/// nobody's way, and there no error of its estimate makes it late.
+constexpr double kShortShare = 0.85;
 /// From the placement to the first event, and from the last one to the result: a lease on its way,
 /// a prompt that is read, a commit.
 constexpr base::Duration kOverhead = base::milliseconds(500);
@@ -101,7 +104,7 @@
 }
 
 void EnginePlacement::forgetSearches() {
-  m_heaps.clear();
+  m_candidates.clear();
   m_reserveFrom.clear();
 }
 
@@ -224,32 +227,39 @@
   return sights;
 }
 
-EnginePlacement::ClassHeaps EnginePlacement::candidatesFor(const std::string& model,
-                                                           std::uint64_t minimumVersion) const {
-  ClassHeaps heaps;
+EnginePlacement::PaceClassList EnginePlacement::candidatesFor(const std::string& model,
+                                                              std::uint64_t minimumVersion) const {
+  PaceClassList classes;
   std::size_t index = 0;
   for (const auto& [id, engine] : m_inUse) {
     ++index;
     if (holds(engine->told, model, minimumVersion)) {
-      heaps.at(engine->paceClass).push_back({cost(*engine), index, engine});
+      PaceClass& own = classes.at(engine->paceClass);
+      own.heap.push_back({cost(*engine), index, engine});
+      own.places += engine->told.slots;
+      own.taken += takenPlaces(*engine);
     }
   }
-  for (Heap& heap : heaps) {
-    std::make_heap(heap.begin(), heap.end());
+  for (PaceClass& each : classes) {
+    std::make_heap(each.heap.begin(), each.heap.end());
   }
-  return heaps;
+  return classes;
 }
 
-EnginePlacement::ClassHeaps& EnginePlacement::heapsFor(const std::string& model,
-                                                       std::uint64_t minimumVersion) {
+EnginePlacement::PaceClassList& EnginePlacement::candidatesOf(const std::string& model,
+                                                              std::uint64_t minimumVersion) {
   const auto key = std::pair(model, minimumVersion);
-  auto found = m_heaps.find(key);
-  if (found == m_heaps.end()) {
-    found = m_heaps.emplace(key, candidatesFor(model, minimumVersion)).first;
+  auto found = m_candidates.find(key);
+  if (found == m_candidates.end()) {
+    found = m_candidates.emplace(key, candidatesFor(model, minimumVersion)).first;
   }
   return found->second;
 }
 
+std::uint32_t EnginePlacement::takenPlaces(const Engine& engine) {
+  return std::min(engine.load, engine.told.slots);
+}
+
 void EnginePlacement::settle(Heap& heap) {
   while (!heap.empty()) {
     const Candidate front = heap.front();
@@ -276,49 +286,62 @@
   return delayMs + runMs <= base::toMilliseconds(need.untilDue);
 }
 
-EnginePlacement::Heap* EnginePlacement::slowestSafe(ClassHeaps& heaps, const ItemNeed& need) {
-  if (!need.isKnown()) {
-    return nullptr;
+EnginePlacement::PaceClass* EnginePlacement::slowestSafe(PaceClassList& classes,
+                                                         const ItemNeed& need) {
+  PaceClass* slowest = nullptr;
+  std::uint32_t places = 0;  // at the faster classes
+  std::uint32_t taken = 0;
+  for (PaceClass& each : classes) {
+    if (taken < kShortShare * places || !need.isKnown()) {
+      return slowest;
+    }
+    const bool safe = !each.heap.empty() && isSafe(*each.heap.front().engine, need);
+    slowest = safe ? &each : slowest;
+    places += each.places;
+    taken += each.taken;
   }
-  const auto safe = std::find_if(heaps.rbegin(), heaps.rend(), [&](const Heap& heap) {
-    return !heap.empty() && isSafe(*heap.front().engine, need);
-  });
-  return safe == heaps.rend() ? nullptr : &*safe;
+  return slowest;
 }
 
-EnginePlacement::Heap* EnginePlacement::soonest(ClassHeaps& heaps, const ItemNeed& need) {
-  const auto endOf = [&](const Candidate& front) {
+EnginePlacement::PaceClass* EnginePlacement::soonest(PaceClassList& classes, const ItemNeed& need) {
+  const auto endOf = [&](const PaceClass& of) {
+    const Candidate& front = of.heap.front();
     const double runMs = need.isKnown() ? need.restEvents * front.cost +
                                               base::toMilliseconds(front.engine->momentaryDelay)
                                         : front.cost;
     return std::pair(runMs, front.index);
   };
-  Heap* best = nullptr;
-  for (Heap& heap : heaps) {
-    const bool better =
-        !heap.empty() && (best == nullptr || endOf(heap.front()) < endOf(best->front()));
-    best = better ? &heap : best;
+  PaceClass* best = nullptr;
+  for (PaceClass& each : classes) {
+    const bool better = !each.heap.empty() && (best == nullptr || endOf(each) < endOf(*best));
+    best = better ? &each : best;
   }
   return best;
 }
 
-std::string EnginePlacement::placeInUse(const ItemNeed& need) {
-  ClassHeaps& heaps = heapsFor(need.model, need.minimumVersion);
-  std::for_each(heaps.begin(), heaps.end(), settle);
-  Heap* chosen = slowestSafe(heaps, need);
-  chosen = chosen != nullptr ? chosen : soonest(heaps, need);
-  if (chosen == nullptr) {
-    return {};
-  }
-  std::pop_heap(chosen->begin(), chosen->end());
-  Candidate& candidate = chosen->back();
+std::string EnginePlacement::placeAtFront(PaceClass& chosen) {
+  Heap& heap = chosen.heap;
+  std::pop_heap(heap.begin(), heap.end());
+  Candidate& candidate = heap.back();
   Engine& engine = *candidate.engine;
+  chosen.taken -= takenPlaces(engine);
   addLoad(engine, 1);
+  chosen.taken += takenPlaces(engine);
   candidate.cost = cost(engine);
-  std::push_heap(chosen->begin(), chosen->end());
+  std::push_heap(heap.begin(), heap.end());
   return engine.told.id;
 }
 
+std::string EnginePlacement::placeInUse(const ItemNeed& need) {
+  PaceClassList& classes = candidatesOf(need.model, need.minimumVersion);
+  for (PaceClass& each : classes) {
+    settle(each.heap);
+  }
+  PaceClass* chosen = slowestSafe(classes, need);
+  chosen = chosen != nullptr ? chosen : soonest(classes, need);
+  return chosen == nullptr ? std::string() : placeAtFront(*chosen);
+}
+
 std::string EnginePlacement::place(const ItemNeed& need) {
   std::string engine = placeInUse(need);
   return engine.empty() ? placeInReserve(need.model, need.minimumVersion) : engine;
--- a/src/jobs/engine_placement.h
+++ b/src/jobs/engine_placement.h
@@ -113,8 +113,14 @@
     }
   };
   using Heap = std::vector<Candidate>;
-  /// By class of paces, fastest first.
-  using ClassHeaps = std::array<Heap, kPaceClasses>;
+  /// Engines of about the same pace.
+  struct PaceClass {
+    Heap heap;
+    std::uint32_t places = 0;
+    std::uint32_t taken = 0;  ///< of the places
+  };
+  /// Fastest first.
+  using PaceClassList = std::array<PaceClass, kPaceClasses>;
 
   [[nodiscard]] static double cost(const Engine& engine);
   [[nodiscard]] static const std::string& machineOf(const PlacementEngine& told);
@@ -125,23 +131,26 @@
   void detach(Engine& engine);
   void remove(const std::string& id);
   void addLoad(Engine& engine, std::uint32_t items);
+  [[nodiscard]] static std::uint32_t takenPlaces(const Engine& engine);
   /// Loads or engines changed.
   void forgetSearches();
   void takePaces(base::TimePoint now);
   void takePace(Engine& engine, base::TimePoint now);
   [[nodiscard]] std::size_t paceClassOf(double paceMs) const;
-  [[nodiscard]] ClassHeaps candidatesFor(const std::string& model,
-                                         std::uint64_t minimumVersion) const;
-  [[nodiscard]] ClassHeaps& heapsFor(const std::string& model, std::uint64_t minimumVersion);
+  [[nodiscard]] PaceClassList candidatesFor(const std::string& model,
+                                            std::uint64_t minimumVersion) const;
+  [[nodiscard]] PaceClassList& candidatesOf(const std::string& model, std::uint64_t minimumVersion);
   /// Brings the cheapest engine that is not full to the front.
   static void settle(Heap& heap);
   /// Of the front of a class: the item ends in time there, also when its text is much longer than
   /// expected, and need not wait for a place.
   [[nodiscard]] static bool isSafe(const Engine& engine, const ItemNeed& need);
-  /// The slowest class whose front is safe; nothing: none is, or the need is not known.
-  [[nodiscard]] static Heap* slowestSafe(ClassHeaps& heaps, const ItemNeed& need);
+  /// The slowest class whose front is safe, slower ones only while places at the faster are short;
+  /// nothing: none is, or the need is not known.
+  [[nodiscard]] static PaceClass* slowestSafe(PaceClassList& classes, const ItemNeed& need);
   /// The class whose front will have run the item soonest; nothing: all are full.
-  [[nodiscard]] static Heap* soonest(ClassHeaps& heaps, const ItemNeed& need);
+  [[nodiscard]] static PaceClass* soonest(PaceClassList& classes, const ItemNeed& need);
+  [[nodiscard]] std::string placeAtFront(PaceClass& chosen);
   [[nodiscard]] std::string placeInUse(const ItemNeed& need);
   [[nodiscard]] std::string placeInReserve(const std::string& model, std::uint64_t minimumVersion);
 
@@ -154,7 +163,7 @@
   std::map<std::pair<std::string, std::uint64_t>, Engines::iterator> m_reserveFrom;
   std::set<Engine*> m_loaded;  ///< engines with items
   /// By model and minimum version; made anew after loads or engines changed.
-  std::map<std::pair<std::string, std::uint64_t>, ClassHeaps> m_heaps;
+  std::map<std::pair<std::string, std::uint64_t>, PaceClassList> m_candidates;
   PaceBook m_paces;
   std::map<std::string, std::set<Engine*>> m_byMachine;
   base::TimePoint m_pacesAt{};  ///< when paces were last taken over
--- a/src/jobs/run_decisions.h
+++ b/src/jobs/run_decisions.h
@@ -49,14 +49,16 @@
 /// between its events and seems up to 1.5 times slower than others for a second.
 inline constexpr double kLeastMoveGain = 1.7;
 
-/// Events that are still expected of a text that has `events`, `sinceLease` of them made under this
-/// lease, when `restAtLease` were expected at its beginning; zero: unknown. A text that outgrows
-/// what was expected goes on for a part of its length.
+/// Events to reckon with for the rest of a text that has `events`, `sinceLease` of them made under
+/// this lease, when `restAtLease` were expected at its beginning; zero: unknown. Estimates err, and
+/// once a text has outgrown its estimate it is too late to move it: one spread of the estimates is
+/// added. A text beyond that is expected to go on for a part of its length.
 [[nodiscard]] inline double restOfText(double restAtLease, std::uint64_t sinceLease,
                                        std::uint64_t events) {
-  constexpr double kOutgrownShare = 0.25;
+  constexpr double kLengthMargin = 1.65;
+  constexpr double kOutgrownShare = 0.5;
   return restAtLease <= 0 ? 0.0
-                          : std::max(restAtLease - static_cast<double>(sinceLease),
+                          : std::max(kLengthMargin * restAtLease - static_cast<double>(sinceLease),
                                      kOutgrownShare * static_cast<double>(events));
 }
 
--- a/src/jobs/run_pace.cpp
+++ b/src/jobs/run_pace.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A slowness of less is waited out: to move a text costs about as much.
-constexpr base::Duration kHalf = base::milliseconds(750);
+constexpr base::Duration kHalf = base::milliseconds(500);
 
 double paceOf(std::ptrdiff_t events) {
   return base::toMilliseconds(kHalf) / static_cast<double>(std::max<std::ptrdiff_t>(events, 1));
