Items are ordered by priority, slack and shares, not by the age of their job alone

Cause: ItemLeases leased the oldest job first, whoever's it was and whatever slack it had. A tenant's priority was read from the configuration and used nowhere.

Change: WorkOrder says in which order queued items are planned. OldestFirstOrder holds where one tenant's jobs of one model and priority are all that was seen; else SlackOrder: by priority, then by classes of slack that double in width (equally urgent jobs keep their age), items of jobs that can no longer be whole in time and of groups that the caller can do without last. MinimumShares bounds it: waiting priorities are guaranteed an eighth of the leases, tenants of a priority and jobs of a tenant a quarter, shared alike; nothing goes by estimates alone. LengthForecast: a regression of real lengths on estimates, then the mean residual life of what is left; learnt from results, which tell their events. Its error is a metric. OpenWork.slack and LeasedItem.restEvents are filled with it; the pace is a mean by model of what gateways tell. TenantPriorities reach the ledgers with each configuration; leases stay when they change. The age of a job is counted from when a ledger applied its submission, also before that ledger led, and jobs keep the order of their submission under a new leader (it was that of their names). A job whose last leases expire comes back in its place, not behind all others. JobRole::workSight tells operators about jobs and tenants. Planning moved to item_leases_plan.cpp, the order within a job to lease_order.

The new tests of order and shares were not run against the former code, which lacks the interfaces; the load tests state oldest first beside the new order.

--- /dev/null
+++ b/src/jobs/estimate_calibration.cpp
@@ -0,0 +1,38 @@
+#include "jobs/estimate_calibration.h"
+
+#include <cmath>
+
+namespace tackpick::jobs {
+namespace {
+
+/// What one more observation leaves of the weight of the earlier ones: a few jobs are remembered.
+constexpr double kRetained = 1.0 - 1.0 / 512;
+/// Before anything is learnt estimates are taken as they are; so many observations count as much.
+constexpr double kPriorWeight = 8.0;
+constexpr double kPriorVariance = 0.25;
+
+}  // namespace
+
+double EstimateCalibration::predict(double estimate) const {
+  constexpr double kPrior = kPriorWeight * kPriorVariance;
+  const double slope = (m_covariance + kPrior) / (m_variance + kPrior);
+  const double trust = m_weight / (m_weight + kPriorWeight);
+  const double offset = trust * (m_meanLength - m_meanEstimate);
+  const double distance = std::log(estimate) - m_meanEstimate;
+  return m_weight > 0 ? std::exp(m_meanEstimate + offset + slope * distance) : estimate;
+}
+
+void EstimateCalibration::observe(double estimate, double length) {
+  m_weight = m_weight * kRetained + 1;
+  m_variance *= kRetained;
+  m_covariance *= kRetained;
+  const double estimateStep = std::log(estimate) - m_meanEstimate;
+  const double lengthStep = std::log(length) - m_meanLength;
+  m_meanEstimate += estimateStep / m_weight;
+  m_meanLength += lengthStep / m_weight;
+  const double remaining = std::log(estimate) - m_meanEstimate;
+  m_variance += estimateStep * remaining;
+  m_covariance += lengthStep * remaining;
+}
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/estimate_calibration.h
@@ -0,0 +1,25 @@
+/// \file
+/// Corrects callers' estimates by what their earlier ones were worth.
+#pragma once
+
+namespace tackpick::jobs {
+
+/// A linear regression of real lengths on estimates, both as logarithms, in which older
+/// observations weigh less. Where estimates err much, extreme ones are drawn towards the mean.
+/// Deterministic.
+class EstimateCalibration {
+ public:
+  /// The length at the median of what was estimated as `estimate` > 0.
+  [[nodiscard]] double predict(double estimate) const;
+  /// Both > 0.
+  void observe(double estimate, double length);
+
+ private:
+  double m_weight = 0;
+  double m_meanEstimate = 0;  ///< of logarithms, as is all below
+  double m_meanLength = 0;
+  double m_variance = 0;    ///< of estimates, times the weight
+  double m_covariance = 0;  ///< of estimates and lengths, times the weight
+};
+
+}  // namespace tackpick::jobs
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -1,8 +1,9 @@
 #include "jobs/item_leases.h"
 
 #include <algorithm>
-#include <numeric>
-#include <tuple>
+
+#include "jobs/oldest_first_order.h"
+#include "jobs/slack_order.h"
 
 namespace tackpick::jobs {
 namespace {
@@ -17,42 +18,6 @@
 
 }  // namespace
 
-std::vector<std::uint32_t> leaseOrder(const JobSubmission& job,
-                                      const std::set<std::string>& comesAgain) {
-  std::map<std::string, std::uint32_t> longest;  // item of each group
-  for (const Item& item : job.items) {
-    longest[item.group] = std::max(longest[item.group], item.expectedTokens);
-  }
-  std::vector<std::pair<std::uint32_t, std::string>> ranked;
-  for (const auto& [group, tokens] : longest) {
-    if (!comesAgain.contains(group)) {
-      ranked.emplace_back(tokens, group);
-    }
-  }
-  std::sort(ranked.rbegin(), ranked.rend());
-  const std::size_t wanted = job.wantedGroups == 0 ? longest.size() : job.wantedGroups;
-  const std::size_t spare = longest.size() - std::min(longest.size(), wanted);
-  std::set<std::string> last;
-  for (std::size_t i = 0; i < std::min(spare, ranked.size()); ++i) {
-    last.insert(ranked[i].second);
-  }
-  const auto rank = [&](const Item& item) {
-    if (comesAgain.contains(item.group)) {
-      return 0;
-    }
-    return last.contains(item.group) ? 2 : 1;
-  };
-  std::vector<std::uint32_t> order(job.items.size());
-  std::iota(order.begin(), order.end(), 0U);
-  std::stable_sort(order.begin(), order.end(), [&](std::uint32_t left, std::uint32_t right) {
-    const Item& one = job.items[left];
-    const Item& other = job.items[right];
-    return std::tuple(rank(one), other.expectedTokens) <
-           std::tuple(rank(other), one.expectedTokens);
-  });
-  return order;
-}
-
 void ItemLeases::reset(std::uint64_t term, base::TimePoint now, base::Duration grace) {
   constexpr unsigned kTermShift = 32;
   last_number_ = term << kTermShift;
@@ -68,11 +33,15 @@
   first_seen_.clear();
   come_again_.clear();
   seen_items_.clear();
+  m_itemOrders.clear();
+  m_lateJobs.clear();
+  m_kinds.clear();
+  m_order = makeOrder();
   leasing_from_ = now + grace;
 }
 
-bool ItemLeases::addJob(const std::string& id, const Job& job, base::TimePoint now) {
-  if (!first_seen_.try_emplace(id, now).second) {
+bool ItemLeases::addJob(const std::string& id, const Job& job, base::TimePoint seenAt) {
+  if (!first_seen_.try_emplace(id, seenAt).second) {
     return false;
   }
   if (job.settled()) {
@@ -84,7 +53,9 @@
       comesAgain.insert(item.group);
     }
   }
-  for (const std::uint32_t item : leaseOrder(job.submission, comesAgain)) {
+  observeKind(job.submission);
+  const ItemOrder& order = m_itemOrders[id] = itemOrderOf(job.submission, comesAgain);
+  for (const std::uint32_t item : order.items) {
     const ItemKey key{id, item};
     if (!job.listed[item] && !leases_.contains(key)) {
       queue_.append(job, key);
@@ -94,6 +65,28 @@
   return true;
 }
 
+std::unique_ptr<WorkOrder> ItemLeases::makeOrder() const {
+  const bool bySlack = m_orderPolicy == WorkOrderPolicy::kBySlack ||
+                       (m_orderPolicy == WorkOrderPolicy::kAutomatic && m_kinds.size() > 1);
+  if (bySlack) {
+    return std::make_unique<SlackOrder>();
+  }
+  return std::make_unique<OldestFirstOrder>();
+}
+
+void ItemLeases::observeKind(const JobSubmission& job) {
+  const std::size_t known = m_kinds.size();
+  m_kinds.emplace(job.model, job.tenant, job.priority);
+  if (known == 1 && m_kinds.size() > 1) {
+    m_order = makeOrder();
+  }
+}
+
+void ItemLeases::setTenantPriorities(TenantPriorities priorities) {
+  m_priorities = std::move(priorities);
+  plan_outdated_ = true;
+}
+
 std::set<std::string> ItemLeases::groupsThatComeAgain(const std::string& job) const {
   const auto found = come_again_.find(job);
   return found == come_again_.end() ? std::set<std::string>{} : found->second;
@@ -139,6 +132,7 @@
   if (!lease.engine.empty()) {
     ++items_by_engine_[lease.engine];
   }
+  lease.since = lease.until - lease_time_;
   leases_by_gateway_[lease.gateway].insert(key);
   leases_.emplace(key, std::move(lease));
 }
@@ -266,67 +260,6 @@
   }
 }
 
-void ItemLeases::plan(const JobState& state, base::TimePoint now) {
-  const bool recent = planned_at_ != base::TimePoint{} && now - planned_at_ < plan_interval_;
-  if (!plan_outdated_ || recent) {
-    return;
-  }
-  planned_at_ = now;
-  plan_outdated_ = false;
-  plan_.clear();
-  queue_.dropSettled(state);
-  placement_.setLoads(items_by_engine_);
-  std::size_t age = 0;
-  for (QueuedJob& queued : queue_.jobs()) {
-    planJob(queued, age, *state.find(queued.id), now);
-    ++age;
-  }
-}
-
-ItemNeed ItemLeases::needOf(const Job& job, const std::string& id, base::TimePoint now) const {
-  ItemNeed need;
-  need.model = job.submission.model;
-  need.minimumVersion = job.submission.minimumVersion;
-  need.untilDue = untilDue(job, id, now);
-  return need;
-}
-
-base::Duration ItemLeases::untilDue(const Job& job, const std::string& id,
-                                    base::TimePoint now) const {
-  const base::Duration deadline = job.submission.resultDeadline;
-  return deadline > base::Duration{0} ? deadline - (now - firstSeen(id, now))
-                                      : base::Duration::max();
-}
-
-void ItemLeases::planJob(QueuedJob& queued, std::size_t age, const Job& job, base::TimePoint now) {
-  std::vector<std::uint32_t> planned;
-  std::vector<bool> seen(job.listed.size());  // an item that was put back may stand there twice
-  while (!queued.items.empty()) {
-    const std::uint32_t item = queued.items.front();
-    const ItemKey key{queued.id, item};
-    if (job.listed[item] || seen[item] || leases_.contains(key)) {
-      queued.items.pop_front();
-      continue;
-    }
-    if (job.hasWholeText(item)) {
-      queued.whole.push_back(item);
-      queued.items.pop_front();
-      continue;
-    }
-    std::string engine = placement_.place(needOf(job, queued.id, now));
-    if (engine.empty() && placement_.knowsEngines()) {
-      break;
-    }
-    const std::string zone = placement_.zoneOf(engine);
-    plan_.add(zone, age, job, {key, std::move(engine)});
-    seen[item] = true;
-    planned.push_back(item);
-    queued.items.pop_front();
-  }
-  // They stay queued until they are leased.
-  queued.items.insert(queued.items.begin(), planned.begin(), planned.end());
-}
-
 std::vector<GrantedItem> ItemLeases::lease(base::NodeId gateway, EngineRoom wanted,
                                            const JobState& state, base::TimePoint now) {
   std::vector<GrantedItem> leased;
@@ -374,6 +307,7 @@
       return;
     }
     addLease(next.key, {gateway, now + lease_time_, next.engine});
+    m_order->onLeased(next.key.job);
     leased.push_back({std::move(next.key), ++last_number_, std::move(next.engine)});
     planned.items.pop_front();
   }
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/identifiers.h"
@@ -13,18 +15,17 @@
 #include "jobs/gateway_roster.h"
 #include "jobs/item_queue.h"
 #include "jobs/job_state.h"
+#include "jobs/lease_order.h"
 #include "jobs/lease_plan.h"
+#include "jobs/length_forecast.h"
+#include "jobs/model_paces.h"
+#include "jobs/tenant_priorities.h"
+#include "jobs/work_order.h"
+#include "jobs/work_sight.h"
 #include "jobs/zone_affinity.h"
 
 namespace tackpick::jobs {
 
-/// The items of a job in the order in which they should start. First those of groups that
-/// `comesAgain` names, which the caller waits for in any case; then the others, longest expected
-/// first, since the longest decide when the job is whole. The caller does not wait for all groups:
-/// as many of those with the longest items as it can do without come last.
-[[nodiscard]] std::vector<std::uint32_t> leaseOrder(const JobSubmission& job,
-                                                    const std::set<std::string>& comesAgain);
-
 /// An item with the number of its lease, which is higher than that of every earlier lease.
 struct GrantedItem {
   ItemKey key;
@@ -32,7 +33,7 @@
   std::string engine;  ///< where it should run; empty: all are full
 };
 
-/// Deterministic. Items are leased oldest job first and, within a job, in the order of
+/// Deterministic. Items are leased in the order of a WorkOrder and, within a job, in that of
 /// leaseOrder(). A lease that its gateway stops renewing returns to the front of the queue. An item
 /// may run twice (the first result counts), so nothing here needs to be durable.
 ///
@@ -41,14 +42,21 @@
 /// engines or the other gateways' leases.
 class ItemLeases {
  public:
-  explicit ItemLeases(base::Duration leaseTime, base::Duration planInterval = {})
-      : lease_time_(leaseTime), plan_interval_(planInterval) {}
+  explicit ItemLeases(base::Duration leaseTime, base::Duration planInterval = {},
+                      WorkOrderPolicy orderPolicy = WorkOrderPolicy::kAutomatic)
+      : lease_time_(leaseTime),
+        plan_interval_(planInterval),
+        m_orderPolicy(orderPolicy),
+        m_order(makeOrder()) {}
 
   /// Forgets everything; call when this ledger becomes leader in `term`. Every open item can be
   /// leased again after `grace`, in which gateways tell what they hold.
   void reset(std::uint64_t term, base::TimePoint now, base::Duration grace);
-  /// Takes up the items of a job that is new to the leader; false when it was not.
-  bool addJob(const std::string& id, const Job& job, base::TimePoint now);
+  /// Takes up the items of a job that is new to the leader; false when it was not. `seenAt`: when
+  /// this ledger first saw it.
+  bool addJob(const std::string& id, const Job& job, base::TimePoint seenAt);
+  /// Takes effect with the next plan; leases stay.
+  void setTenantPriorities(TenantPriorities priorities);
   /// Groups of a job that an earlier one left unfinished.
   [[nodiscard]] std::set<std::string> groupsThatComeAgain(const std::string& job) const;
   /// Ends leases of jobs that are settled or gone, and returns expired ones to the queue.
@@ -80,6 +88,18 @@
   /// Until the job's results are due; the longest duration where no due time is known.
   [[nodiscard]] base::Duration untilDue(const Job& job, const std::string& id,
                                         base::TimePoint now) const;
+  /// Events that are still expected of an item's text; zero: unknown.
+  [[nodiscard]] double restEvents(const Job& job, const ItemKey& key, base::TimePoint now) const;
+  /// untilDue() less what the longest open item that the caller needs is expected to take.
+  [[nodiscard]] base::Duration slackOf(const Job& job, const std::string& id,
+                                       base::TimePoint now) const;
+  /// What is known of the lengths of texts.
+  [[nodiscard]] LengthForecast& forecast() { return m_forecast; }
+  [[nodiscard]] const LengthForecast& forecast() const { return m_forecast; }
+  /// How fast texts are made.
+  [[nodiscard]] ModelPaces& paces() { return m_paces; }
+  /// For operators: open jobs, and what each tenant has of the engines.
+  [[nodiscard]] WorkSight sight(const JobState& state, base::TimePoint now) const;
   /// Items of a job that are leased.
   [[nodiscard]] std::uint32_t runningItems(const std::string& job) const;
   /// All engines there are.
@@ -94,6 +114,8 @@
   void forgetJob(const std::string& job) {
     first_seen_.erase(job);
     come_again_.erase(job);
+    m_itemOrders.erase(job);
+    m_lateJobs.erase(job);
   }
 
  private:
@@ -101,7 +123,12 @@
     base::NodeId gateway;
     base::TimePoint until{};
     std::string engine;  ///< where it runs, or was placed
+    base::TimePoint since = {};
   };
+  /// A queued job while a plan is made.
+  struct JobPlan;
+  /// Model, tenant and priority of a job's route.
+  using JobKind = std::tuple<std::string, std::string, std::uint32_t>;
 
   using Leases = std::map<ItemKey, Lease>;
 
@@ -115,8 +142,17 @@
   void setEngine(Lease& lease, const std::string& engine);
   /// Plans what is queued, when the plan is no longer up to date.
   void plan(const JobState& state, base::TimePoint now);
-  void planJob(QueuedJob& queued, std::size_t age, const Job& job, base::TimePoint now);
-  [[nodiscard]] ItemNeed needOf(const Job& job, const std::string& id, base::TimePoint now) const;
+  [[nodiscard]] std::vector<JobPlan> queuedJobs(const JobState& state, base::TimePoint now);
+  void beginOrder(std::vector<JobPlan>& jobs);
+  /// Plans all items that find a place.
+  void planItems(std::vector<JobPlan>& jobs);
+  /// Finds a place for the next item of a job; false when there is none.
+  bool planItem(JobPlan& plan, std::size_t run);
+  /// Goes on to the next item that waits for an engine; false when none does.
+  bool advance(JobPlan& plan);
+  [[nodiscard]] Urgency urgencyOf(JobPlan& plan);
+  [[nodiscard]] std::unique_ptr<WorkOrder> makeOrder() const;
+  void observeKind(const JobSubmission& job);
   void observeEngines();
   void leaseWhole(base::NodeId gateway, const JobState& state, base::TimePoint now,
                   std::vector<GrantedItem>& leased);
@@ -141,6 +177,14 @@
   std::map<std::string, base::TimePoint> first_seen_;
   std::set<std::string> seen_items_;                         ///< ids, to know those that come again
   std::map<std::string, std::set<std::string>> come_again_;  ///< groups, by job
+  std::map<std::string, ItemOrder> m_itemOrders;             ///< by job
+  std::set<std::string> m_lateJobs;                          ///< that cannot be whole in time
+  const WorkOrderPolicy m_orderPolicy;
+  std::set<JobKind> m_kinds;  ///< of the jobs seen
+  std::unique_ptr<WorkOrder> m_order;
+  TenantPriorities m_priorities;
+  LengthForecast m_forecast;
+  ModelPaces m_paces;
 };
 
 }  // namespace tackpick::jobs
--- a/src/jobs/item_queue.cpp
+++ b/src/jobs/item_queue.cpp
@@ -9,18 +9,23 @@
   m_jobs.clear();
 }
 
-QueuedJob& ItemQueue::entryOf(const std::string& id) {
+QueuedJob& ItemQueue::entryOf(const Job& job, const std::string& id) {
   const auto found = m_byId.find(id);
   if (found != m_byId.end()) {
     return *found->second;
   }
-  m_jobs.push_back({id, {}, {}});
-  m_byId.emplace(id, std::prev(m_jobs.end()));
-  return m_jobs.back();
+  // A job whose last items were leased comes back when a lease ends.
+  auto behind = m_jobs.end();
+  while (behind != m_jobs.begin() && std::prev(behind)->submittedAt > job.submittedAt) {
+    --behind;
+  }
+  const auto entry = m_jobs.insert(behind, {id, job.submittedAt, {}, {}});
+  m_byId.emplace(id, entry);
+  return *entry;
 }
 
 void ItemQueue::append(const Job& job, const ItemKey& key) {
-  QueuedJob& entry = entryOf(key.job);
+  QueuedJob& entry = entryOf(job, key.job);
   (job.hasWholeText(key.item) ? entry.whole : entry.items).push_back(key.item);
 }
 
@@ -28,7 +33,7 @@
   if (job == nullptr) {
     return;
   }
-  QueuedJob& entry = entryOf(key.job);
+  QueuedJob& entry = entryOf(*job, key.job);
   (job->hasWholeText(key.item) ? entry.whole : entry.items).push_front(key.item);
 }
 
--- a/src/jobs/item_queue.h
+++ b/src/jobs/item_queue.h
@@ -17,6 +17,7 @@
 /// the same version of its weights, so none of them has a place where the first has none.
 struct QueuedJob {
   std::string id;
+  std::uint64_t submittedAt = 0;  ///< Job::submittedAt
   std::deque<std::uint32_t> items;
   std::deque<std::uint32_t> whole;  ///< of these only the score is missing: they need no engine
 };
@@ -28,7 +29,7 @@
   using Jobs = std::list<QueuedJob>;
 
   void clear();
-  /// Behind the other items of its job; a new job stands behind all others.
+  /// Behind the other items of its job; jobs stand in the order of their submission.
   void append(const Job& job, const ItemKey& key);
   /// Before the other items of its job.
   void putBack(const Job* job, const ItemKey& key);
@@ -37,7 +38,7 @@
   [[nodiscard]] Jobs& jobs() { return m_jobs; }
 
  private:
-  [[nodiscard]] QueuedJob& entryOf(const std::string& id);
+  [[nodiscard]] QueuedJob& entryOf(const Job& job, const std::string& id);
 
   Jobs m_jobs;
   std::map<std::string, Jobs::iterator> m_byId;
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -147,7 +147,10 @@
 }
 
 ItemResult ItemRun::completed() const {
-  return {leased_.key.item, ItemState::kCompleted, base::PackedText(text_), versions_, score_};
+  ItemResult result{leased_.key.item, ItemState::kCompleted, base::PackedText(text_), versions_,
+                    score_};
+  result.events = last_event_.value_or(0);
+  return result;
 }
 
 ItemResult ItemRun::completedAfterKept() const {
@@ -158,6 +161,7 @@
   ItemResult result{leased_.key.item, ItemState::kCompleted, base::PackedText(added), versions_,
                     score_};
   result.after = kept_->point;
+  result.events = last_event_.value_or(0);
   return result;
 }
 
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -97,10 +97,11 @@
   /// While the result is on its way: `text` follows the kept text, which reaches this point.
   /// Nothing: it is the whole text.
   std::optional<ProgressPoint> after = std::nullopt;
+  std::uint64_t events = 0;  ///< of the whole text; zero: unknown
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(item, state, text, versions, score, after);
+    archive(item, state, text, versions, score, after, events);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -29,7 +29,7 @@
       self_(self),
       replica_(self, group, settings.replica, log, state_, random, now),
       service_(self, replica_),
-      leases_(settings.leaseTime, settings.planInterval),
+      leases_(settings.leaseTime, settings.planInterval, settings.workOrder),
       gathering_(settings.gathering) {}
 
 void JobRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
@@ -92,9 +92,7 @@
 }
 
 void JobRole::onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now) {
-  for (const auto& [engine, pace] : request.paces) {
-    leases_.placement().notePace(engine, pace);
-  }
+  notePaces(request);
   JobReply reply;
   reply.revoked = leases_.renew(caller.node, request.held, state_, now);
   if (request.leaving) {
@@ -114,6 +112,19 @@
   replyWith(caller, reply);
 }
 
+void JobRole::notePaces(const LeaseItems& request) {
+  for (const auto& [engine, pace] : request.paces) {
+    leases_.placement().notePace(engine, pace);
+  }
+  for (const HeldItem& held : request.held) {
+    const auto pace = request.paces.find(held.engine);
+    const Job* job = pace == request.paces.end() ? nullptr : state_.find(held.key.job);
+    if (job != nullptr) {
+      leases_.paces().note(job->submission.model, pace->second);
+    }
+  }
+}
+
 LeasedItem JobRole::describe(const GrantedItem& granted, base::TimePoint now) const {
   const ItemKey& key = granted.key;
   const Job& owner = *state_.find(key.job);
@@ -136,6 +147,7 @@
   leased.age = now - leases_.firstSeen(key.job, now);
   leased.queueTimeout = job.queueTimeout;
   leased.untilDue = leases_.untilDue(owner, key.job, now);
+  leased.restEvents = leases_.restEvents(owner, key, now);
   return leased;
 }
 
@@ -143,9 +155,14 @@
   const CommitResults news = state_.withoutKnown(request);
   if (news.jobs.empty()) {
     replyWith(caller, {});
-  } else {
-    proposeFor(caller, news, now);
+    return;
   }
+  for (const JobResults& job : news.jobs) {
+    for (const ItemResult& result : job.results) {
+      leases_.forecast().learn(state_.find(job.job)->submission, result);
+    }
+  }
+  proposeFor(caller, news, now);
 }
 
 void JobRole::onRequest(const Caller& caller, const SaveProgress& request, base::TimePoint now) {
@@ -203,10 +220,14 @@
   const std::uint32_t running = leases_.runningItems(id);
   work.waiting = work.items - std::min(work.items, running);
   work.age = now - leases_.firstSeen(id, now);
-  work.slack = leases_.untilDue(job, id, now);
+  work.slack = leases_.slackOf(job, id, now);
   return work;
 }
 
+std::optional<WorkSight> JobRole::workSight(base::TimePoint now) const {
+  return replica_.canRead(now) ? std::optional(leases_.sight(state_, now)) : std::nullopt;
+}
+
 void JobRole::tick(base::TimePoint now) {
   replica_.tick(now);
   if (now - slow_work_at_ < kSlowWorkInterval || !replica_.canRead(now)) {
@@ -240,6 +261,7 @@
 transport::Outbox JobRole::finish(base::TimePoint now) {
   transport::Outbox messages;
   replica_.finish(now, messages);
+  observeJobs(now);
   observeLeadership(now);
   takeUpJobs(now);
   answerReads(now);
@@ -249,16 +271,33 @@
   return messages;
 }
 
+void JobRole::observeJobs(base::TimePoint now) {
+  if (m_observedJobs == state_.jobChanges()) {
+    return;
+  }
+  m_observedJobs = state_.jobChanges();
+  std::erase_if(m_firstSeen, [&](const auto& seen) { return state_.find(seen.first) == nullptr; });
+  for (const auto& [id, job] : state_.jobs()) {
+    m_firstSeen.try_emplace(id, now);
+  }
+}
+
 void JobRole::takeUpJobs(base::TimePoint now) {
   if (seen_jobs_ == state_.jobChanges() || !replica_.canRead(now)) {
     return;
   }
-  // When a job was submitted under another leader is not known.
   const bool submittedHere = seen_jobs_.has_value();
   seen_jobs_ = state_.jobChanges();
+  std::vector<std::pair<const std::string*, const Job*>> jobs;
   for (const auto& [id, job] : state_.jobs()) {
-    if (leases_.addJob(id, job, now) && submittedHere) {
-      gathering_.addJob(id, job, leases_.groupsThatComeAgain(id));
+    jobs.emplace_back(&id, &job);
+  }
+  std::stable_sort(jobs.begin(), jobs.end(), [](const auto& left, const auto& right) {
+    return left.second->submittedAt < right.second->submittedAt;
+  });
+  for (const auto& [id, job] : jobs) {
+    if (leases_.addJob(*id, *job, m_firstSeen.at(*id)) && submittedHere) {
+      gathering_.addJob(*id, *job, leases_.groupsThatComeAgain(*id));
     }
   }
 }
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -31,6 +31,7 @@
   /// Least time between two plans of what runs where: a plan costs about as much as the answers to
   /// ten calls of gateways, which come each 80 ms and more.
   base::Duration planInterval = base::milliseconds(5);
+  WorkOrderPolicy workOrder = WorkOrderPolicy::kAutomatic;
   /// Results in one answer.
   std::size_t answerBytes = 900U << 10U;
   ReadGatheringSettings gathering;
@@ -57,6 +58,10 @@
                      const std::vector<std::string>& removed) {
     leases_.changeEngines(std::move(changed), removed);
   }
+  /// Of the newest configuration.
+  void setTenantPriorities(TenantPriorities priorities) {
+    leases_.setTenantPriorities(std::move(priorities));
+  }
   void tick(base::TimePoint now);
   /// Ends a turn: syncs, applies, and returns what to send.
   [[nodiscard]] transport::Outbox finish(base::TimePoint now);
@@ -66,6 +71,10 @@
 
   /// Jobs that are not settled; nothing when another leads.
   [[nodiscard]] std::optional<OpenWorks> openWork(base::TimePoint now) const;
+  /// Open jobs for operators; nothing when another leads.
+  [[nodiscard]] std::optional<WorkSight> workSight(base::TimePoint now) const;
+  /// What is known of the lengths of texts.
+  [[nodiscard]] const LengthForecast& forecast() const { return leases_.forecast(); }
   /// Rises whenever a job comes or is settled.
   [[nodiscard]] std::uint64_t workChanges() const { return state_.workChanges(); }
 
@@ -99,7 +108,10 @@
   void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
   [[nodiscard]] OpenWork workOf(const std::string& id, const Job& job, base::TimePoint now) const;
   [[nodiscard]] LeasedItem describe(const GrantedItem& granted, base::TimePoint now) const;
+  void notePaces(const LeaseItems& request);
   void observeLeadership(base::TimePoint now);
+  /// Notes when jobs come, also where another leads: their ages outlast a change of leader.
+  void observeJobs(base::TimePoint now);
   /// Hands jobs that are new to this leader to the leases.
   void takeUpJobs(base::TimePoint now);
   void answerReads(base::TimePoint now);
@@ -120,6 +132,9 @@
   consensus::Term observed_term_ = 0;
   base::TimePoint leader_since_{};
   std::optional<std::uint64_t> seen_jobs_;  ///< JobState::jobChanges() when they were taken up
+  std::uint64_t m_observedJobs = 0;         ///< JobState::jobChanges() at observeJobs()
+  /// When this ledger applied the submissions; they came no later.
+  std::map<std::string, base::TimePoint> m_firstSeen;
   base::TimePoint slow_work_at_{};
   std::vector<PendingRead> reads_;
 };
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -80,27 +80,28 @@
   return base::compress(base::encode(command));
 }
 
-base::Bytes JobState::apply(consensus::LogIndex /*index*/, const base::Bytes& command) {
+base::Bytes JobState::apply(consensus::LogIndex index, const base::Bytes& command) {
   const auto bytes = base::decompress(command, kMostStateBytes);
   const auto decoded = bytes ? base::decode<JobCommand>(*bytes) : std::nullopt;
   if (decoded) {
-    std::visit([this](const auto& typed) { applyTyped(typed); }, *decoded);
+    std::visit([&](const auto& typed) { applyTyped(typed, index); }, *decoded);
     ++revision_;
   }
   return {};
 }
 
-void JobState::applyTyped(const SubmitJob& command) {
+void JobState::applyTyped(const SubmitJob& command, consensus::LogIndex index) {
   const auto [entry, added] = jobs_.try_emplace(command.job.id);
   if (added) {
     entry->second.submission = command.job;
+    entry->second.submittedAt = index;
     entry->second.listed.assign(command.job.items.size(), false);
     ++job_changes_;
     ++m_workChanges;
   }
 }
 
-void JobState::applyTyped(const EndJob& command) {
+void JobState::applyTyped(const EndJob& command, consensus::LogIndex /*index*/) {
   const auto found = jobs_.find(command.id);
   if (found != jobs_.end()) {
     found->second.ended = true;
@@ -112,7 +113,7 @@
   }
 }
 
-void JobState::applyTyped(const CommitResults& command) {
+void JobState::applyTyped(const CommitResults& command, consensus::LogIndex /*index*/) {
   for (const JobResults& results : command.jobs) {
     const auto found = jobs_.find(results.job);
     if (found == jobs_.end()) {
@@ -126,13 +127,13 @@
   }
 }
 
-void JobState::applyTyped(const ForgetJobs& command) {
+void JobState::applyTyped(const ForgetJobs& command, consensus::LogIndex /*index*/) {
   for (const std::string& id : command.ids) {
     jobs_.erase(id);
   }
 }
 
-void JobState::applyTyped(const SaveProgress& command) {
+void JobState::applyTyped(const SaveProgress& command, consensus::LogIndex /*index*/) {
   for (const JobProgress& progress : command.jobs) {
     const auto found = jobs_.find(progress.job);
     if (found == jobs_.end() || found->second.settled()) {
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -13,6 +13,7 @@
 
 struct Job {
   JobSubmission submission;
+  consensus::LogIndex submittedAt = 0;           ///< of its submission in the log
   std::vector<ItemResult> results;               ///< by position; never changes once listed
   std::vector<bool> listed;                      ///< by item: it has a result
   std::map<std::uint32_t, PartialText> partial;  ///< texts under way, by item
@@ -33,7 +34,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(submission, results, listed, partial, ended);
+    archive(submission, submittedAt, results, listed, partial, ended);
   }
 };
 
@@ -64,11 +65,11 @@
   [[nodiscard]] std::uint64_t workChanges() const { return m_workChanges; }
 
  private:
-  void applyTyped(const SubmitJob& command);
-  void applyTyped(const EndJob& command);
-  void applyTyped(const CommitResults& command);
-  void applyTyped(const ForgetJobs& command);
-  void applyTyped(const SaveProgress& command);
+  void applyTyped(const SubmitJob& command, consensus::LogIndex index);
+  void applyTyped(const EndJob& command, consensus::LogIndex index);
+  void applyTyped(const CommitResults& command, consensus::LogIndex index);
+  void applyTyped(const ForgetJobs& command, consensus::LogIndex index);
+  void applyTyped(const SaveProgress& command, consensus::LogIndex index);
 
   std::map<std::string, Job> jobs_;
   std::uint64_t revision_ = 0;
--- a/src/jobs/lease_plan.h
+++ b/src/jobs/lease_plan.h
@@ -17,23 +17,23 @@
   std::string engine;
 };
 
-/// The planned items of one job for one zone, in the order in which they should start.
+/// Planned items of one job for one zone, in the order in which they should start.
 struct PlannedJob {
   std::string model;
   std::uint64_t minimumVersion = 0;
   std::deque<PlannedItem> items;
 };
 
-/// By the zone of the engine (empty: any) and the age of the job, so that a gateway's call finds
-/// what suits it without looking at the rest. Deterministic.
+/// By the zone of the engine (empty: any) and in the order of the plan, so that a gateway's call
+/// finds what suits it without looking at the rest. Deterministic.
 class LeasePlan {
  public:
-  /// Jobs of one zone, oldest first.
+  /// Runs of items of one zone, the first to start first.
   using ZoneJobs = std::map<std::size_t, PlannedJob>;
 
-  /// `age`: the job's place in the queue.
-  void add(const std::string& zone, std::size_t age, const Job& job, PlannedItem item) {
-    PlannedJob& planned = m_zones[zone][age];
+  /// `run`: rises whenever an item of another job than before is planned.
+  void add(const std::string& zone, std::size_t run, const Job& job, PlannedItem item) {
+    PlannedJob& planned = m_zones[zone][run];
     planned.model = job.submission.model;
     planned.minimumVersion = job.submission.minimumVersion;
     planned.items.push_back(std::move(item));
--- /dev/null
+++ b/src/jobs/length_forecast.cpp
@@ -0,0 +1,77 @@
+#include "jobs/length_forecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tackpick::jobs {
+namespace {
+
+// Before anything is learnt an estimate is taken to be right at the median, and rough.
+constexpr double kPriorMedian = 1.0;
+constexpr double kPriorSpread = 0.5;
+constexpr double kPriorWeight = 8.0;
+constexpr double kErrorWeight = 0.05;
+
+}  // namespace
+
+LengthDistribution LengthModel::priorOfRatios() {
+  static const LengthDistribution prior =
+      LengthDistribution::logNormal(kPriorMedian, kPriorSpread, kPriorWeight);
+  return prior;
+}
+
+double LengthModel::rest(std::uint32_t estimate, std::uint64_t soFar) const {
+  const auto length = static_cast<double>(soFar);
+  if (estimate > 0) {
+    const double expected = m_calibration.predict(estimate);
+    return expected * m_ratios.meanBeyond(length / expected) - length;
+  }
+  return m_lengths.empty() ? 0 : m_lengths.meanBeyond(length) - length;
+}
+
+void LengthModel::learn(std::uint32_t estimate, std::uint64_t events) {
+  const auto length = static_cast<double>(events);
+  if (events == 0) {
+    return;
+  }
+  const double forecast = rest(estimate, 0);
+  if (forecast > 0) {
+    const double error = std::abs(forecast - length) / length;
+    m_error += (m_hasError ? kErrorWeight : 1.0) * (error - m_error);
+    m_hasError = true;
+  }
+  if (estimate > 0) {
+    m_ratios.observe(length / m_calibration.predict(estimate));
+    m_calibration.observe(estimate, length);
+  } else {
+    m_lengths.observe(length);
+  }
+}
+
+const LengthModel& LengthForecast::modelFor(const JobSubmission& job) {
+  return m_models[{job.model, job.host}];
+}
+
+double LengthForecast::rest(const JobSubmission& job, const Item& item, std::uint64_t soFar) const {
+  static const LengthModel kNothingLearnt;
+  const auto found = m_models.find({job.model, job.host});
+  const LengthModel& model = found == m_models.end() ? kNothingLearnt : found->second;
+  return model.rest(item.expectedTokens, soFar);
+}
+
+void LengthForecast::learn(const JobSubmission& job, const ItemResult& result) {
+  if (result.state == ItemState::kCompleted && result.item < job.items.size()) {
+    m_models[{job.model, job.host}].learn(job.items[result.item].expectedTokens, result.events);
+  }
+}
+
+std::map<std::string, double> LengthForecast::errors() const {
+  std::map<std::string, double> errors;
+  for (const auto& [kind, model] : m_models) {
+    double& error = errors[kind.first];
+    error = std::max(error, model.error());
+  }
+  return errors;
+}
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/oldest_first_order.h
@@ -0,0 +1,28 @@
+/// \file
+/// Items of the oldest job first.
+#pragma once
+
+#include "jobs/work_order.h"
+
+namespace tackpick::jobs {
+
+/// The order where one tenant's jobs of one model are all there is. Deterministic.
+class OldestFirstOrder final : public WorkOrder {
+ public:
+  void begin(const std::vector<QueuedWork>& work) override {
+    m_jobs = work.size();
+    m_next = 0;
+  }
+  [[nodiscard]] std::optional<std::size_t> next() override {
+    return m_next < m_jobs ? std::optional(m_next) : std::nullopt;
+  }
+  void onPlanned(std::size_t /*job*/, const Urgency& /*urgency*/) override {}
+  void onExhausted(std::size_t job) override { m_next = job + 1; }
+  void onLeased(const std::string& /*job*/) override {}
+
+ private:
+  std::size_t m_jobs = 0;
+  std::size_t m_next = 0;
+};
+
+}  // namespace tackpick::jobs
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -156,6 +156,9 @@
     if (gateway_front_) {
       gateway_front_->onConfiguration(newest);
     }
+    if (ledger_) {
+      ledger_->setTenantPriorities(jobs::TenantPriorities(newest.tenants));
+    }
   });
   member_->reportOpenWork([this]() -> std::optional<jobs::OpenWorks> {
     return ledger_ ? ledger_->openWork(now()) : std::nullopt;
@@ -223,6 +226,7 @@
   settings.retention = settings_.retention;
   ledger_ = std::make_unique<jobs::JobRole>(self_, directory::kLedgerGroup, settings, *log_,
                                             *random_, now());
+  ledger_->setTenantPriorities(jobs::TenantPriorities(member_->configuration().tenants));
   m_workTeller = std::make_unique<WorkTeller>(*this);
   return {};
 }
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -106,6 +106,9 @@
                                     [](const auto& entry) { return !entry.second.settled(); });
     metrics_.set(GaugeId::kKeptJobs, static_cast<double>(kept.size()));
     metrics_.set(GaugeId::kOpenJobs, static_cast<double>(open));
+    for (const auto& [model, error] : ledger_->forecast().errors()) {
+      metrics_.set(GaugeId::kLengthForecastError, model, error);
+    }
   }
   if (gateway_front_) {
     gateway_front_->reportFigures(metrics_);
--- a/src/telemetry/metric.cpp
+++ b/src/telemetry/metric.cpp
@@ -89,6 +89,8 @@
       row(G::kOpenJobs, "tackpick_open_jobs", "jobs of which something may still run"),
       row(G::kKeptJobs, "tackpick_kept_jobs", "jobs whose results can be read"),
       row(G::kPublishedVersion, "tackpick_published_version", "newest published weights", "model"),
+      row(G::kLengthForecastError, "tackpick_length_forecast_error_ratio",
+          "mean error of the forecasts of texts' lengths, as a part of the length", "model"),
       row(H::kRequestTime, "tackpick_request_seconds",
           "callers' requests, from the last byte in to the answer"),
       row(H::kItemWait, "tackpick_item_wait_seconds",
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -57,7 +57,8 @@
   kOpenExchanges,
   kOpenJobs,
   kKeptJobs,
-  kPublishedVersion,  ///< by model
+  kPublishedVersion,     ///< by model
+  kLengthForecastError,  ///< by model
 };
 
 /// Times, in buckets.
--- /dev/null
+++ b/test/jobs/length_forecast_test.cpp
@@ -0,0 +1,134 @@
+/// Forecasts of how long texts are.
+#include "jobs/length_forecast.h"
+
+#include <criterion/criterion.h>
+
+#include <cmath>
+
+#include "base/random.h"
+#include "jobs/model_paces.h"
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+
+namespace {
+
+/// A sum of twelve uniform numbers is nearly normal.
+double gaussian(base::Random& random) {
+  double sum = -6;
+  for (int i = 0; i < 12; ++i) {
+    sum += static_cast<double>(random.next() >> 11U) / 9007199254740992.0;
+  }
+  return sum;
+}
+
+struct Text {
+  std::uint32_t estimate = 0;
+  std::uint64_t events = 0;
+};
+
+Text drawText(base::Random& random, double spread, double estimateSpread) {
+  const double length = 60 * std::exp(spread * gaussian(random));
+  const double estimate = length * std::exp(estimateSpread * gaussian(random));
+  return {static_cast<std::uint32_t>(std::max(1.0, estimate)),
+          static_cast<std::uint64_t>(std::max(1.0, length))};
+}
+
+}  // namespace
+
+Test(length_forecast, begins_with_the_callers_estimate) {
+  const jobs::LengthModel model;
+  cr_assert_float_eq(model.rest(100, 0), 113, 5, "the mean lies above the median");
+  cr_assert_eq(model.rest(0, 0), 0, "nothing is known");
+  cr_assert_eq(model.rest(0, 30), 0);
+}
+
+Test(length_forecast, text_beyond_its_estimate_is_likely_long) {
+  const jobs::LengthModel model;
+  cr_assert_lt(model.rest(100, 60), model.rest(100, 0));
+  cr_assert_gt(model.rest(100, 110), 20, "it is not nearly done");
+  cr_assert_gt(model.rest(100, 400), 50);
+  cr_assert_gt(model.rest(100, 100'000), 0);
+}
+
+Test(length_forecast, learns_that_estimates_are_in_another_unit) {
+  base::SeededRandom random(1);
+  jobs::LengthModel model;
+  for (int i = 0; i < 400; ++i) {
+    const Text text = drawText(random, 0.5, 0.1);
+    model.learn(4 * text.estimate, text.events);
+  }
+  cr_assert_float_eq(model.rest(400, 0), 100, 15);
+  cr_assert_lt(model.error(), 0.3);
+}
+
+Test(length_forecast, texts_without_an_estimate_are_as_long_as_the_others) {
+  jobs::LengthModel model;
+  for (int i = 0; i < 50; ++i) {
+    model.learn(0, 40);
+  }
+  cr_assert_float_eq(model.rest(0, 0), 40, 1);
+  cr_assert_float_eq(model.rest(0, 10), 30, 1);
+}
+
+// Seeds 1 to 10: the error of the forecast is below that of the caller's estimate.
+Test(length_forecast, errs_less_than_the_estimates) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    base::SeededRandom random(seed);
+    jobs::LengthModel model;
+    double ofEstimates = 0;
+    double ofForecasts = 0;
+    for (int i = 0; i < 2000; ++i) {
+      const Text text = drawText(random, 0.6, 0.5);
+      if (i >= 500) {
+        const auto length = static_cast<double>(text.events);
+        ofEstimates += std::pow(text.estimate - length, 2);
+        ofForecasts += std::pow(model.rest(text.estimate, 0) - length, 2);
+      }
+      model.learn(text.estimate, text.events);
+    }
+    cr_assert_lt(ofForecasts, 0.7 * ofEstimates);
+  }
+}
+
+Test(length_forecast, kinds_of_jobs_are_learnt_apart) {
+  jobs::LengthForecast forecast;
+  jobs::JobSubmission job;
+  job.model = "m";
+  job.host = "h";
+  job.items.push_back({"i", "/", {}, "", "g", 100});
+  jobs::ItemResult result{0, jobs::ItemState::kCompleted, base::PackedText("t"), {1}};
+  result.events = 300;
+  for (int i = 0; i < 100; ++i) {
+    forecast.learn(job, result);
+  }
+  cr_assert_gt(forecast.rest(job, job.items[0], 0), 200);
+  jobs::JobSubmission other = job;
+  other.model = "n";
+  cr_assert_lt(forecast.rest(other, other.items[0], 0), 150);
+  cr_assert_eq(forecast.errors().count("m"), 1U);
+}
+
+Test(length_forecast, results_of_failure_and_of_unknown_length_teach_nothing) {
+  jobs::LengthForecast forecast;
+  jobs::JobSubmission job;
+  job.items.push_back({"i", "/", {}, "", "g", 100});
+  const double before = forecast.rest(job, job.items[0], 0);
+  jobs::ItemResult failed{0, jobs::ItemState::kTerminated, {}, {}};
+  failed.events = 5;
+  forecast.learn(job, failed);
+  forecast.learn(job, {0, jobs::ItemState::kCompleted, base::PackedText("t"), {1}});
+  forecast.learn(job, {7, jobs::ItemState::kCompleted, base::PackedText("t"), {1}});
+  cr_assert_eq(forecast.rest(job, job.items[0], 0), before);
+}
+
+Test(model_paces, a_model_that_has_not_run_is_as_fast_as_the_others) {
+  jobs::ModelPaces paces;
+  const base::Duration unknown = paces.timeFor("m", 10);
+  cr_assert_gt(unknown.count(), 0);
+  paces.note("m", 50);
+  paces.note("m", -1);
+  cr_assert_eq(paces.timeFor("m", 10), base::milliseconds(500));
+  cr_assert_eq(paces.timeFor("n", 10), base::milliseconds(500));
+  cr_assert_float_eq(paces.eventsIn("m", base::seconds(1)), 20, 0.01);
+}
