--- a/bench/leases/main.cpp
+++ b/bench/leases/main.cpp
@@ -1,5 +1,7 @@
 /// \file
-/// What a gateway's call for items costs the ledgers' leader, by queued items and engines.
+/// What a gateway's call for items costs the ledgers' leader, by queued items and engines, and what
+/// a plan of the queue costs.
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <string>
@@ -14,6 +16,7 @@
 
 constexpr std::uint32_t kModels = 6;
 constexpr std::uint32_t kItemsPerJob = 200;
+constexpr std::uint32_t kTenants = 79;
 constexpr std::uint32_t kSlots = 6;
 constexpr std::uint32_t kPlacesPerGateway = 24;
 constexpr std::uint32_t kCallsPerGateway = 40;
@@ -29,6 +32,8 @@
     submit.job.id = "job" + std::to_string(number);
     submit.job.model = modelName(number);
     submit.job.minimumVersion = 1;
+    submit.job.tenant = "tenant" + std::to_string(number % kTenants);
+    submit.job.resultDeadline = base::seconds(10);
     for (std::uint32_t i = 0; i < kItemsPerJob && first + i < items; ++i) {
       submit.job.items.push_back({submit.job.id + "-" + std::to_string(i), "/", {}, "", "g", i});
     }
@@ -86,6 +91,66 @@
   return took.count() / (gateways * kCallsPerGateway);
 }
 
+struct PlanCost {
+  double mean = 0;  ///< microseconds
+  double worst = 0;
+};
+
+/// Plans one after the other, while the engines are full but for one place in a thousand:
+/// texts of some seconds free about as many between two plans.
+PlanCost measurePlans(std::uint32_t items, std::uint32_t engines, jobs::WorkOrderPolicy policy) {
+  constexpr std::uint32_t kPlans = 100;
+  constexpr std::uint32_t kFreed = 1000;
+  constexpr base::NodeId kGateway = base::makeNodeId(1, 1);
+  const std::uint32_t places = engines * (kSlots + 1);
+  const jobs::JobState state = stateWith(items + places);
+  base::TimePoint now{base::seconds(1)};
+  jobs::ItemLeases leases(base::seconds(1000), base::milliseconds(5), policy);
+  leases.reset(1, now, base::Duration{0});
+  for (const auto& [id, job] : state.jobs()) {
+    leases.addJob(id, job, now);
+  }
+  leases.setEngines(makeEngines(engines, 1));
+  leases.onAsked(kGateway, "zone0", true, now);
+  jobs::EngineRoom room;
+  for (std::uint32_t model = 0; model < kModels; ++model) {
+    room.add(modelName(model), 1, kRoom);
+  }
+  std::vector<jobs::HeldItem> held;
+  for (const jobs::GrantedItem& granted : leases.lease(kGateway, room, state, now)) {
+    held.push_back({granted.key, granted.engine});
+  }
+  PlanCost cost;
+  for (std::uint32_t plan = 0; plan < kPlans; ++plan) {
+    now += base::milliseconds(5);
+    const std::size_t freed = std::min(held.size(), std::size_t{places / kFreed} + 1);
+    held.erase(held.begin(), held.begin() + static_cast<std::ptrdiff_t>(freed));
+    leases.giveBack(kGateway, held, state);
+    const auto begun = std::chrono::steady_clock::now();
+    const auto granted = leases.lease(kGateway, room, state, now);
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begun;
+    cost.mean += took.count() / kPlans;
+    cost.worst = std::max(cost.worst, took.count());
+    for (const jobs::GrantedItem& item : granted) {
+      held.push_back({item.key, item.engine});
+    }
+  }
+  return cost;
+}
+
+void printPlans(const char* name, jobs::WorkOrderPolicy policy) {
+  std::printf("\nmicroseconds a plan, %s: mean (worst)\n%8s %18s %18s %18s\n", name, "items", "100",
+              "1000", "10000");
+  for (const std::uint32_t items : {1000U, 10000U}) {
+    std::printf("%8u", items);
+    for (const std::uint32_t engines : {100U, 1000U, 10000U}) {
+      const PlanCost cost = measurePlans(items, engines, policy);
+      std::printf(" %8.0f (%7.0f)", cost.mean, cost.worst);
+    }
+    std::printf("\n");
+  }
+}
+
 }  // namespace
 
 int main() {
@@ -95,5 +160,7 @@
     std::printf("%8u %8.1f %8.1f %8.1f\n", items, measure(items, 30), measure(items, 300),
                 measure(items, 3000));
   }
+  printPlans("oldest first", jobs::WorkOrderPolicy::kOldestFirst);
+  printPlans("by slack", jobs::WorkOrderPolicy::kBySlack);
   return 0;
 }
--- a/src/jobs/estimate_calibration.cpp
+++ b/src/jobs/estimate_calibration.cpp
@@ -7,7 +7,8 @@
 
 /// What one more observation leaves of the weight of the earlier ones: a few jobs are remembered.
 constexpr double kRetained = 1.0 - 1.0 / 512;
-/// Before anything is learnt estimates are taken as they are; so many observations count as much.
+/// Lengths are taken to be proportional to estimates until observations of this weight and variance
+/// say otherwise.
 constexpr double kPriorWeight = 8.0;
 constexpr double kPriorVariance = 0.25;
 
@@ -16,10 +17,7 @@
 double EstimateCalibration::predict(double estimate) const {
   constexpr double kPrior = kPriorWeight * kPriorVariance;
   const double slope = (m_covariance + kPrior) / (m_variance + kPrior);
-  const double trust = m_weight / (m_weight + kPriorWeight);
-  const double offset = trust * (m_meanLength - m_meanEstimate);
-  const double distance = std::log(estimate) - m_meanEstimate;
-  return m_weight > 0 ? std::exp(m_meanEstimate + offset + slope * distance) : estimate;
+  return std::exp(m_meanLength + slope * (std::log(estimate) - m_meanEstimate));
 }
 
 void EstimateCalibration::observe(double estimate, double length) {
--- a/src/jobs/estimate_calibration.h
+++ b/src/jobs/estimate_calibration.h
@@ -9,7 +9,9 @@
 /// Deterministic.
 class EstimateCalibration {
  public:
-  /// The length at the median of what was estimated as `estimate` > 0.
+  /// Nothing was observed: the unit of the estimates is not known.
+  [[nodiscard]] bool empty() const { return m_weight <= 0; }
+  /// The length at the median of what was estimated as `estimate` > 0. Not while empty().
   [[nodiscard]] double predict(double estimate) const;
   /// Both > 0.
   void observe(double estimate, double length);
--- a/src/jobs/item_leases_plan.cpp
+++ b/src/jobs/item_leases_plan.cpp
@@ -45,6 +45,7 @@
 std::vector<ItemLeases::JobPlan> ItemLeases::queuedJobs(const JobState& state,
                                                         base::TimePoint now) {
   std::vector<JobPlan> jobs;
+  jobs.reserve(queue_.jobs().size());
   for (QueuedJob& queued : queue_.jobs()) {
     const Job& job = *state.find(queued.id);
     const auto order = m_itemOrders.find(queued.id);
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -295,6 +295,9 @@
   std::stable_sort(jobs.begin(), jobs.end(), [](const auto& left, const auto& right) {
     return left.second->submittedAt < right.second->submittedAt;
   });
+  if (!submittedHere) {
+    learnFromResults();
+  }
   for (const auto& [id, job] : jobs) {
     if (leases_.addJob(*id, *job, m_firstSeen.at(*id)) && submittedHere) {
       gathering_.addJob(*id, *job, leases_.groupsThatComeAgain(*id));
@@ -302,6 +305,15 @@
   }
 }
 
+void JobRole::learnFromResults() {
+  leases_.forecast().clear();
+  for (const auto& [id, job] : state_.jobs()) {
+    for (const ItemResult& result : job.results) {
+      leases_.forecast().learn(job.submission, result);
+    }
+  }
+}
+
 void JobRole::observeLeadership(base::TimePoint now) {
   const consensus::RaftConsensus& raft = replica_.raft();
   if (raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm())) {
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -112,6 +112,8 @@
   void observeLeadership(base::TimePoint now);
   /// Notes when jobs come, also where another leads: their ages outlast a change of leader.
   void observeJobs(base::TimePoint now);
+  /// What a leader knows of lengths at its beginning.
+  void learnFromResults();
   /// Hands jobs that are new to this leader to the leases.
   void takeUpJobs(base::TimePoint now);
   void answerReads(base::TimePoint now);
--- a/src/jobs/length_forecast.cpp
+++ b/src/jobs/length_forecast.cpp
@@ -6,7 +6,7 @@
 namespace tackpick::jobs {
 namespace {
 
-// Before anything is learnt an estimate is taken to be right at the median, and rough.
+// Before more is learnt a calibrated estimate is taken to be right at the median, and rough.
 constexpr double kPriorMedian = 1.0;
 constexpr double kPriorSpread = 0.5;
 constexpr double kPriorWeight = 8.0;
@@ -22,7 +22,7 @@
 
 double LengthModel::rest(std::uint32_t estimate, std::uint64_t soFar) const {
   const auto length = static_cast<double>(soFar);
-  if (estimate > 0) {
+  if (estimate > 0 && !m_calibration.empty()) {
     const double expected = m_calibration.predict(estimate);
     return expected * m_ratios.meanBeyond(length / expected) - length;
   }
@@ -41,7 +41,9 @@
     m_hasError = true;
   }
   if (estimate > 0) {
-    m_ratios.observe(length / m_calibration.predict(estimate));
+    if (!m_calibration.empty()) {
+      m_ratios.observe(length / m_calibration.predict(estimate));
+    }
     m_calibration.observe(estimate, length);
   } else {
     m_lengths.observe(length);
--- a/src/jobs/length_forecast.h
+++ b/src/jobs/length_forecast.h
@@ -21,7 +21,7 @@
   /// text, by the caller; zero: none. A text that exceeds its estimate is likely a long one: the
   /// forecast is the mean of the lengths that are still possible.
   [[nodiscard]] double rest(std::uint32_t estimate, std::uint64_t soFar) const;
-  /// A text was whole after `events`.
+  /// A text was whole after `events`. The unit of the estimates is known from the first on.
   void learn(std::uint32_t estimate, std::uint64_t events);
   /// Moving average of the forecasts' errors at the start of a text, as a part of its length.
   [[nodiscard]] double error() const { return m_error; }
@@ -43,6 +43,7 @@
   [[nodiscard]] const LengthModel& modelFor(const JobSubmission& job);
   /// Events still expected of an item that has `soFar`; zero: unknown.
   [[nodiscard]] double rest(const JobSubmission& job, const Item& item, std::uint64_t soFar) const;
+  void clear() { m_models.clear(); }
   /// An item of `job` was completed.
   void learn(const JobSubmission& job, const ItemResult& result);
   /// Errors by model of weights; of several hosts the greatest counts.
--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -31,6 +31,14 @@
     run(base::seconds(3));
   }
 
+  /// The process starts again, on the same disk.
+  void restart() {
+    role.reset();
+    role =
+        std::make_unique<jobs::JobRole>(kSelf, kGroup, jobs::JobRoleSettings{}, *log, random, now);
+    run(base::seconds(3));
+  }
+
   void run(base::Duration time) {
     for (const base::TimePoint end = now + time; now < end; now += base::milliseconds(10)) {
       role->tick(now);
@@ -149,3 +157,62 @@
   }
   cr_assert_fail("nothing was leased");
 }
+
+Test(job_role, items_go_by_the_priority_of_their_tenant) {
+  LoneLedger ledger;
+  for (const char* tenant : {"a", "b"}) {
+    jobs::SubmitJob submit = submission(tenant);
+    submit.job.id = tenant;
+    submit.job.items.resize(4, submit.job.items[0]);
+    (void)ledger.ask(submit);
+  }
+  ledger.role->setTenantPriorities(jobs::TenantPriorities({{"a", {}, 2}, {"b", {}, 1}}));
+  ledger.role->setEngines({{"e", 2, {{"", 1}}, "z"}});
+  jobs::LeaseItems lease;
+  lease.wanted.add("", 1, 4);
+  lease.zone = "z";
+  std::vector<jobs::LeasedItem> leased;
+  for (int tries = 0; tries < 10 && leased.empty(); ++tries) {
+    leased = ledger.ask(lease).leased;
+  }
+  cr_assert_eq(leased.size(), 2U);
+  cr_assert_eq(leased[0].tenant, "b");
+  cr_assert_eq(leased[1].tenant, "b");
+  const jobs::WorkSight sight = *ledger.role->workSight(ledger.now);
+  cr_assert_eq(sight.jobs.size(), 2U);
+  cr_assert_eq(sight.jobs[0].tenant, "a");
+  cr_assert_eq(sight.jobs[0].priority, 2U);
+  cr_assert_eq(sight.jobs[1].running, 2U);
+}
+
+Test(job_role, lengths_and_paces_are_learnt_and_tell_the_slack) {
+  LoneLedger ledger;
+  jobs::SubmitJob submit = submission("a");
+  submit.job.resultDeadline = base::seconds(60);
+  submit.job.items.resize(40, submit.job.items[0]);
+  for (std::size_t i = 0; i < submit.job.items.size(); ++i) {
+    submit.job.items[i].id = "i" + std::to_string(i);
+    submit.job.items[i].expectedTokens = 100;
+  }
+  (void)ledger.ask(submit);
+  const auto slack = [&] { return ledger.role->openWork(ledger.now)->at("").front().slack; };
+  const base::Duration before = slack();
+  jobs::JobResults results{"j", {}};
+  for (std::uint32_t item = 0; item < 30; ++item) {
+    results.results.push_back({item, jobs::ItemState::kCompleted, base::PackedText("t"), {1}});
+    results.results.back().events = 400;
+  }
+  (void)ledger.ask(jobs::CommitResults{{results}});
+  cr_assert_lt(slack(), before - base::seconds(3));
+  cr_assert_gt(ledger.role->forecast().errors().at(""), 0);
+  // An engine that makes an event each 100 ms runs an item.
+  jobs::LeaseItems lease;
+  lease.held = {{{"j", 35}, "e"}};
+  lease.paces = {{"e", 100}};
+  const base::Duration atDefault = slack();
+  (void)ledger.ask(lease);
+  cr_assert_lt(slack(), atDefault - base::seconds(10));
+  // A leader that has seen none of the texts learns from the results that are kept.
+  ledger.restart();
+  cr_assert_lt(slack(), before - base::seconds(3));
+}
--- a/test/jobs/lease_order_test.cpp
+++ b/test/jobs/lease_order_test.cpp
@@ -36,6 +36,13 @@
     return submission;
   }
 
+  /// Estimates of a model count events.
+  void learn(const std::string& model) {
+    jobs::ItemResult result{0, jobs::ItemState::kCompleted, base::PackedText("t"), {1}};
+    result.events = 50;
+    leases.forecast().learn(draft("x", "t", model, {50}), result);
+  }
+
   void submit() {
     apply(jobs::SubmitJob{submission});
     leases.addJob(submission.id, *state.find(submission.id), now);
@@ -133,6 +140,8 @@
   ledger.setEngines(2);
   ledger.leases.paces().note("m", 40);
   ledger.leases.paces().note("n", 40);
+  ledger.learn("m");
+  ledger.learn("n");
   ledger.draft("relaxed", "t", "m", {40, 30, 20, 10});
   ledger.submit();
   ledger.draft("tight", "t", "n", {150, 10});
