The order's shares are flat; plans are measured with many gateways

Cause: each plan copied and rebuilt maps of all waiting jobs. The bench's plan gave back from one gateway that held all items, so that it measured the allocator after that.

Change: MinimumShares keeps a sorted vector; SlackOrder knows who waits by a plan's number.

Tests: test_jobs pass.

--- a/bench/leases/main.cpp
+++ b/bench/leases/main.cpp
@@ -53,6 +53,14 @@
   return engines;
 }
 
+jobs::EngineRoom roomFor(std::uint32_t placesOfEachModel) {
+  jobs::EngineRoom room;
+  for (std::uint32_t model = 0; model < kModels; ++model) {
+    room.add(modelName(model), 1, placesOfEachModel);
+  }
+  return room;
+}
+
 /// Mean microseconds of a call in which a gateway renews what it holds and asks for more; before
 /// each its oldest item is done, so that a place has become free.
 double measure(std::uint32_t items, std::uint32_t engines) {
@@ -66,10 +74,7 @@
   }
   leases.setEngines(makeEngines(engines, kZones));
   const std::uint32_t gateways = std::max(kZones, engines * kSlots / kPlacesPerGateway);
-  jobs::EngineRoom room;
-  for (std::uint32_t model = 0; model < kModels; ++model) {
-    room.add(modelName(model), 1, kRoom);
-  }
+  const jobs::EngineRoom room = roomFor(kRoom);
   std::vector<std::vector<jobs::HeldItem>> held(gateways);
   const auto begun = std::chrono::steady_clock::now();
   for (std::uint32_t call = 0; call < gateways * kCallsPerGateway; ++call) {
@@ -96,13 +101,13 @@
   double worst = 0;
 };
 
-/// Plans one after the other, while the engines are full but for one place in a thousand:
-/// texts of some seconds free about as many between two plans.
+/// Plans one after the other, while the engines are full but for what one gateway in a hundred gave
+/// back.
 PlanCost measurePlans(std::uint32_t items, std::uint32_t engines, jobs::WorkOrderPolicy policy) {
   constexpr std::uint32_t kPlans = 100;
-  constexpr std::uint32_t kFreed = 1000;
-  constexpr base::NodeId kGateway = base::makeNodeId(1, 1);
+  constexpr std::uint32_t kGivingBack = 100;
   const std::uint32_t places = engines * (kSlots + 1);
+  const std::uint32_t gateways = places / kPlacesPerGateway;
   const jobs::JobState state = stateWith(items + places);
   base::TimePoint now{base::seconds(1)};
   jobs::ItemLeases leases(base::seconds(1000), base::milliseconds(5), policy);
@@ -111,28 +116,27 @@
     leases.addJob(id, job, now);
   }
   leases.setEngines(makeEngines(engines, 1));
-  leases.onAsked(kGateway, "zone0", true, now);
-  jobs::EngineRoom room;
-  for (std::uint32_t model = 0; model < kModels; ++model) {
-    room.add(modelName(model), 1, kRoom);
-  }
-  std::vector<jobs::HeldItem> held;
-  for (const jobs::GrantedItem& granted : leases.lease(kGateway, room, state, now)) {
-    held.push_back({granted.key, granted.engine});
+  const jobs::EngineRoom room = roomFor(kPlacesPerGateway / kModels);
+  for (std::uint32_t number = 1; number <= gateways; ++number) {
+    leases.onAsked(base::makeNodeId(number, 1), "zone0", true, now);
+    (void)leases.lease(base::makeNodeId(number, 1), room, state, now);
   }
   PlanCost cost;
+  std::uint32_t next = 0;
   for (std::uint32_t plan = 0; plan < kPlans; ++plan) {
     now += base::milliseconds(5);
-    const std::size_t freed = std::min(held.size(), std::size_t{places / kFreed} + 1);
-    held.erase(held.begin(), held.begin() + static_cast<std::ptrdiff_t>(freed));
-    leases.giveBack(kGateway, held, state);
+    std::vector<base::NodeId> free;
+    for (std::uint32_t i = 0; i <= gateways / kGivingBack; ++i) {
+      free.push_back(base::makeNodeId(next++ % gateways + 1, 1));
+      leases.giveBack(free.back(), {}, state);
+    }
     const auto begun = std::chrono::steady_clock::now();
-    const auto granted = leases.lease(kGateway, room, state, now);
+    (void)leases.lease(free.front(), room, state, now);
     const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begun;
     cost.mean += took.count() / kPlans;
     cost.worst = std::max(cost.worst, took.count());
-    for (const jobs::GrantedItem& item : granted) {
-      held.push_back({item.key, item.engine});
+    for (const base::NodeId gateway : free) {
+      (void)leases.lease(gateway, room, state, now);
     }
   }
   return cost;
--- a/src/jobs/minimum_shares.h
+++ b/src/jobs/minimum_shares.h
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace tackpick::jobs {
 
@@ -21,12 +21,19 @@
 
   /// `key` waits from now on.
   void enter(const Key& key) {
-    if (m_due.try_emplace(key, m_clock + 1).second) {
+    const auto place = find(key);
+    if (place == m_due.end() || place->first != key) {
+      m_due.emplace(place, key, m_clock + 1);
       m_earliest = std::min(m_earliest, m_clock + 1);
     }
   }
   /// `key` waits no more: what it was owed is void.
-  void leave(const Key& key) { m_due.erase(key); }
+  void leave(const Key& key) {
+    const auto found = find(key);
+    if (found != m_due.end() && found->first == key) {
+      m_due.erase(found);
+    }
+  }
   /// Those for whom `waits(key)` is false leave.
   template <class Predicate>
   void keepOnly(Predicate waits) {
@@ -37,8 +44,8 @@
     if (m_due.empty()) {
       return;
     }
-    const auto found = m_due.find(key);
-    if (found != m_due.end()) {
+    const auto found = find(key);
+    if (found != m_due.end() && found->first == key) {
       const double due = std::max(found->second, m_clock + 1 - kMostOwed);
       found->second = std::min(m_clock, due) + 1;
     }
@@ -57,13 +64,22 @@
   }
 
  private:
+  /// Who waits, and the clock at which the next item is owed.
+  using Dues = std::vector<std::pair<Key, double>>;
+
+  /// Where `key` stands, or would.
+  [[nodiscard]] typename Dues::iterator find(const Key& key) {
+    return std::lower_bound(
+        m_due.begin(), m_due.end(), key,
+        [](const auto& entry, const Key& other) { return entry.first < other; });
+  }
+
   /// Items.
   static constexpr double kMostOwed = 8.0;
 
   double m_fraction;
   double m_clock = 0;  ///< items that each was owed since the beginning
-  /// Clock at which the next item is owed.
-  std::map<Key, double> m_due;
+  Dues m_due;          ///< sorted: a plan copies it, which is cheap
   /// No entry of `m_due` is below it; due times only rise.
   double m_earliest = std::numeric_limits<double>::max();
 };
--- a/src/jobs/slack_order.cpp
+++ b/src/jobs/slack_order.cpp
@@ -1,8 +1,23 @@
 #include "jobs/slack_order.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tackpick::jobs {
+namespace {
+
+template <class Key>
+void sortUnique(std::vector<Key>& keys) {
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+}
+
+template <class Key>
+bool contains(const std::vector<Key>& sorted, const Key& key) {
+  return std::binary_search(sorted.begin(), sorted.end(), key);
+}
+
+}  // namespace
 
 MinimumShares<SlackOrder::Id>& SlackOrder::Shares::tenantsOf(std::uint32_t priority) {
   return m_tenants.try_emplace(priority, kTenantShare).first->second;
@@ -24,49 +39,63 @@
   jobsOf(owner.tenant).charge(owner.job);
 }
 
-void SlackOrder::Shares::keepOnly(const std::map<std::string, Owner>& waiting) {
-  std::set<std::uint32_t> priorities;
-  std::set<TenantKey> tenants;
-  std::set<Id> jobs;
-  for (const auto& [id, owner] : waiting) {
-    priorities.insert(owner.tenant.first);
-    tenants.insert(owner.tenant);
-    jobs.insert(owner.job);
+void SlackOrder::Shares::keepOnly(const std::vector<Entry>& waiting) {
+  std::vector<std::uint32_t> priorities;
+  std::vector<TenantKey> tenants;
+  std::vector<Id> jobs;
+  for (const Entry& entry : waiting) {
+    priorities.push_back(entry.owner.tenant.first);
+    tenants.push_back(entry.owner.tenant);
+    jobs.push_back(entry.owner.job);
   }
-  m_priorities.keepOnly([&](std::uint32_t priority) { return priorities.contains(priority); });
-  std::erase_if(m_tenants, [&](const auto& entry) { return !priorities.contains(entry.first); });
+  sortUnique(priorities);
+  sortUnique(tenants);
+  sortUnique(jobs);
+  m_priorities.keepOnly([&](std::uint32_t priority) { return contains(priorities, priority); });
+  std::erase_if(m_tenants, [&](const auto& entry) { return !contains(priorities, entry.first); });
   for (auto& [priority, shares] : m_tenants) {
-    shares.keepOnly([&, level = priority](Id tenant) { return tenants.contains({level, tenant}); });
+    shares.keepOnly([&, level = priority](Id tenant) {
+      return contains(tenants, TenantKey{level, tenant});
+    });
   }
-  std::erase_if(m_jobs, [&](const auto& entry) { return !tenants.contains(entry.first); });
+  std::erase_if(m_jobs, [&](const auto& entry) { return !contains(tenants, entry.first); });
   for (auto& [tenant, shares] : m_jobs) {
-    shares.keepOnly([&](Id job) { return jobs.contains(job); });
+    shares.keepOnly([&](Id job) { return contains(jobs, job); });
   }
 }
 
 SlackOrder::Owner SlackOrder::ownerOf(const QueuedWork& work) {
   const auto [tenant, newTenant] = m_tenantIds.try_emplace(work.tenant, m_lastId + 1);
   m_lastId += newTenant ? 1 : 0;
-  const auto known = m_waiting.find(work.job);
-  const Id job = known == m_waiting.end() ? ++m_lastId : known->second.job;
-  return {{work.priority, tenant->second}, job};
+  const auto [known, added] = m_waiting.try_emplace(work.job);
+  if (added) {
+    known->second.owner.job = ++m_lastId;
+  }
+  known->second.owner.tenant = {work.priority, tenant->second};
+  known->second.plan = m_plan;
+  return known->second.owner;
+}
+
+std::size_t SlackOrder::positionOf(Id job) const {
+  return std::lower_bound(m_positions.begin(), m_positions.end(), std::pair(job, std::size_t{0}))
+      ->second;
 }
 
 void SlackOrder::begin(const std::vector<QueuedWork>& work) {
+  ++m_plan;
   m_entries.clear();
   m_byPriority.clear();
   m_byTenant.clear();
   m_positions.clear();
-  std::map<std::string, Owner> waiting;
   for (const QueuedWork& queued : work) {
     const Owner owner = ownerOf(queued);
-    waiting.emplace(queued.job, owner);
-    m_positions.emplace(owner.job, m_entries.size());
+    m_positions.emplace_back(owner.job, m_entries.size());
     m_entries.push_back({owner, queued.urgency});
     rank(m_entries.size() - 1);
   }
-  m_waiting = std::move(waiting);
-  m_leased.keepOnly(m_waiting);
+  std::sort(m_positions.begin(), m_positions.end());
+  std::erase_if(m_waiting, [&](const auto& job) { return job.second.plan != m_plan; });
+  m_leased.keepOnly(m_entries);
   for (const Entry& entry : m_entries) {
     m_leased.enter(entry.owner);
   }
@@ -104,7 +133,7 @@
 
 std::size_t SlackOrder::nextOfTenant(TenantKey tenant, std::size_t preferred) {
   const auto owed = m_planned.jobsOf(tenant).owed();
-  return owed ? m_positions.at(*owed) : preferred;
+  return owed ? positionOf(*owed) : preferred;
 }
 
 void SlackOrder::onPlanned(std::size_t job, const Urgency& urgency) {
@@ -134,7 +163,7 @@
 void SlackOrder::onLeased(const std::string& job) {
   const auto waiting = m_waiting.find(job);
   if (waiting != m_waiting.end()) {
-    m_leased.charge(waiting->second);
+    m_leased.charge(waiting->second.owner);
   }
 }
 
--- a/src/jobs/slack_order.h
+++ b/src/jobs/slack_order.h
@@ -45,7 +45,8 @@
   /// What the priorities, their tenants and the tenants' jobs are owed.
   class Shares {
    public:
-    void keepOnly(const std::map<std::string, Owner>& waiting);
+    /// Those who do not wait any more leave.
+    void keepOnly(const std::vector<Entry>& waiting);
     void enter(const Owner& owner);
     void leaveJob(const Owner& owner) { jobsOf(owner.tenant).leave(owner.job); }
     void leaveTenant(TenantKey tenant) { tenantsOf(tenant.first).leave(tenant.second); }
@@ -66,7 +67,14 @@
     std::map<TenantKey, MinimumShares<Id>> m_jobs;
   };
 
+  /// Of a job that waits or waited at the plan before.
+  struct Known {
+    Owner owner;
+    std::uint64_t plan = 0;  ///< the last in which it waited
+  };
+
   [[nodiscard]] Owner ownerOf(const QueuedWork& work);
+  [[nodiscard]] std::size_t positionOf(Id job) const;
   void rank(std::size_t job);
   void unrank(std::size_t job);
   [[nodiscard]] std::size_t nextOfPriority(std::uint32_t priority);
@@ -74,14 +82,15 @@
 
   Id m_lastId = 0;
   std::map<std::string, Id> m_tenantIds;
-  std::map<std::string, Owner> m_waiting;  ///< by job
+  std::uint64_t m_plan = 0;                ///< counts begin()
+  std::map<std::string, Known> m_waiting;  ///< by job
   Shares m_leased;                         ///< by what was leased
   // Of the plan under way.
   Shares m_planned;  ///< by what was leased and planned
   std::vector<Entry> m_entries;
   std::map<std::uint32_t, Ranks> m_byPriority;
   std::map<TenantKey, Ranks> m_byTenant;
-  std::map<Id, std::size_t> m_positions;  ///< by job
+  std::vector<std::pair<Id, std::size_t>> m_positions;  ///< by job, sorted
 };
 
 }  // namespace tackpick::jobs
