--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -195,6 +195,11 @@
   return engine.load >= engine.told.slots + engine.told.slots / kPlacesPerWaiting;
 }
 
+double EnginePlacement::paceOf(const std::string& engine) const {
+  const auto found = m_engines.find(engine);
+  return found == m_engines.end() ? 0 : found->second.paceMs;
+}
+
 std::string EnginePlacement::zoneOf(const std::string& engine) const {
   const auto found = m_engines.find(engine);
   return found == m_engines.end() ? std::string() : found->second.told.zone;
--- a/src/jobs/engine_placement.h
+++ b/src/jobs/engine_placement.h
@@ -71,6 +71,8 @@
   [[nodiscard]] bool knowsEngines() const { return m_taking > 0; }
   /// Engines that placing looks at.
   [[nodiscard]] std::size_t engineCount() const { return m_inUse.size(); }
+  /// Milliseconds between two events that are expected of a known engine; else zero.
+  [[nodiscard]] double paceOf(const std::string& engine) const;
   /// The zone of a known engine; else empty.
   [[nodiscard]] std::string zoneOf(const std::string& engine) const;
   /// Places at all engines that take items and are not in reserve, by zone.
--- a/src/telemetry/metric.cpp
+++ b/src/telemetry/metric.cpp
@@ -98,6 +98,8 @@
       row(G::kEnginesLoading, "tackpick_engines_loading",
           "engines that were ordered to load and have not reported it; the leader's"),
       row(G::kLoadBudget, "tackpick_load_budget", "engines that may load at once; the leader's"),
+      row(G::kLengthForecastError, "tackpick_length_forecast_error_ratio",
+          "mean error of the forecasts of texts' lengths, as a part of the length", "model"),
       row(H::kRequestTime, "tackpick_request_seconds",
           "callers' requests, from the last byte in to the answer"),
       row(H::kItemWait, "tackpick_item_wait_seconds",
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -63,6 +63,7 @@
   kPlacesNeeded,      ///< by model
   kEnginesLoading,
   kLoadBudget,
+  kLengthForecastError,  ///< by model
 };
 
 /// Times, in buckets.
