Gateways run items by their size; slow ones get less

Change: ClusterSettings::limits (processor share and speed, memory, descriptors, link; each optional and checked), GatewayCapacity in LeaseItems, placesOf() between 6 and 48 places, GatewayRoster by size with SlowWatch, and a limit of two items a place in ItemLeases::lease(). Gateways of one size, or that tell none, are chosen as before and get no limit.

--- a/src/config/cluster_settings.cpp
+++ b/src/config/cluster_settings.cpp
@@ -139,6 +139,7 @@
   }
   settings.concurrentLoads = static_cast<std::uint32_t>(
       reader.integer("concurrent_weight_loads", settings.concurrentLoads, 1, kMostMachines));
+  settings.limits = readProcessLimits(reader);
   reader.finish();
   if (!problems.empty()) {
     return base::fail(base::ErrorCode::kInvalidInput, problems.text());
--- a/src/config/cluster_settings.h
+++ b/src/config/cluster_settings.h
@@ -8,6 +8,7 @@
 
 #include "base/error.h"
 #include "base/time.h"
+#include "config/process_limits.h"
 #include "config/process_settings.h"
 #include "directory/directory_messages.h"
 #include "transport/peer_network.h"
@@ -42,6 +43,7 @@
   base::Duration usageWindow{0};                  ///< of usage reports; zero: none are wanted
   base::Duration usageDelay = base::seconds(10);  ///< a report is due so long after its window
   std::uint32_t concurrentLoads = 2;              ///< engines that change weights at once
+  ProcessLimits limits;                           ///< of the process's machine
 };
 
 /// True when the file's `formation` is `self`.
--- /dev/null
+++ b/src/jobs/gateway_capacity.cpp
@@ -0,0 +1,64 @@
+#include "jobs/gateway_capacity.h"
+
+#include <algorithm>
+#include <initializer_list>
+
+namespace tackpick::jobs {
+namespace {
+
+/// The rest is for callers' own requests, and for bursts.
+constexpr double kProcessorForItems = 0.5;
+constexpr double kLinkForItems = 0.5;
+constexpr double kMemoryForItems = 0.25;
+constexpr double kDescriptorsForItems = 0.25;
+
+/// Half a millisecond for an item that runs for half a second, and a tenth of one for each of some
+/// 20 events a second.
+constexpr double kCoresPerPlace = 0.003;
+/// 20 events of 2 KB a second, in and out again to the ledgers.
+constexpr double kMbpsPerPlace = 0.64;
+/// The request, the text and the buffers of its connections.
+constexpr double kMegabytesPerPlace = 0.25;
+/// A kept connection may wait beside the one in use.
+constexpr double kDescriptorsPerPlace = 2;
+
+constexpr double kMostCores = 1024;
+constexpr double kMostMemoryMb = 1e8;
+constexpr double kMostDescriptors = 1e9;
+constexpr double kMostMbps = 1e7;
+constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
+
+std::optional<double> places(double told, double most, double share, double perPlace) {
+  const bool known = told > 0 && told <= most;  // false for what is no number, too
+  return known ? std::optional(told * share / perPlace) : std::nullopt;
+}
+
+bool textsFillMemory(const GatewayCapacity& capacity) {
+  const double bytes = capacity.memoryMb * kMemoryForItems * kBytesPerMegabyte;
+  return bytes > 0 && static_cast<double>(capacity.heldTextBytes) > bytes;
+}
+
+}  // namespace
+
+std::optional<std::uint32_t> placesOf(const GatewayCapacity& capacity) {
+  std::optional<double> fewest;
+  for (const std::optional<double>& bound :
+       {places(capacity.processorCores, kMostCores, kProcessorForItems, kCoresPerPlace),
+        places(capacity.memoryMb, kMostMemoryMb, kMemoryForItems, kMegabytesPerPlace),
+        places(capacity.fileDescriptors, kMostDescriptors, kDescriptorsForItems,
+               kDescriptorsPerPlace),
+        places(capacity.linkMbps, kMostMbps, kLinkForItems, kMbpsPerPlace)}) {
+    if (bound) {
+      fewest = std::min(fewest.value_or(*bound), *bound);
+    }
+  }
+  if (!fewest) {
+    return std::nullopt;
+  }
+  if (textsFillMemory(capacity)) {
+    return kFewestPlaces;
+  }
+  return static_cast<std::uint32_t>(std::clamp<double>(*fewest, kFewestPlaces, kMostPlaces));
+}
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/gateway_capacity.h
@@ -0,0 +1,36 @@
+/// \file
+/// How many places at engines a gateway can serve.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "base/serialization.h"
+#include "base/time.h"
+
+namespace tackpick::jobs {
+
+/// What a gateway has, and how it fares, as it tells the ledgers' leader. Zero: unknown.
+struct GatewayCapacity {
+  double processorCores = 0;
+  std::uint32_t memoryMb = 0;
+  std::uint32_t fileDescriptors = 0;
+  double linkMbps = 0;
+  std::uint64_t heldTextBytes = 0;  ///< of the items that it runs
+  base::Duration tickLateness{0};   ///< how late its event loop ticks
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(processorCores, memoryMb, fileDescriptors, linkMbps, heldTextBytes, tickLateness);
+  }
+};
+
+/// Bounds of what placesOf() says.
+inline constexpr std::uint32_t kFewestPlaces = 6;
+inline constexpr std::uint32_t kMostPlaces = 48;
+
+/// Places at engines that a gateway of that capacity can serve; nothing when it tells none of what
+/// bounds them. Values that no machine has count as unknown.
+[[nodiscard]] std::optional<std::uint32_t> placesOf(const GatewayCapacity& capacity);
+
+}  // namespace tackpick::jobs
--- a/src/jobs/gateway_roster.cpp
+++ b/src/jobs/gateway_roster.cpp
@@ -1,9 +1,14 @@
 #include "jobs/gateway_roster.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tackpick::jobs {
 
+bool GatewayRoster::Rank::operator<(const Rank& other) const {
+  return std::tuple(slow, other.size, gateway) < std::tuple(other.slow, size, other.gateway);
+}
+
 void GatewayRoster::setPlaces(const std::map<std::string, std::uint32_t>& placesByZone) {
   for (const auto& [name, places] : placesByZone) {
     Zone& zone = m_zones[name];
@@ -13,31 +18,94 @@
 }
 
 void GatewayRoster::note(base::NodeId gateway, const std::string& zone, bool takesItems,
-                         base::TimePoint now) {
+                         base::TimePoint now, const GatewayCapacity& capacity) {
   Zone& home = m_zones[zone];
   if (!takesItems) {
-    home.outdated = home.gateways.erase(gateway) > 0 || home.outdated;
+    const auto known = home.gateways.find(gateway);
+    if (known != home.gateways.end()) {
+      erase(home, known);
+    }
     return;
   }
   const auto [known, added] = home.gateways.try_emplace(gateway);
-  home.outdated = home.outdated || added || !isSound(known->second, now);
-  known->second.askedAt = now;
-  known->second.active = isActive(gateway, home, now);
+  Gateway& asking = known->second;
+  home.outdated = home.outdated || added || !isSound(asking, now);
+  if (!added) {
+    unrank(home, gateway, asking);
+  }
+  measure(home, asking, capacity, now);
+  rank(home, gateway, asking);
+  asking.askedAt = now;
+  asking.active = isActive(gateway, home, now);
+}
+
+void GatewayRoster::measure(Zone& zone, Gateway& gateway, const GatewayCapacity& capacity,
+                            base::TimePoint now) const {
+  const std::uint32_t size = jobs::placesOf(capacity).value_or(m_settings.placesPerGateway);
+  const bool wasSlow = gateway.slow.isSlow();
+  const bool first = gateway.askedAt == base::TimePoint{};
+  gateway.lateness = capacity.tickLateness;
+  if (gateway.active && !first) {
+    gateway.lateness = std::max(gateway.lateness, now - gateway.askedAt - m_settings.usualInterval);
+  }
+  findUsualLateness(zone, now);
+  gateway.slow.note(gateway.lateness, zone.usualLateness, now);
+  zone.outdated = zone.outdated || size != gateway.size || wasSlow != gateway.slow.isSlow();
+  gateway.size = size;
+}
+
+void GatewayRoster::findUsualLateness(Zone& zone, base::TimePoint now) {
+  constexpr base::Duration kInterval = base::milliseconds(500);
+  if (now - zone.latenessFoundAt < kInterval) {
+    return;
+  }
+  zone.latenessFoundAt = now;
+  std::vector<base::Duration> running;
+  for (const auto& [node, gateway] : zone.gateways) {
+    if (gateway.active) {
+      running.push_back(gateway.lateness);
+    }
+  }
+  if (running.empty()) {
+    return;
+  }
+  const auto middle = running.begin() + static_cast<std::ptrdiff_t>((running.size() - 1) / 2);
+  std::nth_element(running.begin(), middle, running.end());
+  zone.usualLateness = *middle;
+}
+
+void GatewayRoster::rank(Zone& zone, base::NodeId node, const Gateway& gateway) {
+  zone.ranked.insert({gateway.slow.isSlow(), gateway.size, node});
+  ++zone.sizes[gateway.size];
+}
+
+void GatewayRoster::unrank(Zone& zone, base::NodeId node, const Gateway& gateway) {
+  zone.ranked.erase({gateway.slow.isSlow(), gateway.size, node});
+  const auto size = zone.sizes.find(gateway.size);
+  if (--size->second == 0) {
+    zone.sizes.erase(size);
+  }
+}
+
+void GatewayRoster::erase(Zone& zone, std::map<base::NodeId, Gateway>::iterator gateway) {
+  unrank(zone, gateway->first, gateway->second);
+  zone.gateways.erase(gateway);
+  zone.outdated = true;
 }
 
 void GatewayRoster::forget(std::uint32_t gatewayNumber) {
   for (auto& [name, zone] : m_zones) {
-    const std::size_t forgotten = std::erase_if(zone.gateways, [&](const auto& entry) {
-      return base::nodeNumber(entry.first) == gatewayNumber;
-    });
-    zone.outdated = zone.outdated || forgotten > 0;
+    auto known = zone.gateways.lower_bound(base::makeNodeId(gatewayNumber, 0));
+    while (known != zone.gateways.end() && base::nodeNumber(known->first) == gatewayNumber) {
+      erase(zone, known++);
+    }
   }
 }
 
-std::uint32_t GatewayRoster::wanted(const Zone& zone) const {
-  const std::uint32_t needed =
-      (zone.places + m_settings.placesPerGateway - 1) / m_settings.placesPerGateway;
-  return needed + m_settings.spareGateways;
+std::uint32_t GatewayRoster::placesOf(const Zone& zone, const Gateway& gateway) const {
+  const bool equal = zone.sizes.size() <= 1;
+  const std::uint32_t places = equal ? m_settings.placesPerGateway : gateway.size;
+  return gateway.slow.isSlow() ? std::max(places / m_settings.slowDivisor, 1U) : places;
 }
 
 bool GatewayRoster::isSound(const Gateway& gateway, base::TimePoint now) const {
@@ -54,20 +122,28 @@
   zone.active.clear();
   zone.foundAt = now;
   zone.outdated = false;
-  const std::uint32_t most = wanted(zone);
-  for (const auto& [node, gateway] : zone.gateways) {
-    if (zone.active.size() == most) {
-      break;
+  std::uint32_t places = 0;
+  std::uint32_t spare = 0;
+  zone.enough = false;
+  for (const Rank& next : zone.ranked) {
+    const Gateway& gateway = zone.gateways.at(next.gateway);
+    if (!isSound(gateway, now)) {
+      continue;
     }
-    if (isSound(gateway, now)) {
-      zone.active.insert(zone.active.end(), node);
+    zone.enough = places >= zone.places && spare == m_settings.spareGateways;
+    if (zone.enough) {
+      return;
     }
+    spare += places >= zone.places ? 1 : 0;
+    places += placesOf(zone, gateway);
+    zone.active.insert(next.gateway);
   }
+  zone.enough = places >= zone.places && spare == m_settings.spareGateways;
 }
 
 bool GatewayRoster::isActive(base::NodeId gateway, Zone& zone, base::TimePoint now) const {
   findActive(zone, now);
-  return zone.active.size() < wanted(zone) || gateway <= *zone.active.rbegin();
+  return !zone.enough || zone.active.contains(gateway);
 }
 
 bool GatewayRoster::isActive(base::NodeId gateway, const std::string& zone, base::TimePoint now) {
@@ -84,4 +160,33 @@
   return std::max(count, 1U);
 }
 
+std::optional<std::uint32_t> GatewayRoster::mostItems(base::NodeId gateway, const std::string& zone,
+                                                      base::TimePoint now) {
+  const auto home = m_zones.find(zone);
+  if (home == m_zones.end()) {
+    return std::nullopt;
+  }
+  const auto known = home->second.gateways.find(gateway);
+  if (known == home->second.gateways.end()) {
+    return std::nullopt;
+  }
+  findActive(home->second, now);
+  const bool usual = home->second.sizes.size() <= 1 && !known->second.slow.isSlow();
+  if (usual || !home->second.enough) {
+    return std::nullopt;
+  }
+  return placesOf(home->second, known->second) * m_settings.itemsPerPlace;
+}
+
+std::vector<GatewaySight> GatewayRoster::sight() const {
+  std::vector<GatewaySight> sight;
+  for (const auto& [name, zone] : m_zones) {
+    for (const auto& [node, gateway] : zone.gateways) {
+      const bool active = !zone.enough || zone.active.contains(node);
+      sight.push_back({node, name, placesOf(zone, gateway), 0, active, gateway.slow.slowSince()});
+    }
+  }
+  return sight;
+}
+
 }  // namespace tackpick::jobs
--- a/src/jobs/gateway_roster.h
+++ b/src/jobs/gateway_roster.h
@@ -4,18 +4,23 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/identifiers.h"
 #include "base/time.h"
+#include "jobs/gateway_capacity.h"
+#include "jobs/slow_watch.h"
 
 namespace tackpick::jobs {
 
 /// Knobs of a GatewayRoster.
 struct GatewayRosterSettings {
-  /// Places at engines that one gateway can serve: an item costs a gateway about half a millisecond
-  /// of processor time and runs for half a second and more, so this is far from its limit.
+  /// Places at engines that one gateway serves where all are of the same size: an item costs a
+  /// gateway about half a millisecond of processor time and runs for half a second and more, so
+  /// this is far from its limit.
   std::uint32_t placesPerGateway = 24;
   /// More than needed in each zone, so that the loss of one leaves no engine idle.
   std::uint32_t spareGateways = 2;
@@ -23,11 +28,30 @@
   base::Duration activeSilence = base::milliseconds(600);
   /// One that stands by asks at least once within this time.
   base::Duration standbySilence = base::milliseconds(2500);
+  /// A gateway that runs items asks within this time; what it takes longer, it is late.
+  base::Duration usualInterval = base::milliseconds(300);
+  /// A slow gateway takes one in so many of its places.
+  std::uint32_t slowDivisor = 4;
+  /// Items that a gateway may hold for each of its places: some wait at engines, and the gateways
+  /// of a zone may be fewer than their share.
+  std::uint32_t itemsPerPlace = 2;
+  SlowWatchSettings slow;
 };
 
-/// The ledgers' leader's. In each zone the gateways with the lowest numbers run items, as many as
-/// the engines there need; the others stand by and ask seldom, which saves calls, connections to
-/// engines and commits. Deterministic.
+/// What is known of one gateway.
+struct GatewaySight {
+  base::NodeId gateway;
+  std::string zone;
+  std::uint32_t places = 0;  ///< that it takes now
+  std::uint32_t held = 0;    ///< items
+  bool active = false;       ///< it runs items; else it stands by
+  std::optional<base::TimePoint> slowSince;
+};
+
+/// The ledgers' leader's. In each zone as many gateways run items as the engines there need; the
+/// others stand by and ask seldom, which saves calls, connections to engines and commits. Able
+/// gateways go before small ones, and slow ones come last; of equals those with the lowest numbers
+/// are taken. Deterministic.
 class GatewayRoster {
  public:
   explicit GatewayRoster(GatewayRosterSettings settings = {}) : m_settings(settings) {}
@@ -37,33 +61,62 @@
   /// their weights are left out for a moment.
   void setPlaces(const std::map<std::string, std::uint32_t>& placesByZone);
   /// A gateway asks for items (`takesItems`), or for none any more.
-  void note(base::NodeId gateway, const std::string& zone, bool takesItems, base::TimePoint now);
+  void note(base::NodeId gateway, const std::string& zone, bool takesItems, base::TimePoint now,
+            const GatewayCapacity& capacity = {});
   void forget(std::uint32_t gatewayNumber);
   /// True when the gateway is one of those that run items; also while nothing is known of it.
   [[nodiscard]] bool isActive(base::NodeId gateway, const std::string& zone, base::TimePoint now);
   /// Gateways that share the places of all engines.
   [[nodiscard]] std::uint32_t activeCount(base::TimePoint now);
+  /// Items that the gateway may hold; nothing: as many as it asks for.
+  [[nodiscard]] std::optional<std::uint32_t> mostItems(base::NodeId gateway,
+                                                       const std::string& zone,
+                                                       base::TimePoint now);
+  /// All gateways that ask, without what they hold.
+  [[nodiscard]] std::vector<GatewaySight> sight() const;
 
  private:
   struct Gateway {
     base::TimePoint askedAt{};
     bool active = false;
+    std::uint32_t size = 0;  ///< places by its capacity
+    base::Duration lateness{0};
+    SlowWatch slow;
+  };
+  /// The order in which gateways are chosen.
+  struct Rank {
+    bool slow = false;
+    std::uint32_t size = 0;
+    base::NodeId gateway;
+
+    bool operator<(const Rank& other) const;
   };
   struct Zone {
     std::uint32_t places = 0;
     std::map<base::NodeId, Gateway> gateways;
+    std::set<Rank> ranked;                         ///< all of `gateways`
+    std::map<std::uint32_t, std::uint32_t> sizes;  ///< gateways of each size
+    base::Duration usualLateness{0};               ///< median of those that run items
+    base::TimePoint latenessFoundAt{};
     /// Those that run items; found anew when `outdated`, and now and then since others fall silent.
     /// Every call of every gateway asks for it: counting 1,000 gateways each time grows with their
     /// square (1,000 calls: 11.6 ms of a core; now 0.8 ms).
     std::set<base::NodeId> active;
+    bool enough = false;  ///< `active` has all places and the spare gateways
     base::TimePoint foundAt{};
     bool outdated = true;
   };
 
-  [[nodiscard]] std::uint32_t wanted(const Zone& zone) const;
+  [[nodiscard]] std::uint32_t placesOf(const Zone& zone, const Gateway& gateway) const;
   [[nodiscard]] bool isSound(const Gateway& gateway, base::TimePoint now) const;
   [[nodiscard]] bool isActive(base::NodeId gateway, Zone& zone, base::TimePoint now) const;
   void findActive(Zone& zone, base::TimePoint now) const;
+  void measure(Zone& zone, Gateway& gateway, const GatewayCapacity& capacity,
+               base::TimePoint now) const;
+  static void findUsualLateness(Zone& zone, base::TimePoint now);
+  static void rank(Zone& zone, base::NodeId node, const Gateway& gateway);
+  static void unrank(Zone& zone, base::NodeId node, const Gateway& gateway);
+  static void erase(Zone& zone, std::map<base::NodeId, Gateway>::iterator gateway);
 
   GatewayRosterSettings m_settings;
   std::map<std::string, Zone> m_zones;
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -361,6 +361,22 @@
   }
 }
 
+bool ItemLeases::isFull(base::NodeId gateway, base::TimePoint now) {
+  const auto most = roster_.mostItems(gateway, affinity_.zoneOf(gateway), now);
+  const auto owned = leases_by_gateway_.find(gateway);
+  return most && owned != leases_by_gateway_.end() && owned->second.size() >= *most;
+}
+
+std::vector<GatewaySight> ItemLeases::gateways() const {
+  std::vector<GatewaySight> gateways = roster_.sight();
+  for (GatewaySight& sight : gateways) {
+    const auto owned = leases_by_gateway_.find(sight.gateway);
+    sight.held =
+        owned == leases_by_gateway_.end() ? 0 : static_cast<std::uint32_t>(owned->second.size());
+  }
+  return gateways;
+}
+
 void ItemLeases::leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
                               const JobState& state, base::TimePoint now,
                               std::vector<GrantedItem>& leased) {
@@ -370,7 +386,7 @@
       planned.items.pop_front();
       continue;
     }
-    if (!wanted.take(planned.model, planned.minimumVersion)) {
+    if (isFull(gateway, now) || !wanted.take(planned.model, planned.minimumVersion)) {
       return;
     }
     addLease(next.key, {gateway, now + lease_time_, next.engine});
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -61,13 +61,15 @@
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
   void giveBack(base::NodeId gateway, const std::vector<HeldItem>& held, const JobState& state);
   /// A gateway asks for items, or for none any more.
-  void onAsked(base::NodeId gateway, const std::string& zone, bool takesItems,
-               base::TimePoint now) {
+  void onAsked(base::NodeId gateway, const std::string& zone, bool takesItems, base::TimePoint now,
+               const GatewayCapacity& capacity = {}) {
     affinity_.note(gateway, zone, takesItems, now);
-    roster_.note(gateway, zone, takesItems, now);
+    roster_.note(gateway, zone, takesItems, now, capacity);
   }
   /// Which gateways run items.
   [[nodiscard]] GatewayRoster& roster() { return roster_; }
+  /// All gateways that ask for items.
+  [[nodiscard]] std::vector<GatewaySight> gateways() const;
   /// Leases items to `gateway` that should run at engines in its zone, as many as find a place in
   /// `wanted`, and whole texts that only their score is missing of. The caller asks the roster
   /// first whether the gateway runs items.
@@ -120,6 +122,8 @@
   void observeEngines();
   void leaseWhole(base::NodeId gateway, const JobState& state, base::TimePoint now,
                   std::vector<GrantedItem>& leased);
+  /// The gateway holds as many items as it may.
+  [[nodiscard]] bool isFull(base::NodeId gateway, base::TimePoint now);
   void leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
                     const JobState& state, base::TimePoint now, std::vector<GrantedItem>& leased);
   [[nodiscard]] static bool isOpen(const JobState& state, const ItemKey& key);
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -45,6 +45,7 @@
   [[nodiscard]] const LeasedItem& leased() const { return leased_; }
   /// The event after which the next run is to continue; nothing before the first.
   [[nodiscard]] std::optional<std::uint64_t> lastEvent() const { return last_event_; }
+  [[nodiscard]] std::size_t textBytes() const { return text_.size(); }
 
   /// A run's answer begins, made by `version`. False when that version must not make this text.
   [[nodiscard]] bool onHead(std::uint64_t version);
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -17,6 +17,7 @@
 #include "base/serialization.h"
 #include "base/time.h"
 #include "jobs/engine_room.h"
+#include "jobs/gateway_capacity.h"
 
 namespace tackpick::jobs {
 
@@ -215,9 +216,10 @@
   EngineRoom wanted;                    ///< for further items
   bool leaving = false;                 ///< all its other leases are given back
   std::string zone;                     ///< the gateway's
+  GatewayCapacity capacity = {};        ///< the gateway's
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(held, paces, wanted, leaving, zone);
+    archive(held, paces, wanted, leaving, zone, capacity);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -100,7 +100,7 @@
   if (request.leaving) {
     leases_.giveBack(caller.node, request.held, state_);
   }
-  leases_.onAsked(caller.node, request.zone, !request.wanted.empty(), now);
+  leases_.onAsked(caller.node, request.zone, !request.wanted.empty(), now, request.capacity);
   reply.standby = !leases_.roster().isActive(caller.node, request.zone, now);
   reply.sharers = leases_.roster().activeCount(now);
   if (!reply.standby) {
--- a/src/jobs/zone_affinity.cpp
+++ b/src/jobs/zone_affinity.cpp
@@ -24,6 +24,11 @@
                 [&](const auto& entry) { return base::nodeNumber(entry.first) == gatewayNumber; });
 }
 
+std::string ZoneAffinity::zoneOf(base::NodeId gateway) const {
+  const auto known = m_gateways.find(gateway);
+  return known == m_gateways.end() ? std::string() : known->second.zone;
+}
+
 bool ZoneAffinity::suits(base::NodeId gateway, const std::string& zone, base::TimePoint now) const {
   const auto own = m_gateways.find(gateway);
   if (own == m_gateways.end() || own->second.zone == zone) {
--- a/src/jobs/zone_affinity.h
+++ b/src/jobs/zone_affinity.h
@@ -18,6 +18,8 @@
   void note(base::NodeId gateway, const std::string& zone, bool takesItems, base::TimePoint now);
   void forget(std::uint32_t gatewayNumber);
   void clear() { m_gateways.clear(); }
+  /// Where the gateway is; empty: unknown.
+  [[nodiscard]] std::string zoneOf(base::NodeId gateway) const;
   /// True when `gateway` may run items of an engine in `zone`.
   [[nodiscard]] bool suits(base::NodeId gateway, const std::string& zone,
                            base::TimePoint now) const;
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -61,6 +61,7 @@
 
 void ItemRunner::tick() {
   const base::TimePoint now = node_.now();
+  m_lateness.onTick(now);
   cutSilent(now);
   moveFromSlow(now);
   moveFromQueues(now);
@@ -99,6 +100,20 @@
   return wanted;
 }
 
+jobs::GatewayCapacity ItemRunner::capacity() const {
+  const config::ProcessLimits& limits = node_.settings().limits;
+  jobs::GatewayCapacity capacity;
+  capacity.processorCores = limits.processorCores();
+  capacity.memoryMb = limits.memoryMb.value_or(0);
+  capacity.fileDescriptors = limits.fileDescriptors.value_or(0);
+  capacity.linkMbps = limits.linkMbps.value_or(0);
+  capacity.tickLateness = m_lateness.average();
+  for (const auto& [key, item] : items_) {
+    capacity.heldTextBytes += item->run.textBytes();
+  }
+  return capacity;
+}
+
 void ItemRunner::lease(base::TimePoint now) {
   if (node_.member().view().ledgers.empty()) {
     return;
@@ -107,6 +122,7 @@
   request.wanted = wantedItems();
   request.leaving = released_;
   request.zone = node_.settings().zone;
+  request.capacity = capacity();
   for (const auto& [key, item] : items_) {
     request.held.push_back({key, item->exchange.valid() ? item->instance : item->next});
   }
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "base/tick_lateness.h"
 #include "directory/model_demand.h"
 #include "directory/route_table.h"
 #include "forwarding/instance_table.h"
@@ -17,6 +18,7 @@
 #include "jobs/run_decisions.h"
 #include "node/request_guard.h"
 #include "node/score_caller.h"
+#include "node/tick_interval.h"
 #include "telemetry/metric.h"
 
 namespace tackpick::node {
@@ -95,6 +97,7 @@
   /// Between two calls for leases.
   [[nodiscard]] base::Duration leaseInterval() const;
   [[nodiscard]] jobs::EngineRoom wantedItems() const;
+  [[nodiscard]] jobs::GatewayCapacity capacity() const;
   /// Without a renewal of the leases nothing new is sent: a job may have ended.
   [[nodiscard]] bool mayStart(base::TimePoint now) const;
   void startAttempts(base::TimePoint now);
@@ -159,6 +162,7 @@
   base::TimePoint renewed_at_{};
   base::TimePoint paces_told_at_{};
   directory::ModelDemand demand_;
+  base::TickLateness m_lateness{kTickInterval};
   double typical_tokens_ = 0;  ///< moving average of the expected length of an item
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,6 +8,7 @@
 #include "node/duty_caller.h"
 #include "node/gateway_front.h"
 #include "node/metrics_front.h"
+#include "node/tick_interval.h"
 #include "node/work_teller.h"
 #include "runtime/node_identity.h"
 #include "storage/posix_file_system.h"
@@ -22,7 +23,6 @@
 using telemetry::EventId;
 using telemetry::logEvent;
 
-constexpr auto kTickInterval = std::chrono::milliseconds(20);
 constexpr const char* kIdentityFile = "node";
 constexpr const char* kDirectoryFolder = "directory";
 constexpr const char* kLedgerFolder = "ledger";
--- /dev/null
+++ b/test/base/tick_lateness_test.cpp
@@ -0,0 +1,48 @@
+/// How late the ticks of an event loop come.
+#include "base/tick_lateness.h"
+
+#include <criterion/criterion.h>
+
+namespace base = tackpick::base;
+
+namespace {
+
+constexpr base::Duration kInterval = base::milliseconds(20);
+
+struct Loop {
+  void run(base::Duration time, base::Duration gap) {
+    for (const base::TimePoint until = now + time; now < until;) {
+      now += gap;
+      lateness.onTick(now);
+    }
+  }
+
+  base::TickLateness lateness{kInterval};
+  base::TimePoint now{base::seconds(1)};
+};
+
+}  // namespace
+
+Test(tick_lateness, is_zero_while_ticks_come_in_time) {
+  Loop loop;
+  cr_assert_eq(loop.lateness.average(), base::Duration{0});
+  loop.run(base::seconds(2), kInterval);
+  cr_assert_eq(loop.lateness.average(), base::Duration{0});
+}
+
+Test(tick_lateness, shows_a_starved_loop_as_long_as_it_lasts) {
+  Loop loop;
+  loop.run(base::seconds(2), base::milliseconds(100));
+  cr_assert_eq(loop.lateness.average(), base::milliseconds(80));
+  loop.run(base::seconds(1), kInterval);
+  cr_assert_eq(loop.lateness.average(), base::Duration{0});
+}
+
+Test(tick_lateness, one_pause_shows_for_one_window) {
+  Loop loop;
+  loop.run(base::seconds(1), kInterval);
+  loop.run(base::milliseconds(20), base::seconds(6));
+  cr_assert_gt(loop.lateness.average(), base::seconds(5));
+  loop.run(base::milliseconds(520), kInterval);
+  cr_assert_eq(loop.lateness.average(), base::Duration{0});
+}
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -244,6 +244,34 @@
   cr_assert_eq(foreign.size(), 2U, "no gateway of the other zone asks any more");
 }
 
+Test(item_leases, small_gateway_holds_no_more_than_its_size_allows) {
+  jobs::JobState state;
+  apply(state, jobs::SubmitJob{submission("j", 200)});
+  jobs::ItemLeases leases(base::seconds(2));
+  leases.setEngines({{"e", 200, {{"", 1}}, "a"}});
+  const base::TimePoint now{base::seconds(1)};
+  leases.reset(1, now, base::Duration{0});
+  leases.addJob("j", *state.find("j"), now);
+  jobs::GatewayCapacity small;
+  small.processorCores = 0.06;
+  jobs::GatewayCapacity large;
+  large.processorCores = 0.5;
+  leases.onAsked(kGateway, "a", true, now, small);
+  for (std::uint32_t number = 2; number < 20; ++number) {
+    leases.onAsked(base::makeNodeId(number, 1), "a", true, now, large);
+  }
+  cr_assert_eq(leases.lease(kGateway, room({{"", 200}}), state, now).size(), 20U);
+  cr_assert(leases.lease(kGateway, room({{"", 200}}), state, now).empty());
+  cr_assert_eq(leases.lease(kOther, room({{"", 200}}), state, now).size(), 96U);
+  for (const jobs::GatewaySight& sight : leases.gateways()) {
+    if (sight.gateway == kGateway) {
+      cr_assert_eq(sight.held, 20U);
+      cr_assert_eq(sight.places, 10U);
+      cr_assert_not(sight.active);
+    }
+  }
+}
+
 Test(zone_affinity, gateways_that_are_lost_or_take_nothing_do_not_count) {
   jobs::ZoneAffinity affinity;
   const base::TimePoint now{base::seconds(1)};
--- /dev/null
+++ b/test/runtime/process_limits_test.cpp
@@ -0,0 +1,80 @@
+/// What the settings file says of a process's machine.
+#include "config/process_limits.h"
+
+#include <criterion/criterion.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "config/cluster_settings.h"
+
+namespace base = tackpick::base;
+namespace config = tackpick::config;
+
+namespace {
+
+constexpr const char* kGateway = R"(formation: self
+cluster: c
+name: g1
+role: gateway
+address: 10.1.0.10
+zone: a
+internal_port: 7720
+traffic: 10.1.0.10:8161
+readiness: 10.1.0.10:8167
+seeds: ["10.1.0.14:8166"]
+)";
+
+/// The settings of a gateway with `lines` added, or what is wrong with them.
+struct Loaded {
+  explicit Loaded(const std::string& lines) {
+    const auto file = std::filesystem::temp_directory_path() /
+                      ("limits_" + std::to_string(reinterpret_cast<std::uintptr_t>(this)));
+    std::ofstream(file) << kGateway << lines;
+    base::recover(
+        [&]() -> base::Result<int> {
+          BOOST_LEAF_AUTO(settings, config::loadClusterSettings(file));
+          limits = settings.limits;
+          return 0;
+        },
+        [&](const base::Error& error) {
+          problem = error.message;
+          return 0;
+        });
+    std::filesystem::remove(file);
+  }
+
+  config::ProcessLimits limits;
+  std::string problem;
+};
+
+}  // namespace
+
+Test(process_limits, unknown_when_they_are_left_out) {
+  const Loaded loaded("");
+  cr_assert(loaded.problem.empty(), "%s", loaded.problem.c_str());
+  cr_assert_eq(loaded.limits.processorCores(), 0);
+  cr_assert_not(loaded.limits.memoryMb.has_value());
+}
+
+Test(process_limits, all_are_read) {
+  const Loaded loaded(
+      "processor_share: 0.25\nprocessor_speed: 0.6\nmemory_mb: 260\nfile_descriptors: 4100\n"
+      "link_mbps: 1000.0\n");
+  cr_assert(loaded.problem.empty(), "%s", loaded.problem.c_str());
+  cr_assert_float_eq(loaded.limits.processorCores(), 0.15, 1e-9);
+  cr_assert_eq(loaded.limits.memoryMb.value(), 260U);
+  cr_assert_eq(loaded.limits.fileDescriptors.value(), 4100U);
+  cr_assert_eq(loaded.limits.linkMbps.value(), 1000.0);
+}
+
+Test(process_limits, bad_values_are_told_with_their_key) {
+  for (const std::string key :
+       {"processor_share", "processor_speed", "memory_mb", "file_descriptors", "link_mbps"}) {
+    for (const std::string value : {"-1", "0", "many", "[1]", ".nan", "1e30"}) {
+      const Loaded loaded(key + ": " + value + "\n");
+      cr_assert(loaded.problem.find(key) != std::string::npos, "%s: %s", key.c_str(),
+                value.c_str());
+    }
+  }
+}
