Items of an engine go to two preferred gateways of its zone

Cause: any gateway of an engine's zone took its items, each over connections of its own, which serve one item at a time and are closed when idle.

Change: EngineAffinity draws two gateways for each engine (rendezvous hashing over those that run items, weighted by places); others take what neither took for 80 ms, or at once when one of the two has no room. Only where jobs need several models.

--- a/src/jobs/gateway_roster.cpp
+++ b/src/jobs/gateway_roster.cpp
@@ -178,6 +178,19 @@
   return placesOf(home->second, known->second) * m_settings.itemsPerPlace;
 }
 
+std::vector<ActiveGateway> GatewayRoster::activeIn(const std::string& zone, base::TimePoint now) {
+  std::vector<ActiveGateway> active;
+  const auto found = m_zones.find(zone);
+  if (found == m_zones.end()) {
+    return active;
+  }
+  findActive(found->second, now);
+  for (const base::NodeId node : found->second.active) {
+    active.push_back({node, placesOf(found->second, found->second.gateways.at(node))});
+  }
+  return active;
+}
+
 std::vector<GatewaySight> GatewayRoster::sight() const {
   std::vector<GatewaySight> sight;
   for (const auto& [name, zone] : m_zones) {
--- a/src/jobs/gateway_roster.h
+++ b/src/jobs/gateway_roster.h
@@ -11,6 +11,7 @@
 
 #include "base/identifiers.h"
 #include "base/time.h"
+#include "jobs/engine_affinity.h"
 #include "jobs/gateway_capacity.h"
 #include "jobs/slow_watch.h"
 
@@ -72,6 +73,8 @@
   [[nodiscard]] std::optional<std::uint32_t> mostItems(base::NodeId gateway,
                                                        const std::string& zone,
                                                        base::TimePoint now);
+  /// Those of a zone that run items.
+  [[nodiscard]] std::vector<ActiveGateway> activeIn(const std::string& zone, base::TimePoint now);
   /// All gateways that ask, without what they hold.
   [[nodiscard]] std::vector<GatewaySight> sight() const;
 
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -63,6 +63,8 @@
   leases_by_gateway_.clear();
   items_by_engine_.clear();
   affinity_.clear();
+  m_engineAffinity.clear();
+  m_models.clear();
   roster_.clear();
   roster_.setPlaces(placement_.placesByZone());
   first_seen_.clear();
@@ -78,6 +80,7 @@
   if (job.settled()) {
     return true;
   }
+  m_models.insert(job.submission.model);
   std::set<std::string>& comesAgain = come_again_[id];
   for (const Item& item : job.submission.items) {
     if (!seen_items_.insert(item.id).second) {
@@ -281,6 +284,20 @@
     planJob(queued, age, *state.find(queued.id), now);
     ++age;
   }
+  observePlan(now);
+}
+
+void ItemLeases::observePlan(base::TimePoint now) {
+  for (const auto& [zone, jobs] : plan_.zones()) {
+    std::map<std::string, std::uint32_t> items;
+    for (const auto& [age, planned] : jobs) {
+      for (const PlannedItem& item : planned.items) {
+        ++items[item.engine];
+      }
+    }
+    m_engineAffinity.setGateways(zone, roster_.activeIn(zone, now));
+    m_engineAffinity.onPlanned(zone, items, now);
+  }
 }
 
 ItemNeed ItemLeases::needOf(const Job& job, const std::string& id, base::TimePoint now) const {
@@ -377,21 +394,35 @@
   return gateways;
 }
 
+bool ItemLeases::suits(base::NodeId gateway, const PlannedItem& item, base::TimePoint now) const {
+  const bool foreign = affinity_.zoneOf(gateway) != placement_.zoneOf(item.engine);
+  return m_models.size() <= 1 || foreign || m_engineAffinity.mayTake(gateway, item.engine, now);
+}
+
 void ItemLeases::leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
                               const JobState& state, base::TimePoint now,
                               std::vector<GrantedItem>& leased) {
-  while (!planned.items.empty()) {
-    PlannedItem& next = planned.items.front();
-    if (!isOpen(state, next.key) || leases_.contains(next.key)) {
-      planned.items.pop_front();
+  // Items that suit others are passed over; with many of them, those in front go first.
+  constexpr std::size_t kMostPassedOver = 256;
+  std::size_t at = 0;
+  while (at < planned.items.size() && at < kMostPassedOver) {
+    const auto next = planned.items.begin() + static_cast<std::ptrdiff_t>(at);
+    if (!isOpen(state, next->key) || leases_.contains(next->key)) {
+      planned.items.erase(next);
+      continue;
+    }
+    if (!suits(gateway, *next, now)) {
+      ++at;
       continue;
     }
     if (isFull(gateway, now) || !wanted.take(planned.model, planned.minimumVersion)) {
+      m_engineAffinity.onDeclined(next->engine);
       return;
     }
-    addLease(next.key, {gateway, now + lease_time_, next.engine});
-    leased.push_back({std::move(next.key), ++last_number_, std::move(next.engine)});
-    planned.items.pop_front();
+    m_engineAffinity.onTaken(gateway, next->engine, now);
+    addLease(next->key, {gateway, now + lease_time_, next->engine});
+    leased.push_back({std::move(next->key), ++last_number_, std::move(next->engine)});
+    planned.items.erase(next);
   }
 }
 
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -9,6 +9,7 @@
 
 #include "base/identifiers.h"
 #include "base/time.h"
+#include "jobs/engine_affinity.h"
 #include "jobs/engine_placement.h"
 #include "jobs/gateway_roster.h"
 #include "jobs/item_queue.h"
@@ -41,8 +42,9 @@
 /// engines or the other gateways' leases.
 class ItemLeases {
  public:
-  explicit ItemLeases(base::Duration leaseTime, base::Duration planInterval = {})
-      : lease_time_(leaseTime), plan_interval_(planInterval) {}
+  explicit ItemLeases(base::Duration leaseTime, base::Duration planInterval = {},
+                      EngineAffinitySettings affinity = {})
+      : lease_time_(leaseTime), plan_interval_(planInterval), m_engineAffinity(affinity) {}
 
   /// Forgets everything; call when this ledger becomes leader in `term`. Every open item can be
   /// leased again after `grace`, in which gateways tell what they hold.
@@ -119,9 +121,15 @@
   void plan(const JobState& state, base::TimePoint now);
   void planJob(QueuedJob& queued, std::size_t age, const Job& job, base::TimePoint now);
   [[nodiscard]] ItemNeed needOf(const Job& job, const std::string& id, base::TimePoint now) const;
+  /// Tells the engines' affinity for which engines items are planned.
+  void observePlan(base::TimePoint now);
   void observeEngines();
   void leaseWhole(base::NodeId gateway, const JobState& state, base::TimePoint now,
                   std::vector<GrantedItem>& leased);
+  /// True when the gateway may take the item now. Where all jobs need the same model, any gateway
+  /// of the zone may: all engines run alike, and the next call fills one soonest.
+  [[nodiscard]] bool suits(base::NodeId gateway, const PlannedItem& item,
+                           base::TimePoint now) const;
   /// The gateway holds as many items as it may.
   [[nodiscard]] bool isFull(base::NodeId gateway, base::TimePoint now);
   void leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
@@ -134,6 +142,8 @@
   std::uint64_t last_number_ = 0;  ///< of a lease
   EnginePlacement placement_;
   ZoneAffinity affinity_;
+  EngineAffinity m_engineAffinity;
+  std::set<std::string> m_models;  ///< of all jobs that were seen
   GatewayRoster roster_;
   ItemQueue queue_;
   LeasePlan plan_;
--- /dev/null
+++ b/test/jobs/engine_affinity_test.cpp
@@ -0,0 +1,322 @@
+/// Which gateways run the items of which engines.
+#include "jobs/engine_affinity.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "jobs/item_leases.h"
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+
+namespace {
+
+const base::TimePoint kNow{base::seconds(1)};
+
+base::NodeId gateway(std::uint32_t number) { return base::makeNodeId(number, 1); }
+
+std::vector<jobs::ActiveGateway> gateways(std::uint32_t count, std::uint32_t places = 24) {
+  std::vector<jobs::ActiveGateway> made;
+  for (std::uint32_t i = 1; i <= count; ++i) {
+    made.push_back({gateway(i), places});
+  }
+  return made;
+}
+
+/// Those of the gateways 1 to `count` that may take items of the engine.
+std::set<std::uint32_t> takers(const jobs::EngineAffinity& affinity, const std::string& engine,
+                               std::uint32_t count, base::TimePoint now) {
+  std::set<std::uint32_t> found;
+  for (std::uint32_t i = 1; i <= count; ++i) {
+    if (affinity.mayTake(gateway(i), engine, now)) {
+      found.insert(i);
+    }
+  }
+  return found;
+}
+
+constexpr std::uint32_t kGateways = 6;
+constexpr std::uint32_t kEngines = 15;
+constexpr std::uint32_t kSlots = 8;
+constexpr std::uint32_t kItemsPerJob = 50;
+constexpr int kJobs = 20;
+
+/// One zone: a job of either of two models each 2 s, gateways that call each 80 ms, items that run
+/// for 1.5 to 3.5 s, and connections that are closed 2 s after their last item.
+class ZoneRun {
+ public:
+  ZoneRun(jobs::EngineAffinitySettings settings, std::uint64_t seed)
+      : m_random(seed), m_leases(base::milliseconds(1500), base::milliseconds(5), settings) {
+    std::vector<jobs::PlacementEngine> engines;
+    for (std::uint32_t i = 0; i < kEngines; ++i) {
+      engines.push_back({"e" + std::to_string(i), kSlots, {{"m", 1}, {"n", 1}}, "a"});
+    }
+    m_leases.setEngines(engines);
+    m_leases.reset(1, m_now, base::Duration{0});
+    for (std::uint32_t i = 1; i <= kGateways; ++i) {
+      m_nextCall[i] = m_now + base::milliseconds(static_cast<int>(m_random.below(80)));
+    }
+  }
+
+  /// From `at` on the gateway neither asks nor finishes anything.
+  void freeze(std::uint32_t number, base::TimePoint at) {
+    m_frozen = number;
+    m_frozenAt = at;
+  }
+
+  void run() {
+    constexpr base::Duration kStep = base::milliseconds(1);
+    for (int tick = 0; m_finished < kJobs * kItemsPerJob && tick < 60'000; ++tick, m_now += kStep) {
+      submitWhenDue();
+      finishRuns();
+      for (auto& [number, at] : m_nextCall) {
+        if (!isFrozen(number) && m_now >= at) {
+          call(number);
+          at = m_now + base::milliseconds(80);
+        }
+      }
+    }
+  }
+
+  [[nodiscard]] std::size_t pairs() const { return m_pools.size(); }
+  [[nodiscard]] std::uint32_t opened() const { return m_opened; }
+  [[nodiscard]] std::uint32_t finished() const { return m_finished; }
+  /// From the submission of an item, for which there is a place, to its first lease.
+  [[nodiscard]] base::Duration longestWait() const { return m_longestWait; }
+  [[nodiscard]] base::Duration meanWait() const {
+    return m_waits / std::max<std::size_t>(m_seen.size(), 1);
+  }
+
+ private:
+  struct Run {
+    jobs::GrantedItem item;
+    base::TimePoint until{};
+  };
+  using Pool = std::multiset<base::TimePoint>;  ///< when idle connections were last used
+
+  [[nodiscard]] bool isFrozen(std::uint32_t number) const {
+    return number == m_frozen && m_now >= m_frozenAt;
+  }
+
+  void submitWhenDue() {
+    constexpr base::Duration kInterval = base::seconds(2);
+    if (m_submitted == kJobs || m_now < kNow + kInterval * m_submitted) {
+      return;
+    }
+    jobs::JobSubmission job;
+    job.id = "j" + std::to_string(m_submitted);
+    job.model = m_submitted % 2 == 0 ? "m" : "n";
+    for (std::uint32_t i = 0; i < kItemsPerJob; ++i) {
+      job.items.push_back({job.id + "-" + std::to_string(i), "/p", {}, "body", "g", 0});
+    }
+    (void)m_state.apply(1, jobs::encodeCommand(jobs::SubmitJob{job}));
+    m_leases.addJob(job.id, *m_state.find(job.id), m_now);
+    ++m_submitted;
+    m_submittedAt = m_now;
+  }
+
+  void finishRuns() {
+    for (auto& [number, runs] : m_runs) {
+      for (auto run = runs.begin(); run != runs.end();) {
+        if (m_now < run->until || isFrozen(number)) {
+          ++run;
+          continue;
+        }
+        jobs::CommitResults results{
+            {{run->item.key.job, {{run->item.key.item, jobs::ItemState::kCompleted, {}, {1}}}}}};
+        (void)m_state.apply(1, jobs::encodeCommand(results));
+        m_pools[{number, run->item.engine}].insert(m_now);
+        ++m_finished;
+        run = runs.erase(run);
+      }
+    }
+    m_leases.refresh(m_state, m_now);
+  }
+
+  void call(std::uint32_t number) {
+    std::vector<jobs::HeldItem> held;
+    for (const Run& run : m_runs[number]) {
+      held.push_back({run.item.key, run.item.engine});
+    }
+    (void)m_leases.renew(gateway(number), held, m_state, m_now);
+    m_leases.onAsked(gateway(number), "a", true, m_now);
+    jobs::EngineRoom room;
+    for (const char* model : {"m", "n"}) {
+      room.add(model, 1, kEngines * kSlots / 3);
+      for (std::size_t i = 0; i < held.size(); ++i) {
+        room.occupy(model, 1);
+      }
+    }
+    for (const jobs::GrantedItem& item : m_leases.lease(gateway(number), room, m_state, m_now)) {
+      begin(number, item);
+    }
+  }
+
+  void begin(std::uint32_t number, const jobs::GrantedItem& item) {
+    constexpr base::Duration kIdleTimeout = base::seconds(2);
+    Pool& pool = m_pools[{number, item.engine}];
+    pool.erase(pool.begin(), pool.lower_bound(m_now - kIdleTimeout));
+    if (pool.empty()) {
+      ++m_opened;
+    } else {
+      pool.erase(std::prev(pool.end()));
+    }
+    const base::Duration took = base::milliseconds(static_cast<int>(1500 + m_random.below(2000)));
+    m_runs[number].push_back({item, m_now + took});
+    if (m_seen.insert(item.key).second) {
+      const base::Duration waited = m_now - m_submittedAt;
+      m_longestWait = std::max(m_longestWait, waited);
+      m_waits += waited;
+    }
+  }
+
+  base::SeededRandom m_random;
+  jobs::JobState m_state;
+  jobs::ItemLeases m_leases;
+  base::TimePoint m_now = kNow;
+  base::TimePoint m_submittedAt{};
+  std::map<std::uint32_t, base::TimePoint> m_nextCall;
+  std::map<std::uint32_t, std::vector<Run>> m_runs;
+  std::map<std::pair<std::uint32_t, std::string>, Pool> m_pools;
+  std::uint32_t m_frozen = 0;
+  base::TimePoint m_frozenAt{};
+  std::set<jobs::ItemKey> m_seen;
+  std::uint32_t m_opened = 0;
+  std::uint32_t m_finished = 0;
+  int m_submitted = 0;
+  base::Duration m_longestWait{0};
+  base::Duration m_waits{0};
+};
+
+jobs::EngineAffinitySettings withoutAffinity() {
+  jobs::EngineAffinitySettings settings;
+  settings.anyAfter = base::Duration{0};
+  return settings;
+}
+
+}  // namespace
+
+Test(engine_affinity, two_gateways_take_an_engines_items_at_once) {
+  jobs::EngineAffinity affinity;
+  cr_assert_eq(takers(affinity, "e", 6, kNow).size(), 6U, "nothing is known");
+  affinity.setGateways("a", gateways(6));
+  affinity.onPlanned("a", {{"e", 3}}, kNow);
+  const auto preferred = takers(affinity, "e", 6, kNow);
+  cr_assert_eq(preferred.size(), 2U);
+  cr_assert_eq(takers(affinity, "e", 6, kNow + base::milliseconds(100)).size(), 6U,
+               "none of the two has asked");
+}
+
+Test(engine_affinity, wait_begins_anew_with_each_item_that_a_preferred_gateway_takes) {
+  jobs::EngineAffinity affinity;
+  affinity.setGateways("a", gateways(6));
+  affinity.onPlanned("a", {{"e", 3}}, kNow);
+  const std::uint32_t first = *takers(affinity, "e", 6, kNow).begin();
+  const base::TimePoint later = kNow + base::milliseconds(60);
+  affinity.onTaken(gateway(first), "e", later);
+  affinity.onPlanned("a", {{"e", 2}}, later);
+  cr_assert_eq(takers(affinity, "e", 6, later + base::milliseconds(60)).size(), 2U);
+  cr_assert_eq(takers(affinity, "e", 6, later + base::milliseconds(80)).size(), 6U);
+}
+
+Test(engine_affinity, full_or_silent_gateways_hold_up_nothing) {
+  jobs::EngineAffinity affinity;
+  affinity.setGateways("a", gateways(6));
+  affinity.onPlanned("a", {{"e", 1}}, kNow);
+  const auto preferred = takers(affinity, "e", 6, kNow);
+  affinity.onDeclined("e");
+  cr_assert_eq(takers(affinity, "e", 6, kNow).size(), 6U);
+  affinity.onTaken(gateway(*preferred.begin()), "e", kNow);
+  cr_assert(takers(affinity, "e", 6, kNow) == preferred, "it has room again");
+  // Another has taken an item for which the preferred ones did not come: the next need not wait.
+  std::uint32_t other = 1;
+  other += preferred.contains(other) ? 1 : 0;
+  other += preferred.contains(other) ? 1 : 0;
+  affinity.onTaken(gateway(other), "e", kNow);
+  affinity.onPlanned("a", {{"e", 1}}, kNow);
+  cr_assert_eq(takers(affinity, "e", 6, kNow).size(), 6U);
+}
+
+Test(engine_affinity, few_engines_change_their_gateways_when_one_goes) {
+  jobs::EngineAffinity affinity;
+  std::map<std::string, std::uint32_t> items;
+  for (int i = 0; i < 300; ++i) {
+    items["e" + std::to_string(i)] = 1;
+  }
+  affinity.setGateways("a", gateways(6));
+  affinity.onPlanned("a", items, kNow);
+  std::map<std::string, std::set<std::uint32_t>> before;
+  for (const auto& [engine, count] : items) {
+    before[engine] = takers(affinity, engine, 6, kNow);
+  }
+  affinity.setGateways("a", gateways(5));
+  affinity.onPlanned("a", items, kNow);
+  for (const auto& [engine, count] : items) {
+    const bool had = before[engine].contains(6);
+    cr_assert(had || takers(affinity, engine, 6, kNow) == before[engine]);
+  }
+}
+
+Test(engine_affinity, able_gateways_are_preferred_by_more_engines) {
+  jobs::EngineAffinity affinity;
+  std::vector<jobs::ActiveGateway> uneven = gateways(4, 12);
+  uneven[0].places = 48;
+  affinity.setGateways("a", uneven);
+  std::map<std::string, std::uint32_t> items;
+  for (int i = 0; i < 400; ++i) {
+    items["e" + std::to_string(i)] = 1;
+  }
+  affinity.onPlanned("a", items, kNow);
+  std::map<std::uint32_t, int> engines;
+  for (const auto& [engine, count] : items) {
+    for (const std::uint32_t number : takers(affinity, engine, 4, kNow)) {
+      ++engines[number];
+    }
+  }
+  cr_assert_gt(engines[1], 300);
+  cr_assert_lt(engines[2], 220);
+}
+
+// 1,000 items, two models, 15 engines, six gateways of which any took any engine's items before.
+Test(engine_affinity, fewer_connections_and_no_long_wait) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    ZoneRun before(withoutAffinity(), seed);
+    before.run();
+    ZoneRun after({}, seed);
+    after.run();
+    cr_log_info(
+        "pairs %zu -> %zu, connections %u -> %u, mean wait %lld -> %lld us, longest %lld -> %lld "
+        "us",
+        before.pairs(), after.pairs(), before.opened(), after.opened(),
+        static_cast<long long>(before.meanWait().count()),
+        static_cast<long long>(after.meanWait().count()),
+        static_cast<long long>(before.longestWait().count()),
+        static_cast<long long>(after.longestWait().count()));
+    cr_assert_eq(after.finished(), 1000U);
+    cr_assert_lt(after.pairs(), before.pairs());
+    cr_assert_lt(after.opened(), before.opened());
+  }
+}
+
+// Found with one gateway for each engine: a frozen one held up all items of its engines until it
+// was known to be silent.
+Test(engine_affinity, frozen_gateway_holds_up_no_item) {
+  // Right before items come, and as long as it still counts as one that runs items.
+  const base::TimePoint at = kNow + base::seconds(10) - base::milliseconds(5);
+  for (std::uint32_t frozen = 1; frozen <= kGateways; ++frozen) {
+    ZoneRun run({}, frozen);
+    run.freeze(frozen, at);
+    run.run();
+    cr_log_info("gateway %u frozen: mean wait %lld us, longest %lld us", frozen,
+                static_cast<long long>(run.meanWait().count()),
+                static_cast<long long>(run.longestWait().count()));
+    cr_assert_eq(run.finished(), 1000U);
+    cr_assert_leq(run.longestWait(), base::milliseconds(160));
+  }
+}
