What is held for callers that do not read is bounded by size

Cause: a stream was read from its engine as fast as that sent, whatever the caller took; a caller could send further requests on a connection and read none of their answers; nothing bounded what all connections held together. Only time did (the request's deadline, 20 s idle).

ServerConnection takes no further request beyond 4 MB unread, cuts streams beyond that, and beyond an eighth of the process's memory cuts the connections that have read nothing for longest. A cut is a reset, never an orderly end. Counted and told (tackpick_slow_readers_total, tackpick_unread_answer_bytes, slow_reader_cut 5002).

--- a/src/http/exchange_server.cpp
+++ b/src/http/exchange_server.cpp
@@ -65,6 +65,8 @@
   return implementation_->shared->connections.size();
 }
 
+UnreadAnswers ExchangeServer::unreadAnswers() const { return implementation_->shared->unread; }
+
 void ExchangeServer::stop() {
   asio::error_code ignored;
   implementation_->acceptor.close(ignored);
--- a/src/http/exchange_server.h
+++ b/src/http/exchange_server.h
@@ -41,6 +41,8 @@
   virtual void abort() = 0;
   /// Called when the client hangs up before the answer is complete.
   virtual void onClosed(std::function<void()> callback) = 0;
+  /// Called each time that everything handed over has been written, until the answer is complete.
+  virtual void onDrained(std::function<void()> callback) = 0;
   /// Bytes handed over and not yet written: a client that does not read makes it grow.
   [[nodiscard]] virtual std::size_t unsentBytes() const = 0;
 };
@@ -55,6 +57,19 @@
   base::Duration bodyTimeout = base::seconds(20);   ///< from the last header to the last byte
   base::Duration idleTimeout = base::seconds(20);   ///< between two requests
   base::Duration writeTimeout = base::seconds(20);  ///< for a client to take what was written
+  /// Answered and unread, of one connection: a stream beyond it is cut, and no further request is
+  /// taken.
+  std::size_t unsentBytes = 4U << 20U;
+  /// The same of all connections: beyond it those are cut that have read nothing for longest.
+  std::size_t totalUnsentBytes = 32U << 20U;
+  /// A client that takes so long for what was written last may be cut for others' sake.
+  base::Duration stallTime = base::seconds(1);
+};
+
+/// What clients have not read.
+struct UnreadAnswers {
+  std::size_t bytes = 0;       ///< handed over and not yet written, now
+  std::uint64_t cutCount = 0;  ///< connections that were cut for it, since the start
 };
 
 /// Serves on the thread that runs `context`.
@@ -75,6 +90,7 @@
   /// Requests without a complete answer.
   [[nodiscard]] std::size_t openExchanges() const;
   [[nodiscard]] std::size_t openConnections() const;
+  [[nodiscard]] UnreadAnswers unreadAnswers() const;
   /// Closes the listening socket and every connection.
   void stop();
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "http/server_connection.h"
 
+#include <algorithm>
+
 #include "http/status.h"
 
 namespace tackpick::http {
@@ -87,6 +89,11 @@
       connection_->setOnClosed(std::move(callback));
     }
   }
+  void onDrained(std::function<void()> callback) override {
+    if (live()) {
+      connection_->setOnDrained(std::move(callback));
+    }
+  }
   [[nodiscard]] std::size_t unsentBytes() const override { return connection_->unsentBytes(); }
 
  private:
@@ -202,6 +209,9 @@
   if (handling_ || closed_ || close_after_write_ || pending_.empty()) {
     return;
   }
+  if (unsent_ > shared_->limits.unsentBytes) {
+    return;  // until the client has read the answers before
+  }
   if (!request_begun_) {
     request_begun_ = true;
     armTimer(shared_->limits.headerTimeout);
@@ -295,6 +305,10 @@
 }
 
 void ServerConnection::writePiece(std::string_view data) {
+  if (unsent_ > shared_->limits.unsentBytes) {
+    cutUnread();
+    return;
+  }
   if (!chunked_) {
     enqueue(std::string(data));
     return;
@@ -315,10 +329,14 @@
 }
 
 void ServerConnection::endExchange() {
+  if (closed_) {
+    return;  // cut while its answer was handed over
+  }
   handling_ = false;
   chunked_ = false;
   --shared_->openExchanges;
   on_closed_ = nullptr;
+  m_onDrained = nullptr;
   if (!keep_alive_ || shared_->draining) {
     close_after_write_ = true;
     if (!writing_) {
@@ -339,10 +357,51 @@
     return;
   }
   unsent_ += bytes.size();
+  shared_->unread.bytes += bytes.size();
   output_.push_back(std::move(bytes));
   if (!writing_) {
     writeNext();
   }
+  makeRoom();
+}
+
+void ServerConnection::makeRoom() {
+  while (shared_->unread.bytes > shared_->limits.totalUnsentBytes) {
+    const base::TimePoint now = steadyNow();
+    const auto slowest = std::max_element(shared_->connections.begin(), shared_->connections.end(),
+                                          [now](const auto& left, const auto& right) {
+                                            return left->stalledFor(now) < right->stalledFor(now);
+                                          });
+    const bool found = slowest != shared_->connections.end() &&
+                       (*slowest)->stalledFor(now) >= shared_->limits.stallTime;
+    if (!found) {
+      return;
+    }
+    const std::shared_ptr<ServerConnection> connection = *slowest;
+    connection->cutUnread();
+  }
+}
+
+void ServerConnection::cutUnread() {
+  ++shared_->unread.cutCount;
+  abortNow();
+}
+
+void ServerConnection::subtractUnsent(std::size_t bytes) {
+  const std::size_t known = std::min(unsent_, bytes);
+  unsent_ -= known;
+  shared_->unread.bytes -= known;
+}
+
+void ServerConnection::onDrained() {
+  if (m_onDrained) {
+    asio::post(shared_->context, m_onDrained);
+  }
+  // Requests may have waited for it.
+  parsePending();
+  if (pending_.size() < kReadAheadBytes) {
+    read();
+  }
 }
 
 void ServerConnection::writeNext() {
@@ -350,10 +409,13 @@
     writing_ = false;
     if (close_after_write_) {
       close();
+    } else {
+      onDrained();
     }
     return;
   }
   writing_ = true;
+  m_writingSince = steadyNow();
   in_flight_.clear();
   for (const std::string& bytes : output_) {
     in_flight_ += bytes;
@@ -366,7 +428,7 @@
                         self->close();
                         return;
                       }
-                      self->unsent_ -= std::min(self->unsent_, self->in_flight_.size());
+                      self->subtractUnsent(self->in_flight_.size());
                       self->writeNext();
                     });
 }
@@ -389,6 +451,7 @@
 void ServerConnection::abortNow() {
   asio::error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  m_aborted = true;
   close();
 }
 
@@ -397,9 +460,11 @@
     return;
   }
   closed_ = true;
+  subtractUnsent(unsent_);
+  m_onDrained = nullptr;
   asio::error_code ignored;
   timer_.cancel();
-  if (!handling_) {
+  if (!handling_ && !m_aborted) {
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   }
   socket_.close(ignored);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -37,6 +37,7 @@
   bool draining = false;
   std::size_t openExchanges = 0;
   std::set<std::shared_ptr<ServerConnection>> connections;
+  UnreadAnswers unread;
   /// One for all connections, which read when bytes have arrived: one of each own would cost 48 MB
   /// with 3,000 of them.
   std::array<char, kServerReadBytes> readBuffer{};
@@ -77,8 +78,13 @@
   void beginAnswer(int status, const HeaderList& headers);
   void writePiece(std::string_view data);
   void finishAnswer();
+  void setOnDrained(std::function<void()> callback) { m_onDrained = std::move(callback); }
   void setOnClosed(std::function<void()> callback) { on_closed_ = std::move(callback); }
   [[nodiscard]] std::size_t unsentBytes() const { return unsent_; }
+  /// How long the client has taken for what was written last.
+  [[nodiscard]] base::Duration stalledFor(base::TimePoint now) const {
+    return writing_ ? now - m_writingSince : base::Duration{0};
+  }
 
  private:
   static ServerConnection& of(http_parser* parser) {
@@ -98,6 +104,12 @@
   void endExchange();
   void enqueue(std::string bytes);
   void writeNext();
+  void onDrained();
+  /// Cuts this connection, whose client does not read.
+  void cutUnread();
+  /// Cuts connections whose clients do not read, until all together hold no more than they may.
+  void makeRoom();
+  void subtractUnsent(std::size_t bytes);
   void armTimer(base::Duration delay);
 
   std::shared_ptr<ServerShared> shared_;
@@ -121,12 +133,15 @@
   bool chunked_ = false;
   bool answer_begun_ = false;
   std::function<void()> on_closed_;
+  std::function<void()> m_onDrained;
 
   std::deque<std::string> output_;
   std::string in_flight_;
   std::size_t unsent_ = 0;
   bool writing_ = false;
+  base::TimePoint m_writingSince{};
   bool close_after_write_ = false;
+  bool m_aborted = false;  ///< what was not sent is dropped, and nothing tells of an orderly end
   bool closed_ = false;
 };
 
--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -33,6 +33,20 @@
   return id;
 }
 
+void UpstreamClient::pause(ExchangeId exchange) {
+  const auto found = pool_->active.find(exchange);
+  if (found != pool_->active.end()) {
+    found->second->pause();
+  }
+}
+
+void UpstreamClient::resume(ExchangeId exchange) {
+  const auto found = pool_->active.find(exchange);
+  if (found != pool_->active.end()) {
+    found->second->resume();
+  }
+}
+
 void UpstreamClient::cancel(ExchangeId exchange) {
   const auto found = pool_->active.find(exchange);
   if (found != pool_->active.end()) {
--- a/src/http/upstream_client.h
+++ b/src/http/upstream_client.h
@@ -83,6 +83,9 @@
   UpstreamClient& operator=(const UpstreamClient&) = delete;
 
   ExchangeId start(UpstreamRequest request, UpstreamEvents events);
+  /// Reads no more of the exchange's answer until resume().
+  void pause(ExchangeId exchange);
+  void resume(ExchangeId exchange);
   /// Breaks the exchange off by closing its connection; its events are not called any more.
   void cancel(ExchangeId exchange);
   [[nodiscard]] std::size_t active() const;
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -158,7 +158,7 @@
 }
 
 void UpstreamConnection::read() {
-  if (reading_ || closed_) {
+  if (reading_ || closed_ || m_paused) {
     return;
   }
   reading_ = true;
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -64,6 +64,7 @@
     events_ = std::move(events);
     output_ = requestBytes(request_);
     busy_ = true;
+    m_paused = false;
     sent_any_ = false;
     written_ = false;
     head_seen_ = false;
@@ -88,8 +89,15 @@
     socket_.close(ignored);
   }
 
+  void pause() { m_paused = true; }
+  void resume() {
+    m_paused = false;
+    read();
+  }
+
   void waitIdle() {
     busy_ = false;
+    m_paused = false;
     events_ = {};
     timer_.expires_after(idle_timeout_);
     timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
@@ -143,6 +151,7 @@
   bool connected_ = false;
   bool reading_ = false;
   bool busy_ = false;
+  bool m_paused = false;  ///< nothing more of the answer is to be read now
   bool sent_any_ = false;
   bool written_ = false;
   bool head_seen_ = false;
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -11,6 +11,7 @@
 #include "directory/route_table.h"
 #include "forwarding/attempt_policy.h"
 #include "http/status.h"
+#include "http/stream_relay.h"
 #include "node/node.h"
 #include "telemetry/log.h"
 
@@ -78,7 +79,7 @@
     int status = 0;
     http::HeaderList headers;
     std::string body;
-    bool passedOn = false;  ///< pieces went to the caller as they came
+    std::shared_ptr<http::StreamRelay> relay;  ///< when pieces go to the caller as they come
   };
 
   [[nodiscard]] base::TimePoint callerDeadline() const {
@@ -284,8 +285,8 @@
     usage_.onBegan(tenant_, route_.streaming ? node_.now() : send.sentAt);
   }
   if (route_.streaming && status < kFirstError) {
-    send.passedOn = true;
-    exchange_->begin(status, send.headers);
+    send.relay = std::make_shared<http::StreamRelay>(node_.upstream(), send.exchange, exchange_);
+    send.relay->begin(status, send.headers);
   }
 }
 
@@ -294,10 +295,11 @@
   if (done_ || found == sends_.end()) {
     return;
   }
-  if (found->second.passedOn) {
-    exchange_->write(data);
-  } else {
+  const auto relay = found->second.relay;
+  if (!relay) {
     found->second.body.append(data);
+  } else if (relay->pass(data)) {
+    node_.metrics().count(telemetry::CounterId::kSlowReaders, "held_back");
   }
 }
 
@@ -337,7 +339,7 @@
   } else if (m_fingerprint && result != AttemptResult::kNotRun) {
     m_guard.onBorne(*m_fingerprint);
   }
-  if (send.passedOn) {
+  if (send.relay) {
     if (end.complete) {
       exchange_->finish();
     } else {
--- a/src/node/gateway_front.cpp
+++ b/src/node/gateway_front.cpp
@@ -39,8 +39,17 @@
   exchange.respond(kUnavailable, headers, {});
 }
 
-http::ExchangeLimits toExchangeLimits(const directory::CallerLimits& limits) {
+/// Of the process's memory, for answers that callers have not read yet.
+constexpr std::size_t kMemoryPerUnread = 8;
+
+http::ExchangeLimits toExchangeLimits(const directory::CallerLimits& limits,
+                                      const config::ProcessLimits& process) {
+  constexpr unsigned kMegabyteBits = 20;
   http::ExchangeLimits exchange;
+  if (process.memoryMb) {
+    const auto memory = static_cast<std::size_t>(*process.memoryMb) << kMegabyteBits;
+    exchange.totalUnsentBytes = memory / kMemoryPerUnread;
+  }
   exchange.headerBytes = limits.headerBytes;
   exchange.bodyBytes = limits.bodyBytes;
   exchange.headerTimeout = limits.headerTimeout;
@@ -88,7 +97,7 @@
   configuration_ = std::make_unique<directory::Configuration>(newest);
   routes_ = directory::RouteTable(*configuration_);
   tenants_ = tenancy::TenantTable(configuration_->tenants);
-  traffic_.setLimits(toExchangeLimits(configuration_->limits));
+  traffic_.setLimits(toExchangeLimits(configuration_->limits, node_.settings().limits));
   telemetry::logEvent(telemetry::EventId::kConfigurationInForce,
                       "version=" + std::to_string(configuration_->version));
 }
@@ -227,6 +236,8 @@
     metrics.set(telemetry::GaugeId::kInstances, state, count);
   }
   metrics.set(telemetry::GaugeId::kOpenExchanges, static_cast<double>(traffic_.openExchanges()));
+  metrics.set(telemetry::GaugeId::kUnreadBytes,
+              static_cast<double>(traffic_.unreadAnswers().bytes));
   items_.reportFigures(metrics);
 }
 
@@ -240,6 +251,7 @@
   items_.tick();
   usage_.tick();
   m_guard.tick();
+  tellCutReaders();
   if (!stopping_) {
     return;
   }
@@ -256,6 +268,18 @@
   }
 }
 
+void GatewayFront::tellCutReaders() {
+  const http::UnreadAnswers unread = traffic_.unreadAnswers();
+  for (; m_toldCuts < unread.cutCount; ++m_toldCuts) {
+    node_.metrics().count(telemetry::CounterId::kSlowReaders, "cut");
+    if (const auto times = m_cutReaders.note(node_.now())) {
+      telemetry::logEvent(
+          telemetry::EventId::kSlowReaderCut,
+          telemetry::Detail().add("times", *times).add("unread_bytes", unread.bytes).text());
+    }
+  }
+}
+
 base::Duration GatewayFront::longestStop() const {
   constexpr int kSixths = 6;
   constexpr int kUsedSixths = 5;
--- a/src/node/gateway_front.h
+++ b/src/node/gateway_front.h
@@ -15,6 +15,7 @@
 #include "node/refusal_log.h"
 #include "node/request_guard.h"
 #include "node/usage_teller.h"
+#include "telemetry/log_limiter.h"
 #include "tenancy/tenant_table.h"
 
 namespace tackpick::node {
@@ -52,6 +53,8 @@
                   const edge::Answer& answer, base::Duration took);
   /// How long a planned stop may take; a little of the grace period is left for the end.
   [[nodiscard]] base::Duration longestStop() const;
+  /// Tells of callers whose connections were cut since they did not read.
+  void tellCutReaders();
   [[nodiscard]] bool ready() const { return configuration_->version > 0 && !stopping_; }
 
   Node& node_;
@@ -61,6 +64,8 @@
   forwarding::InstanceTable instances_;
   const directory::RefusalPolicy m_refusalPolicy;
   RefusalLog m_refusals;
+  telemetry::LogLimiter m_cutReaders{base::seconds(1)};
+  std::uint64_t m_toldCuts = 0;
   UsageTeller usage_;
   RequestGuard m_guard;
   Forwarder forwarder_;
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -115,6 +115,10 @@
       {Id::kConnectionRefused, "connection_refused", kWarning,
        "an internal connection showed a wrong key, version or frame",
        "look for a process of another cluster or release"},
+      {Id::kSlowReaderCut, "slow_reader_cut", kInfo,
+       "a caller left its answer unread, and its connection was cut so that the memory for answers "
+       "holds: how many since the last line, and what is held now; at most one line a second",
+       "callers should read their answers, or ask again; look at tackpick_unread_answer_bytes"},
   };
   return kCatalogue;
 }
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -58,6 +58,7 @@
   kRequestReleased = 4021,
   kTrialBegun = 4022,
   kConnectionRefused = 5001,
+  kSlowReaderCut = 5002,
 };
 
 enum class Severity : std::uint8_t { kInfo, kWarning, kError };
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -31,6 +31,7 @@
   kElectionsWon,
   kConnectionsOpened,
   kForeignAnswers,
+  kSlowReaders,  ///< by action
   kInternalBytesSent,
   kInternalBytesReceived,
   kLogLinesDropped,
@@ -55,6 +56,7 @@
   kScoringCalls,
   kResultsWaiting,
   kOpenExchanges,
+  kUnreadBytes,
   kOpenJobs,
   kKeptJobs,
   kPublishedVersion,  ///< by model
--- a/test/http/loopback.h
+++ b/test/http/loopback.h
@@ -2,6 +2,7 @@
 /// A raw TCP peer on loopback for tests of the HTTP modules.
 #pragma once
 
+#include <array>
 #include <asio.hpp>
 #include <chrono>
 #include <functional>
@@ -47,6 +48,9 @@
   [[nodiscard]] bool wasReset() const { return reset_; }
   [[nodiscard]] const std::string& received() const { return received_; }
   void clear() { received_.clear(); }
+  /// Takes what has arrived.
+  void readSome() { poll(); }
+  [[nodiscard]] asio::ip::tcp::socket& socket() { return socket_; }
   void close() { socket_.close(); }
   /// Closes so that the other side sees a reset.
   void reset() {
@@ -58,9 +62,11 @@
   void poll() {
     asio::error_code error;
     socket_.non_blocking(true);
-    std::array<char, 4096> buffer{};
-    const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
-    received_.append(buffer.data(), count);
+    std::array<char, 65'536> buffer{};
+    while (!error) {
+      const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
+      received_.append(buffer.data(), count);
+    }
     if (error && error != asio::error::would_block) {
       closed_ = true;
       reset_ = error == asio::error::connection_reset;
