A gateway's call for items looks up its zone and limit once

Change: LeaseCall holds what a call may take; at most 128 items of a job are passed over; plans are told to the affinity only where several models are asked for; only a gateway of the zone can decline.

--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -1,6 +1,7 @@
 #include "jobs/item_leases.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 #include <tuple>
 
@@ -288,6 +289,9 @@
 }
 
 void ItemLeases::observePlan(base::TimePoint now) {
+  if (m_models.size() <= 1) {
+    return;
+  }
   for (const auto& [zone, jobs] : plan_.zones()) {
     std::map<std::string, std::uint32_t> items;
     for (const auto& [age, planned] : jobs) {
@@ -352,13 +356,17 @@
   }
   plan(state, now);
   leaseWhole(gateway, state, now, leased);
+  LeaseCall call = callOf(gateway, std::move(wanted), now);
   for (auto& [zone, jobs] : plan_.zones()) {
     // What suits another gateway keeps its place, so that every gateway sees the same plan.
     if (!zone.empty() && !affinity_.suits(gateway, zone, now)) {
       continue;
     }
+    // Where all jobs need the same model all engines run alike, and the next call fills one
+    // soonest.
+    call.byAffinity = m_models.size() > 1 && zone == call.zone;
     for (auto& [age, planned] : jobs) {
-      leasePlanned(gateway, planned, wanted, state, now, leased);
+      leasePlanned(call, planned, state, leased);
     }
   }
   return leased;
@@ -378,10 +386,19 @@
   }
 }
 
-bool ItemLeases::isFull(base::NodeId gateway, base::TimePoint now) {
-  const auto most = roster_.mostItems(gateway, affinity_.zoneOf(gateway), now);
+ItemLeases::LeaseCall ItemLeases::callOf(base::NodeId gateway, EngineRoom wanted,
+                                         base::TimePoint now) {
+  LeaseCall call;
+  call.gateway = gateway;
+  call.zone = affinity_.zoneOf(gateway);
+  call.now = now;
+  call.room = std::move(wanted);
   const auto owned = leases_by_gateway_.find(gateway);
-  return most && owned != leases_by_gateway_.end() && owned->second.size() >= *most;
+  const std::size_t held = owned == leases_by_gateway_.end() ? 0 : owned->second.size();
+  const std::size_t most = roster_.mostItems(gateway, call.zone, now)
+                               .value_or(std::numeric_limits<std::uint32_t>::max());
+  call.itemsLeft = most - std::min(most, held);
+  return call;
 }
 
 std::vector<GatewaySight> ItemLeases::gateways() const {
@@ -394,16 +411,10 @@
   return gateways;
 }
 
-bool ItemLeases::suits(base::NodeId gateway, const PlannedItem& item, base::TimePoint now) const {
-  const bool foreign = affinity_.zoneOf(gateway) != placement_.zoneOf(item.engine);
-  return m_models.size() <= 1 || foreign || m_engineAffinity.mayTake(gateway, item.engine, now);
-}
-
-void ItemLeases::leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
-                              const JobState& state, base::TimePoint now,
+void ItemLeases::leasePlanned(LeaseCall& call, PlannedJob& planned, const JobState& state,
                               std::vector<GrantedItem>& leased) {
   // Items that suit others are passed over; with many of them, those in front go first.
-  constexpr std::size_t kMostPassedOver = 256;
+  constexpr std::size_t kMostPassedOver = 128;
   std::size_t at = 0;
   while (at < planned.items.size() && at < kMostPassedOver) {
     const auto next = planned.items.begin() + static_cast<std::ptrdiff_t>(at);
@@ -411,16 +422,19 @@
       planned.items.erase(next);
       continue;
     }
-    if (!suits(gateway, *next, now)) {
+    if (call.byAffinity && !m_engineAffinity.mayTake(call.gateway, next->engine, call.now)) {
       ++at;
       continue;
     }
-    if (isFull(gateway, now) || !wanted.take(planned.model, planned.minimumVersion)) {
-      m_engineAffinity.onDeclined(next->engine);
+    if (call.itemsLeft == 0 || !call.room.take(planned.model, planned.minimumVersion)) {
+      if (call.byAffinity) {
+        m_engineAffinity.onDeclined(next->engine);
+      }
       return;
     }
-    m_engineAffinity.onTaken(gateway, next->engine, now);
-    addLease(next->key, {gateway, now + lease_time_, next->engine});
+    --call.itemsLeft;
+    m_engineAffinity.onTaken(call.gateway, next->engine, call.now);
+    addLease(next->key, {call.gateway, call.now + lease_time_, next->engine});
     leased.push_back({std::move(next->key), ++last_number_, std::move(next->engine)});
     planned.items.erase(next);
   }
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -109,6 +109,16 @@
 
   using Leases = std::map<ItemKey, Lease>;
 
+  /// A gateway's call for items.
+  struct LeaseCall {
+    base::NodeId gateway;
+    std::string zone;
+    base::TimePoint now{};
+    EngineRoom room;
+    std::size_t itemsLeft = 0;  ///< that it may hold besides those that it holds
+    bool byAffinity = false;    ///< it takes only items of engines that the affinity allows
+  };
+
   /// Another process runs at the gateway's address by now: what the former held is free.
   void endLeasesOfFormerRuns(base::NodeId gateway, base::TimePoint now);
   /// What the gateway was given and does not hold did not reach it, or was given back.
@@ -126,14 +136,10 @@
   void observeEngines();
   void leaseWhole(base::NodeId gateway, const JobState& state, base::TimePoint now,
                   std::vector<GrantedItem>& leased);
-  /// True when the gateway may take the item now. Where all jobs need the same model, any gateway
-  /// of the zone may: all engines run alike, and the next call fills one soonest.
-  [[nodiscard]] bool suits(base::NodeId gateway, const PlannedItem& item,
-                           base::TimePoint now) const;
-  /// The gateway holds as many items as it may.
-  [[nodiscard]] bool isFull(base::NodeId gateway, base::TimePoint now);
-  void leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
-                    const JobState& state, base::TimePoint now, std::vector<GrantedItem>& leased);
+  /// What the gateway may take of the plan.
+  [[nodiscard]] LeaseCall callOf(base::NodeId gateway, EngineRoom wanted, base::TimePoint now);
+  void leasePlanned(LeaseCall& call, PlannedJob& planned, const JobState& state,
+                    std::vector<GrantedItem>& leased);
   [[nodiscard]] static bool isOpen(const JobState& state, const ItemKey& key);
 
   const base::Duration lease_time_;
