--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -1,6 +1,7 @@
 #include "jobs/item_leases.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "jobs/oldest_first_order.h"
 #include "jobs/slack_order.h"
@@ -28,6 +29,8 @@
   leases_by_gateway_.clear();
   items_by_engine_.clear();
   affinity_.clear();
+  m_engineAffinity.clear();
+  m_models.clear();
   roster_.clear();
   roster_.setPlaces(placement_.placesByZone());
   first_seen_.clear();
@@ -47,6 +50,7 @@
   if (job.settled()) {
     return true;
   }
+  m_models.insert(job.submission.model);
   std::set<std::string>& comesAgain = come_again_[id];
   for (const Item& item : job.submission.items) {
     if (!seen_items_.insert(item.id).second) {
@@ -268,13 +272,17 @@
   }
   plan(state, now);
   leaseWhole(gateway, state, now, leased);
+  LeaseCall call = callOf(gateway, std::move(wanted), now);
   for (auto& [zone, jobs] : plan_.zones()) {
     // What suits another gateway keeps its place, so that every gateway sees the same plan.
     if (!zone.empty() && !affinity_.suits(gateway, zone, now)) {
       continue;
     }
+    // Where all jobs need the same model all engines run alike, and the next call fills one
+    // soonest.
+    call.byAffinity = m_models.size() > 1 && zone == call.zone;
     for (auto& [age, planned] : jobs) {
-      leasePlanned(gateway, planned, wanted, state, now, leased);
+      leasePlanned(call, planned, state, leased);
     }
   }
   return leased;
@@ -294,22 +302,58 @@
   }
 }
 
-void ItemLeases::leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
-                              const JobState& state, base::TimePoint now,
+ItemLeases::LeaseCall ItemLeases::callOf(base::NodeId gateway, EngineRoom wanted,
+                                         base::TimePoint now) {
+  LeaseCall call;
+  call.gateway = gateway;
+  call.zone = affinity_.zoneOf(gateway);
+  call.now = now;
+  call.room = std::move(wanted);
+  const auto owned = leases_by_gateway_.find(gateway);
+  const std::size_t held = owned == leases_by_gateway_.end() ? 0 : owned->second.size();
+  const std::size_t most = roster_.mostItems(gateway, call.zone, now)
+                               .value_or(std::numeric_limits<std::uint32_t>::max());
+  call.itemsLeft = most - std::min(most, held);
+  return call;
+}
+
+std::vector<GatewaySight> ItemLeases::gateways() const {
+  std::vector<GatewaySight> gateways = roster_.sight();
+  for (GatewaySight& sight : gateways) {
+    const auto owned = leases_by_gateway_.find(sight.gateway);
+    sight.held =
+        owned == leases_by_gateway_.end() ? 0 : static_cast<std::uint32_t>(owned->second.size());
+  }
+  return gateways;
+}
+
+void ItemLeases::leasePlanned(LeaseCall& call, PlannedJob& planned, const JobState& state,
                               std::vector<GrantedItem>& leased) {
-  while (!planned.items.empty()) {
-    PlannedItem& next = planned.items.front();
-    if (!isOpen(state, next.key) || leases_.contains(next.key)) {
-      planned.items.pop_front();
+  // Items that suit others are passed over; with many of them, those in front go first.
+  constexpr std::size_t kMostPassedOver = 128;
+  std::size_t at = 0;
+  while (at < planned.items.size() && at < kMostPassedOver) {
+    const auto next = planned.items.begin() + static_cast<std::ptrdiff_t>(at);
+    if (!isOpen(state, next->key) || leases_.contains(next->key)) {
+      planned.items.erase(next);
+      continue;
+    }
+    if (call.byAffinity && !m_engineAffinity.mayTake(call.gateway, next->engine, call.now)) {
+      ++at;
       continue;
     }
-    if (!wanted.take(planned.model, planned.minimumVersion)) {
+    if (call.itemsLeft == 0 || !call.room.take(planned.model, planned.minimumVersion)) {
+      if (call.byAffinity) {
+        m_engineAffinity.onDeclined(next->engine);
+      }
       return;
     }
-    addLease(next.key, {gateway, now + lease_time_, next.engine});
-    m_order->onLeased(next.key.job);
-    leased.push_back({std::move(next.key), ++last_number_, std::move(next.engine)});
-    planned.items.pop_front();
+    --call.itemsLeft;
+    m_engineAffinity.onTaken(call.gateway, next->engine, call.now);
+    addLease(next->key, {call.gateway, call.now + lease_time_, next->engine});
+    m_order->onLeased(next->key.job);
+    leased.push_back({std::move(next->key), ++last_number_, std::move(next->engine)});
+    planned.items.erase(next);
   }
 }
 
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -11,6 +11,7 @@
 
 #include "base/identifiers.h"
 #include "base/time.h"
+#include "jobs/engine_affinity.h"
 #include "jobs/engine_placement.h"
 #include "jobs/gateway_roster.h"
 #include "jobs/item_queue.h"
@@ -43,9 +44,11 @@
 class ItemLeases {
  public:
   explicit ItemLeases(base::Duration leaseTime, base::Duration planInterval = {},
-                      WorkOrderPolicy orderPolicy = WorkOrderPolicy::kAutomatic)
+                      WorkOrderPolicy orderPolicy = WorkOrderPolicy::kAutomatic,
+                      EngineAffinitySettings affinity = {})
       : lease_time_(leaseTime),
         plan_interval_(planInterval),
+        m_engineAffinity(affinity),
         m_orderPolicy(orderPolicy),
         m_order(makeOrder()) {}
 
@@ -69,13 +72,15 @@
   /// Returns all leases of `gateway` to the queue, but those of items that it holds.
   void giveBack(base::NodeId gateway, const std::vector<HeldItem>& held, const JobState& state);
   /// A gateway asks for items, or for none any more.
-  void onAsked(base::NodeId gateway, const std::string& zone, bool takesItems,
-               base::TimePoint now) {
+  void onAsked(base::NodeId gateway, const std::string& zone, bool takesItems, base::TimePoint now,
+               const GatewayCapacity& capacity = {}) {
     affinity_.note(gateway, zone, takesItems, now);
-    roster_.note(gateway, zone, takesItems, now);
+    roster_.note(gateway, zone, takesItems, now, capacity);
   }
   /// Which gateways run items.
   [[nodiscard]] GatewayRoster& roster() { return roster_; }
+  /// All gateways that ask for items.
+  [[nodiscard]] std::vector<GatewaySight> gateways() const;
   /// Leases items to `gateway` that should run at engines in its zone, as many as find a place in
   /// `wanted`, and whole texts that only their score is missing of. The caller asks the roster
   /// first whether the gateway runs items.
@@ -132,6 +137,16 @@
 
   using Leases = std::map<ItemKey, Lease>;
 
+  /// A gateway's call for items.
+  struct LeaseCall {
+    base::NodeId gateway;
+    std::string zone;
+    base::TimePoint now{};
+    EngineRoom room;
+    std::size_t itemsLeft = 0;  ///< that it may hold besides those that it holds
+    bool byAffinity = false;    ///< it takes only items of engines that the affinity allows
+  };
+
   /// Another process runs at the gateway's address by now: what the former held is free.
   void endLeasesOfFormerRuns(base::NodeId gateway, base::TimePoint now);
   /// What the gateway was given and does not hold did not reach it, or was given back.
@@ -153,11 +168,15 @@
   [[nodiscard]] Urgency urgencyOf(JobPlan& plan);
   [[nodiscard]] std::unique_ptr<WorkOrder> makeOrder() const;
   void observeKind(const JobSubmission& job);
+  /// Tells the engines' affinity for which engines items are planned.
+  void observePlan(base::TimePoint now);
   void observeEngines();
   void leaseWhole(base::NodeId gateway, const JobState& state, base::TimePoint now,
                   std::vector<GrantedItem>& leased);
-  void leasePlanned(base::NodeId gateway, PlannedJob& planned, EngineRoom& wanted,
-                    const JobState& state, base::TimePoint now, std::vector<GrantedItem>& leased);
+  /// What the gateway may take of the plan.
+  [[nodiscard]] LeaseCall callOf(base::NodeId gateway, EngineRoom wanted, base::TimePoint now);
+  void leasePlanned(LeaseCall& call, PlannedJob& planned, const JobState& state,
+                    std::vector<GrantedItem>& leased);
   [[nodiscard]] static bool isOpen(const JobState& state, const ItemKey& key);
 
   const base::Duration lease_time_;
@@ -166,6 +185,8 @@
   std::uint64_t last_number_ = 0;  ///< of a lease
   EnginePlacement placement_;
   ZoneAffinity affinity_;
+  EngineAffinity m_engineAffinity;
+  std::set<std::string> m_models;  ///< of all jobs that were seen
   GatewayRoster roster_;
   ItemQueue queue_;
   LeasePlan plan_;
--- a/src/jobs/item_leases_plan.cpp
+++ b/src/jobs/item_leases_plan.cpp
@@ -40,6 +40,23 @@
     std::deque<std::uint32_t>& items = plan.queued.items;
     items.insert(items.begin(), plan.planned.begin(), plan.planned.end());
   }
+  observePlan(now);
+}
+
+void ItemLeases::observePlan(base::TimePoint now) {
+  if (m_models.size() <= 1) {
+    return;
+  }
+  for (const auto& [zone, runs] : plan_.zones()) {
+    std::map<std::string, std::uint32_t> items;
+    for (const auto& [run, planned] : runs) {
+      for (const PlannedItem& item : planned.items) {
+        ++items[item.engine];
+      }
+    }
+    m_engineAffinity.setGateways(zone, roster_.activeIn(zone, now));
+    m_engineAffinity.onPlanned(zone, items, now);
+  }
 }
 
 std::vector<ItemLeases::JobPlan> ItemLeases::queuedJobs(const JobState& state,
