Work without a pause keeps no engine from new weights

Cause: engines that serve waiting items, or a step that is beginning, were left alone as long as that lasted. Batches that allow any version and come without a pause would have kept them on old weights for ever.

Change: an engine three versions behind, or one whose newest version is there for ten seconds, loads in any case. Seen failing first: work_without_a_pause_keeps_no_engine_from_new_weights.

--- a/src/directory/model_ranking.cpp
+++ b/src/directory/model_ranking.cpp
@@ -12,6 +12,11 @@
   return time / unit * unit;
 }
 
+/// Work that comes without a pause must not keep an engine from new weights: it loads once it is so
+/// many versions behind, or the newest is there for so long. Steps in time need no older ones.
+constexpr std::uint64_t kMostBehind = 3;
+constexpr base::Duration kLongestDeferral = base::seconds(10);
+
 }  // namespace
 
 ModelRanking::ModelRanking(const ModelLoadState& model, base::Duration settlingTime,
@@ -77,11 +82,12 @@
   const bool serves =
       std::any_of(m_model.needs.begin(), m_model.needs.end(),
                   [&](const StepNeed& step) { return step.version <= m_model.published; });
-  if (!serves || m_now - m_model.publishedAt < m_settlingTime) {
+  if (m_now - m_model.publishedAt < (serves ? m_settlingTime : kLongestDeferral)) {
     return;
   }
   for (const LoadCandidate* candidate : candidates) {
-    if (!servesOpenStep(*candidate) && !reserve(*candidate)) {
+    const bool isDeferred = servesOpenStep(*candidate) && mayDefer(*candidate);
+    if (!isDeferred && !reserve(*candidate)) {
       ranked.push_back(
           {LoadUrgency::kNone, m_model.publishedAt - m_now, 0, PlannedLoad{candidate, false}});
     }
@@ -97,7 +103,15 @@
   return step.expectedAt - m_now <= m_loadTime && m_now - lastSign < m_settlingTime;
 }
 
+bool ModelRanking::mayDefer(const LoadCandidate& candidate) const {
+  return candidate.held + kMostBehind > m_model.published &&
+         m_now - m_model.publishedAt < kLongestDeferral;
+}
+
 bool ModelRanking::reserve(const LoadCandidate& candidate) {
+  if (!mayDefer(candidate)) {
+    return false;
+  }
   bool serves = false;
   for (const StepNeed& step : m_model.needs) {
     if (candidate.held >= step.version && isBeginning(step)) {
--- a/src/directory/model_ranking.h
+++ b/src/directory/model_ranking.h
@@ -40,6 +40,8 @@
   [[nodiscard]] bool isPressing(const StepNeed& step) const;
   /// True when items of `step` will begin within a moment.
   [[nodiscard]] bool isBeginning(const StepNeed& step) const;
+  /// True when the newest version is not old enough to be loaded in any case.
+  [[nodiscard]] bool mayDefer(const LoadCandidate& candidate) const;
   /// True when the engine is left to a step that is beginning.
   [[nodiscard]] bool reserve(const LoadCandidate& candidate);
   [[nodiscard]] bool servesOpenStep(const LoadCandidate& candidate) const;
--- a/test/directory/weights_plan_test.cpp
+++ b/test/directory/weights_plan_test.cpp
@@ -314,3 +314,35 @@
   cr_assert_eq(fleet.ordered("m").size(), 6U);
   cr_assert_eq(fleet.ordered("n").size(), 6U);
 }
+
+// Batches without a trainer allow any version, and some of their items always wait.
+Test(weights_plan, work_without_a_pause_keeps_no_engine_from_new_weights) {
+  SharedFleet fleet;
+  std::uint64_t version = 1;
+  for (int turn = 0; turn < 800; ++turn) {
+    fleet.now += base::milliseconds(50);
+    if (turn % 80 == 0) {
+      ++version;
+      fleet.apply(directory::PublishVersion{"m", version});
+      fleet.apply(directory::PublishVersion{"n", version});
+    }
+    if (turn % 5 == 0) {
+      const std::string job = "batch" + std::to_string(turn);
+      fleet.works["m"].push_back({job, 0, 48, 48, base::Duration{0}, base::seconds(7)});
+      fleet.submittedAt[job] = fleet.now;
+      if (fleet.works["m"].size() > 8) {
+        fleet.works["m"].erase(fleet.works["m"].begin());
+      }
+    }
+    fleet.tell();
+    if (turn % 20 == 0) {
+      fleet.load();
+      fleet.log.clear();
+    }
+    (void)fleet.step();
+  }
+  for (const auto& [id, home] : fleet.orders.homes()) {
+    cr_assert_geq(fleet.engines[id].versions[home] + 4, version, "%s of %s", id.c_str(),
+                  home.c_str());
+  }
+}
