--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -216,3 +216,30 @@
   ledger.restart();
   cr_assert_lt(slack(), before - base::seconds(3));
 }
+
+Test(job_role, full_queue_is_the_same_after_a_restart) {
+  LoneLedger ledger;
+  // The names are not in the order of submission.
+  for (const char* id : {"z", "y", "x"}) {
+    jobs::SubmitJob submit = submission("a");
+    submit.job.id = id;
+    submit.job.items.resize(4, submit.job.items[0]);
+    (void)ledger.ask(submit);
+  }
+  (void)ledger.ask(
+      jobs::CommitResults{{{"z", {{0, jobs::ItemState::kCompleted, base::PackedText("t"), {1}}}}}});
+  ledger.restart();
+  ledger.role->setEngines({{"e", 20, {{"", 1}}, "z"}});
+  jobs::LeaseItems lease;
+  lease.wanted.add("", 1, 100);
+  lease.zone = "z";
+  std::vector<jobs::LeasedItem> leased;
+  for (int tries = 0; tries < 10 && leased.empty(); ++tries) {
+    leased = ledger.ask(lease).leased;
+  }
+  std::string order;
+  for (const jobs::LeasedItem& item : leased) {
+    order += item.key.job;
+  }
+  cr_assert_str_eq(order.c_str(), "zzzyyyyxxxx");
+}
