--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -243,3 +243,30 @@
   }
   cr_assert_str_eq(order.c_str(), "zzzyyyyxxxx");
 }
+
+Test(job_role, groups_that_come_again_are_known_after_a_restart) {
+  LoneLedger ledger;
+  for (const char* id : {"z", "a"}) {
+    jobs::SubmitJob submit = submission("t");
+    submit.job.id = id;
+    const jobs::Item item = submit.job.items[0];
+    submit.job.items = {item, item};
+    submit.job.items[0].id = id == std::string("z") ? "other" : "longest";
+    submit.job.items[0].group = "new";
+    submit.job.items[0].expectedTokens = 100;
+    submit.job.items[1].group = "again";
+    (void)ledger.ask(submit);
+  }
+  ledger.restart();
+  ledger.role->setEngines({{"e", 20, {{"", 1}}, "z"}});
+  jobs::LeaseItems lease;
+  lease.wanted.add("", 1, 100);
+  lease.zone = "z";
+  std::vector<jobs::LeasedItem> leased;
+  for (int tries = 0; tries < 10 && leased.empty(); ++tries) {
+    leased = ledger.ask(lease).leased;
+  }
+  cr_assert_eq(leased.size(), 4U);
+  cr_assert_eq(leased[2].key.job, "a");
+  cr_assert_eq(leased[2].item.id, "i", "the earlier job had it too");
+}
--- a/test/jobs/lease_order_test.cpp
+++ b/test/jobs/lease_order_test.cpp
@@ -112,10 +112,11 @@
 
 // Seeds 1 to 20.
 Test(lease_order, one_model_and_one_tenant_keep_the_oldest_first) {
+  bool ordersDiffer = false;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     std::vector<std::vector<jobs::ItemKey>> orders;
-    for (const auto policy :
-         {jobs::WorkOrderPolicy::kOldestFirst, jobs::WorkOrderPolicy::kAutomatic}) {
+    for (const auto policy : {jobs::WorkOrderPolicy::kOldestFirst,
+                              jobs::WorkOrderPolicy::kAutomatic, jobs::WorkOrderPolicy::kBySlack}) {
       base::SeededRandom random(seed);
       Ledger ledger(policy);
       ledger.setEngines(3);
@@ -131,7 +132,9 @@
     }
     cr_assert_eq(orders[0].size(), 48U);
     cr_assert(orders[0] == orders[1]);
+    ordersDiffer = ordersDiffer || orders[0] != orders[2];
   }
+  cr_assert(ordersDiffer, "the load tells the orders apart");
 }
 
 // Before, all items of the older job went first.
@@ -195,7 +198,10 @@
   cr_assert_eq(held.size(), 2U);
   ledger.draft("new", "t", "m", {30, 20, 10});
   ledger.submit();
-  (void)ledger.lease();  // nothing of the old job is queued now
+  for (int plan = 0; plan < 3; ++plan) {
+    ledger.setEngines(2);
+    (void)ledger.lease();  // nothing of the old job is queued any more
+  }
   ledger.now += base::seconds(2);
   ledger.leases.refresh(ledger.state, ledger.now);
   const auto granted = ledger.lease();
