--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -236,3 +236,57 @@
   ledger.restart();
   cr_assert_lt(slack(), before - base::seconds(3));
 }
+
+Test(job_role, full_queue_is_the_same_after_a_restart) {
+  LoneLedger ledger;
+  // The names are not in the order of submission.
+  for (const char* id : {"z", "y", "x"}) {
+    jobs::SubmitJob submit = submission("a");
+    submit.job.id = id;
+    submit.job.items.resize(4, submit.job.items[0]);
+    (void)ledger.ask(submit);
+  }
+  (void)ledger.ask(
+      jobs::CommitResults{{{"z", {{0, jobs::ItemState::kCompleted, base::PackedText("t"), {1}}}}}});
+  ledger.restart();
+  ledger.role->setEngines({{"e", 20, {{"", 1}}, "z"}});
+  jobs::LeaseItems lease;
+  lease.wanted.add("", 1, 100);
+  lease.zone = "z";
+  std::vector<jobs::LeasedItem> leased;
+  for (int tries = 0; tries < 10 && leased.empty(); ++tries) {
+    leased = ledger.ask(lease).leased;
+  }
+  std::string order;
+  for (const jobs::LeasedItem& item : leased) {
+    order += item.key.job;
+  }
+  cr_assert_str_eq(order.c_str(), "zzzyyyyxxxx");
+}
+
+Test(job_role, groups_that_come_again_are_known_after_a_restart) {
+  LoneLedger ledger;
+  for (const char* id : {"z", "a"}) {
+    jobs::SubmitJob submit = submission("t");
+    submit.job.id = id;
+    const jobs::Item item = submit.job.items[0];
+    submit.job.items = {item, item};
+    submit.job.items[0].id = id == std::string("z") ? "other" : "longest";
+    submit.job.items[0].group = "new";
+    submit.job.items[0].expectedTokens = 100;
+    submit.job.items[1].group = "again";
+    (void)ledger.ask(submit);
+  }
+  ledger.restart();
+  ledger.role->setEngines({{"e", 20, {{"", 1}}, "z"}});
+  jobs::LeaseItems lease;
+  lease.wanted.add("", 1, 100);
+  lease.zone = "z";
+  std::vector<jobs::LeasedItem> leased;
+  for (int tries = 0; tries < 10 && leased.empty(); ++tries) {
+    leased = ledger.ask(lease).leased;
+  }
+  cr_assert_eq(leased.size(), 4U);
+  cr_assert_eq(leased[2].key.job, "a");
+  cr_assert_eq(leased[2].item.id, "i", "the earlier job had it too");
+}
