--- a/src/jobs/engine_pace.cpp
+++ b/src/jobs/engine_pace.cpp
@@ -11,6 +11,8 @@
 constexpr double kLongestPaceMs = 60'000;
 /// Of the recent average: three reports outweigh what was known before.
 constexpr double kRecentWeight = 0.3;
+/// Nothing that old is told.
+constexpr base::Duration kOldest = base::seconds(3600);
 /// Gateways tell paces twice a second: samples that are apart by no more are of the same time.
 constexpr base::Duration kSameTime = base::milliseconds(500);
 /// The long run forgets this slowly, so that seconds of slowness hardly change it.
@@ -46,7 +48,7 @@
 }  // namespace
 
 bool EnginePace::note(const PaceReport& report, double typicalMs, base::TimePoint now) {
-  if (!isPlausible(report.paceMs) || report.age < base::Duration{0}) {
+  if (!isPlausible(report.paceMs) || report.age < base::Duration{0} || report.age > kOldest) {
     return false;
   }
   noteWorkTime(report, now);
--- a/src/jobs/engine_placement.h
+++ b/src/jobs/engine_placement.h
@@ -3,7 +3,6 @@
 /// only its own.
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -18,21 +17,11 @@
 #include "base/time.h"
 #include "jobs/item_need.h"
 #include "jobs/pace_book.h"
+#include "jobs/pace_classes.h"
+#include "jobs/placement_engine.h"
 
 namespace tackpick::jobs {
 
-/// An engine as the controllers see it.
-struct PlacementEngine {
-  std::string id;
-  std::uint32_t slots = 0;
-  std::map<std::string, std::uint64_t> versions;  ///< weights by model
-  std::string zone = {};
-  bool takesItems = true;  ///< now; what is known of its pace outlasts a change of weights
-  bool reserve = false;    ///< only when the others are full
-  /// Where it runs: what is known of the pace outlasts the engine's restarts. Empty: as the id.
-  std::string machine = {};
-};
-
 /// What placing goes by at one engine.
 struct EngineSight {
   std::string id;
@@ -86,86 +75,42 @@
   [[nodiscard]] std::vector<EngineSight> sight(base::TimePoint now) const;
 
  private:
-  /// Three of those that are faster than is typical, and three of the slower.
-  static constexpr std::size_t kPaceClasses = 7;
-  static constexpr std::size_t kTypicalClass = kPaceClasses / 2;
-
-  /// An engine with what is known of its work.
-  struct Engine {
-    PlacementEngine told;
-    std::uint32_t load = 0;                 ///< items there
-    PaceBook::Entry* pace = nullptr;        ///< of its machine
-    double paceMs = 0;                      ///< expected when paces were last taken over
-    base::Duration momentaryDelay{0};       ///< likewise
-    std::size_t paceClass = kTypicalClass;  ///< likewise, of the pace at that moment
-  };
-  using Engines = std::map<std::string, Engine, std::less<>>;
-
-  /// An engine of a heap, at the cost that it had when it was put there.
-  struct Candidate {
-    double cost = 0;
-    std::size_t index = 0;  ///< of equals the first is taken
-    Engine* engine = nullptr;
-
-    /// For a heap whose front is the cheapest.
-    bool operator<(const Candidate& other) const {
-      return std::pair(cost, index) > std::pair(other.cost, other.index);
-    }
-  };
-  using Heap = std::vector<Candidate>;
-  /// Engines of about the same pace.
-  struct PaceClass {
-    Heap heap;
-    std::uint32_t places = 0;
-    std::uint32_t taken = 0;  ///< of the places
-  };
-  /// Fastest first.
-  using PaceClassList = std::array<PaceClass, kPaceClasses>;
+  using Engines = std::map<std::string, EngineWork, std::less<>>;
+  using EnginesById = std::map<std::string_view, EngineWork*>;
 
-  [[nodiscard]] static double cost(const Engine& engine);
-  [[nodiscard]] static const std::string& machineOf(const PlacementEngine& told);
-  [[nodiscard]] static bool isFull(const Engine& engine);
-  [[nodiscard]] Engine* find(std::string_view id);
+  [[nodiscard]] EngineWork* find(std::string_view id);
   void takeIn(PlacementEngine told);
-  void attach(Engine& engine);
-  void detach(Engine& engine);
+  void putInUse(std::string_view id, EngineWork& engine);
+  void takeOutOfUse(std::string_view id, const EngineWork& engine);
+  /// Joins the engine with what is known of its machine.
+  void attach(EngineWork& engine);
+  void detach(EngineWork& engine);
   void remove(const std::string& id);
-  void addLoad(Engine& engine, std::uint32_t items);
-  [[nodiscard]] static std::uint32_t takenPlaces(const Engine& engine);
+  void addLoad(EngineWork& engine, std::uint32_t items);
   /// Loads or engines changed.
   void forgetSearches();
+  /// Takes the expected paces over from what is known, now and then.
   void takePaces(base::TimePoint now);
-  void takePace(Engine& engine, base::TimePoint now);
+  void takePace(EngineWork& engine, base::TimePoint now);
   [[nodiscard]] std::size_t paceClassOf(double paceMs) const;
-  [[nodiscard]] PaceClassList candidatesFor(const std::string& model,
-                                            std::uint64_t minimumVersion) const;
-  [[nodiscard]] PaceClassList& candidatesOf(const std::string& model, std::uint64_t minimumVersion);
-  /// Brings the cheapest engine that is not full to the front.
-  static void settle(Heap& heap);
-  /// Of the front of a class: the item ends in time there, also when its text is much longer than
-  /// expected, and need not wait for a place.
-  [[nodiscard]] static bool isSafe(const Engine& engine, const ItemNeed& need);
-  /// The slowest class whose front is safe, slower ones only while places at the faster are short;
-  /// nothing: none is, or the need is not known.
-  [[nodiscard]] static PaceClass* slowestSafe(PaceClassList& classes, const ItemNeed& need);
-  /// The class whose front will have run the item soonest; nothing: all are full.
-  [[nodiscard]] static PaceClass* soonest(PaceClassList& classes, const ItemNeed& need);
-  [[nodiscard]] std::string placeAtFront(PaceClass& chosen);
+  [[nodiscard]] PaceClasses candidatesFor(const std::string& model, std::uint64_t minimumVersion);
+  [[nodiscard]] PaceClasses& candidatesOf(const std::string& model, std::uint64_t minimumVersion);
   [[nodiscard]] std::string placeInUse(const ItemNeed& need);
   [[nodiscard]] std::string placeInReserve(const std::string& model, std::uint64_t minimumVersion);
 
   Engines m_engines;
-  std::size_t m_taking = 0;                     ///< engines that take items
-  std::map<std::string_view, Engine*> m_inUse;  ///< those of them that are not in reserve, by id
+  std::size_t m_taking = 0;                           ///< engines that take items
+  EnginesById m_inUse;                                ///< those of them that are not in reserve
+  std::map<std::string, EnginesById> m_inUseByModel;  ///< by model that they hold
   /// By model: no engine in reserve holds newer weights.
   std::map<std::string, std::uint64_t> m_newestInReserve;
   /// By model and minimum version: those in reserve before this one have no room.
   std::map<std::pair<std::string, std::uint64_t>, Engines::iterator> m_reserveFrom;
-  std::set<Engine*> m_loaded;  ///< engines with items
+  std::set<EngineWork*> m_loaded;  ///< engines with items
   /// By model and minimum version; made anew after loads or engines changed.
-  std::map<std::pair<std::string, std::uint64_t>, PaceClassList> m_candidates;
+  std::map<std::pair<std::string, std::uint64_t>, PaceClasses> m_candidates;
   PaceBook m_paces;
-  std::map<std::string, std::set<Engine*>> m_byMachine;
+  std::map<std::string, std::set<EngineWork*>> m_byMachine;
   base::TimePoint m_pacesAt{};  ///< when paces were last taken over
 };
 
--- /dev/null
+++ b/src/jobs/pace_classes.cpp
@@ -0,0 +1,121 @@
+#include "jobs/pace_classes.h"
+
+#include <algorithm>
+
+namespace tackpick::jobs {
+namespace {
+
+/// A text may be so much longer than expected: estimates err with a spread of 0.5 (log-normal), and
+/// one text of some 400 is longer than this.
+constexpr double kLengthMargin = 4.0;
+/// Places are short when this part of them is taken. Until then an item on a fast engine is in
+/// nobody's way, and there no error of its estimate makes it late.
+constexpr double kShortShare = 0.85;
+/// From the placement to the first event, and from the last one to the result: a lease on its way,
+/// a prompt that is read, a commit.
+constexpr base::Duration kOverhead = base::milliseconds(500);
+
+}  // namespace
+
+void PaceClasses::PaceClass::push(const Candidate& candidate) {
+  heap.push_back(candidate);
+  std::push_heap(heap.begin(), heap.end());
+}
+
+PaceClasses::Candidate PaceClasses::PaceClass::pop() {
+  std::pop_heap(heap.begin(), heap.end());
+  const Candidate candidate = heap.back();
+  heap.pop_back();
+  return candidate;
+}
+
+void PaceClasses::PaceClass::settle() {
+  while (!heap.empty()) {
+    const EngineWork& engine = *front().engine;
+    if (!engine.isFull() && engine.cost() <= front().cost) {
+      return;
+    }
+    // Its cost may have risen since: items of another model were placed there.
+    Candidate candidate = pop();
+    if (!engine.isFull()) {
+      candidate.cost = engine.cost();
+      push(candidate);
+    }
+  }
+}
+
+void PaceClasses::add(EngineWork& engine) {
+  PaceClass& own = m_classes.at(engine.paceClass);
+  own.push({engine.cost(), m_added, &engine});
+  own.places += engine.told.slots;
+  own.taken += engine.takenPlaces();
+  ++m_added;
+}
+
+EngineWork* PaceClasses::choose(const ItemNeed& need) {
+  for (PaceClass& each : m_classes) {
+    each.settle();
+  }
+  m_chosen = slowestSafe(need);
+  m_chosen = m_chosen != nullptr ? m_chosen : soonest(need);
+  if (m_chosen == nullptr) {
+    return nullptr;
+  }
+  EngineWork* engine = m_chosen->front().engine;
+  m_takenBefore = engine->takenPlaces();
+  return engine;
+}
+
+void PaceClasses::onPlaced() {
+  Candidate candidate = m_chosen->pop();
+  candidate.cost = candidate.engine->cost();
+  m_chosen->taken += candidate.engine->takenPlaces() - m_takenBefore;
+  m_chosen->push(candidate);
+}
+
+bool PaceClasses::isSafe(const EngineWork& engine, const ItemNeed& need) {
+  if (engine.load >= engine.told.slots) {
+    return false;
+  }
+  const double delayMs = base::toMilliseconds(kOverhead + engine.momentaryDelay);
+  const double runMs = kLengthMargin * need.restEvents * engine.cost();
+  return delayMs + runMs <= base::toMilliseconds(need.untilDue);
+}
+
+PaceClasses::PaceClass* PaceClasses::slowestSafe(const ItemNeed& need) {
+  if (!need.isKnown()) {
+    return nullptr;
+  }
+  PaceClass* slowest = nullptr;
+  std::uint32_t places = 0;  // at the faster classes
+  std::uint32_t taken = 0;
+  for (PaceClass& each : m_classes) {
+    if (taken < kShortShare * places) {
+      return slowest;
+    }
+    const bool safe = !each.heap.empty() && isSafe(*each.front().engine, need);
+    slowest = safe ? &each : slowest;
+    places += each.places;
+    taken += each.taken;
+  }
+  return slowest;
+}
+
+std::pair<double, std::size_t> PaceClasses::endOf(const PaceClass& of, const ItemNeed& need) {
+  const Candidate& front = of.front();
+  const double delayMs = base::toMilliseconds(front.engine->momentaryDelay);
+  const double runMs = need.isKnown() ? need.restEvents * front.cost + delayMs : front.cost;
+  return {runMs, front.index};
+}
+
+PaceClasses::PaceClass* PaceClasses::soonest(const ItemNeed& need) {
+  PaceClass* best = nullptr;
+  for (PaceClass& each : m_classes) {
+    const bool better =
+        !each.heap.empty() && (best == nullptr || endOf(each, need) < endOf(*best, need));
+    best = better ? &each : best;
+  }
+  return best;
+}
+
+}  // namespace tackpick::jobs
--- /dev/null
+++ b/src/jobs/placement_engine.h
@@ -0,0 +1,58 @@
+/// \file
+/// An engine as placing sees it.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/time.h"
+#include "jobs/engine_cost.h"
+#include "jobs/pace_book.h"
+
+namespace tackpick::jobs {
+
+/// An engine as the controllers see it.
+struct PlacementEngine {
+  std::string id;
+  std::uint32_t slots = 0;
+  std::map<std::string, std::uint64_t> versions;  ///< weights by model
+  std::string zone = {};
+  bool takesItems = true;  ///< now; what is known of its pace outlasts a change of weights
+  bool reserve = false;    ///< only when the others are full
+  /// Where it runs: what is known of the pace outlasts the engine's restarts. Empty: as the id.
+  std::string machine = {};
+
+  [[nodiscard]] const std::string& machineName() const { return machine.empty() ? id : machine; }
+  [[nodiscard]] bool holds(const std::string& model, std::uint64_t minimumVersion) const {
+    const auto version = versions.find(model);
+    return version != versions.end() && version->second >= minimumVersion;
+  }
+};
+
+/// Three of those that are faster than is typical, and three of the slower.
+inline constexpr std::size_t kPaceClasses = 7;
+inline constexpr std::size_t kTypicalClass = kPaceClasses / 2;
+
+/// An engine with what is known of its work.
+struct EngineWork {
+  PlacementEngine told;
+  std::uint32_t load = 0;                 ///< items there
+  PaceBook::Entry* pace = nullptr;        ///< of its machine
+  double paceMs = 0;                      ///< expected when paces were last taken over
+  base::Duration momentaryDelay{0};       ///< likewise
+  std::size_t paceClass = kTypicalClass;  ///< likewise, of the pace at that moment
+
+  /// Of one more item.
+  [[nodiscard]] double cost() const { return engineCost(paceMs, (load + 1.0) / told.slots); }
+  [[nodiscard]] std::uint32_t takenPlaces() const { return std::min(load, told.slots); }
+  [[nodiscard]] bool isFull() const {
+    /// One item may wait for so many places.
+    constexpr std::uint32_t kPlacesPerWaiting = 8;
+    return load >= told.slots + told.slots / kPlacesPerWaiting;
+  }
+};
+
+}  // namespace tackpick::jobs
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -165,10 +165,11 @@
     sharers_ = reply.sharers;
     sharers_told_ = true;
   }
-  if (reply.wantsPaces) {
+  const base::TimePoint now = node_.now();
+  if (reply.wantsPaces && !instances_.paces(now).empty()) {
     paces_told_at_ = {};
+    lease_at_ = {};  // at once: a new leader places by them from its first plan on
   }
-  const base::TimePoint now = node_.now();
   noteLeased(reply.leased);
   for (const auto& [engine, items] : reply.itemsByEngine) {
     instances_.onSharedLoad(engine, items, now);
--- a/test/jobs/engine_placement_test.cpp
+++ b/test/jobs/engine_placement_test.cpp
@@ -3,6 +3,11 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
+#include "base/random.h"
+#include "jobs/engine_cost.h"
+
 namespace base = tackpick::base;
 namespace jobs = tackpick::jobs;
 
@@ -94,6 +99,37 @@
   }
 }
 
+Test(placement_by_need, no_text_is_placed_late_while_another_engine_with_room_ends_it_in_time) {
+  constexpr int kRounds = 300;
+  constexpr std::uint32_t kEngines = 12;
+  base::SeededRandom random(7);
+  for (int round = 0; round < kRounds; ++round) {
+    jobs::EnginePlacement placement;
+    std::map<std::string, double> paces;
+    std::map<std::string, std::uint32_t> loads;
+    for (std::uint32_t i = 0; i < kEngines; ++i) {
+      const std::string id = "e" + std::to_string(i);
+      placement.changeEngines({engine(id)}, {});
+      paces[id] = 30 + 150 * random.uniform();
+      loads[id] = static_cast<std::uint32_t>(random.below(kSlots + 1));
+      placement.notePaces({{id, {paces[id]}}}, kNow);
+    }
+    placement.setLoads(loads, kNow);
+    const jobs::ItemNeed text =
+        need(1 + 150 * random.uniform(), base::milliseconds(random.below(15'000)));
+    const auto inTime = [&](const std::string& id) {
+      const double occupied = (loads[id] + 1.0) / kSlots;
+      return text.restEvents * jobs::engineCost(paces[id], occupied) <=
+             base::toMilliseconds(text.untilDue);
+    };
+    const bool possible = std::any_of(loads.begin(), loads.end(), [&](const auto& each) {
+      return each.second < kSlots && inTime(each.first);
+    });
+    const std::string chosen = placement.place(text);
+    cr_assert(!possible || inTime(chosen), "round %d", round);
+  }
+}
+
 Test(placement_by_need, equal_engines_are_filled_evenly) {
   jobs::EnginePlacement byNeed;
   jobs::EnginePlacement byCost;
--- a/test/jobs/pace_book_test.cpp
+++ b/test/jobs/pace_book_test.cpp
@@ -99,6 +99,7 @@
   }
   cr_assert_not(fixture.book.note("e0", {kUsualMs, base::seconds(-5)}, fixture.now),
                 "it was not measured in the future");
+  cr_assert_not(fixture.book.note("e0", {kUsualMs, base::Duration::max()}, fixture.now));
   cr_assert_not(fixture.book.note("unknown", {kUsualMs}, fixture.now));
   cr_assert_eq(fixture.expected(0), before);
   cr_assert_leq(fixture.entries[0]->pace.momentaryDelay(fixture.now), base::Duration{0});
