Bounds of scaling, withdrawable instances and the call that sets their number are decoded

Cause: a service's scaling, an instance that may be withdrawn and the time until a leaving instance ends were not read, so nothing could be planned from them.

Change: duties::Scaling (bounds, start time, prices) is an optional part of a service and validated with the configuration; InstanceRecord tells the kind and the time left; the dialect writes a ScaleCall and reads its outcome. Nothing uses them yet.

--- a/src/directory/configuration.cpp
+++ b/src/directory/configuration.cpp
@@ -45,6 +45,9 @@
     if (service.name.empty() || !services.insert(service.name).second) {
       return base::fail(base::ErrorCode::kInvalidInput, "a service has no name of its own");
     }
+    if (service.scaling) {
+      BOOST_LEAF_CHECK(duties::validate(*service.scaling));
+    }
   }
   std::set<std::pair<std::string, std::string>> places;
   for (const Route& route : configuration.routes) {
--- a/src/directory/configuration.h
+++ b/src/directory/configuration.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/error.h"
 #include "base/serialization.h"
 #include "base/time.h"
+#include "duties/scaling.h"
 #include "tenancy/tenant.h"
 
 namespace tackpick::directory {
@@ -63,10 +65,12 @@
   std::uint32_t connectionLimit = 0;  ///< over all callers, per instance
   std::uint32_t slots = 0;            ///< requests an engine batches; zero for plain servers
   std::vector<std::string> models;    ///< trained models whose versions it takes
+  /// Nothing: its instances are started and stopped by others only.
+  std::optional<duties::Scaling> scaling = std::nullopt;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(name, healthPath, connectionLimit, slots, models);
+    archive(name, healthPath, connectionLimit, slots, models, scaling);
   }
 };
 
@@ -98,7 +102,8 @@
 };
 
 /// Fails with what is wrong: a route names an unknown service, two routes share host and prefix, a
-/// route's weights add up to zero, a time-out is zero, a tenant is invalid.
+/// route's weights add up to zero, a time-out is zero, a tenant or
+/// a service's scaling is invalid.
 [[nodiscard]] base::Result<void> validate(const Configuration& configuration);
 
 }  // namespace tackpick::directory
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -47,12 +47,16 @@
   std::string zone;
   std::uint32_t slots = 0;
   bool leaving = false;  ///< gets no new work, ever
+  /// The platform may take it away at short notice.
+  bool withdrawable = false;
+  /// Until a leaving instance ends, from when that was first heard; zero: it ends when it is done.
+  base::Duration leavesAfter{0};
 
   bool operator==(const InstanceRecord&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, service, host, port, zone, slots, leaving);
+    archive(id, service, host, port, zone, slots, leaving, withdrawable, leavesAfter);
   }
 };
 
@@ -61,7 +65,8 @@
                                                const InstanceRecord& heard) {
   return known.service == heard.service && known.host == heard.host && known.port == heard.port &&
          known.slots == heard.slots && known.zone == heard.zone &&
-         (known.leaving || !heard.leaving);
+         known.withdrawable == heard.withdrawable && (known.leaving || !heard.leaving) &&
+         (known.leavesAfter > base::Duration{0} || heard.leavesAfter == base::Duration{0});
 }
 
 /// An instance as gateways see it.
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -40,11 +40,14 @@
   const auto [known, added] = data_.instances.try_emplace(record.id);
   InstanceRecord& stored = known->second;
   const bool leaving = record.leaving || stored.leaving;
+  const base::Duration leavesAfter =
+      stored.leavesAfter > base::Duration{0} ? stored.leavesAfter : record.leavesAfter;
   if (!added) {
     m_idsByAddress.erase(addressOf(stored));
   }
   stored = record;
   stored.leaving = leaving;
+  stored.leavesAfter = leavesAfter;
   m_idsByAddress[addressOf(record)] = record.id;
   ++data_.revision;
 }
--- /dev/null
+++ b/src/duties/capacity_messages.cpp
@@ -0,0 +1,25 @@
+#include "duties/capacity_messages.h"
+
+namespace tackpick::duties {
+
+std::string_view toString(InstanceKind kind) {
+  return kind == InstanceKind::kOrdinary ? "ordinary" : "withdrawable";
+}
+
+std::string_view toString(ScaleOutcome outcome) {
+  switch (outcome) {
+    case ScaleOutcome::kTaken:
+      return "taken";
+    case ScaleOutcome::kRefused:
+      return "refused";
+    case ScaleOutcome::kNoneAvailable:
+      return "none_available";
+    case ScaleOutcome::kBusy:
+      return "busy";
+    case ScaleOutcome::kUncertain:
+      return "uncertain";
+  }
+  return "unknown";
+}
+
+}  // namespace tackpick::duties
--- /dev/null
+++ b/src/duties/capacity_messages.h
@@ -0,0 +1,57 @@
+/// \file
+/// Capacity: how many instances of a service the platform is asked to run. What goes through the
+/// controllers' log, and what the platform is told.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/serialization.h"
+
+namespace tackpick::duties {
+
+/// How an instance may end.
+enum class InstanceKind : std::uint8_t {
+  kOrdinary,      ///< runs until it is given back
+  kWithdrawable,  ///< cheaper; the platform may take all of a zone away at short notice
+};
+
+[[nodiscard]] std::string_view toString(InstanceKind kind);
+
+/// What one call sets: the platform counts each kind of a service's instances in a zone.
+struct CapacitySubject {
+  std::string service;
+  std::string zone;
+  InstanceKind kind = InstanceKind::kOrdinary;
+
+  auto operator<=>(const CapacitySubject&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, zone, kind);
+  }
+};
+
+// To the platform.
+
+/// A call that only the present holder of the duty may make.
+struct ScaleCall {
+  CapacitySubject subject;
+  std::uint32_t count = 0;
+  std::uint64_t fence = 0;  ///< rises with each holder
+};
+
+/// What the platform answered to a ScaleCall.
+enum class ScaleOutcome : std::uint8_t {
+  kTaken,
+  kRefused,        ///< a higher fence was seen: another holds the duty
+  kNoneAvailable,  ///< no withdrawable instances can be had in that zone now
+  kBusy,           ///< too many calls
+  kUncertain,      ///< no answer, or none that says more; it may be carried out later
+};
+
+[[nodiscard]] std::string_view toString(ScaleOutcome outcome);
+
+}  // namespace tackpick::duties
--- a/src/edge/dialect.h
+++ b/src/edge/dialect.h
@@ -12,6 +12,7 @@
 
 #include "directory/directory_messages.h"
 #include "directory/version_orders.h"
+#include "duties/capacity_messages.h"
 #include "duties/usage_duty.h"
 #include "forwarding/instance_table.h"
 #include "http/exchange_server.h"
@@ -87,6 +88,11 @@
   [[nodiscard]] virtual http::UpstreamRequest usageRequest(const duties::UsageReport& report,
                                                            const std::string& holder) const = 0;
   [[nodiscard]] virtual duties::DutyOutcome dutyOutcome(int status) const = 0;
+  /// The platform's call that sets a number of instances. Without an address.
+  [[nodiscard]] virtual http::UpstreamRequest scaleRequest(const duties::ScaleCall& call,
+                                                           const std::string& holder) const = 0;
+  [[nodiscard]] virtual duties::ScaleOutcome scaleOutcome(const duties::ScaleCall& call,
+                                                          int status) const = 0;
   /// The call that asks an engine for the versions it holds.
   [[nodiscard]] virtual http::UpstreamRequest reportRequest(
       const directory::InstanceRecord& engine) const = 0;
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -107,6 +107,65 @@
   cr_assert_eq(platform::parseReport(R"({"models":[{"name":"m","version":5}]})")->at("m"), 5U);
 }
 
+Test(platform_json, bounds_and_prices_of_instances) {
+  const auto read = [](const std::string& scaling) {
+    return platform::parseConfiguration(R"({"version":1,"routes":[],"services":[{"name":"e")" +
+                                        scaling + "}]}");
+  };
+  const auto whole = read(
+      R"(,"scaling":{"minimum":1,"maximum":30,"bootTimeS":4.5,"spotPrice":0.18,
+      "zonePrices":{"a":1.0,"b":0.8}})");
+  cr_assert(whole.has_value() && whole->services[0].scaling.has_value());
+  const tackpick::duties::Scaling& scaling = *whole->services[0].scaling;
+  cr_assert_eq(scaling.minimum, 1U);
+  cr_assert_eq(scaling.maximum, 30U);
+  cr_assert_eq(scaling.startTime.count(), base::Duration(base::milliseconds(4500)).count());
+  cr_assert_float_eq(scaling.withdrawablePrice, 0.18, 1e-9);
+  cr_assert_float_eq(scaling.zonePrices.at("b"), 0.8, 1e-9);
+  cr_assert_not(read("")->services[0].scaling.has_value());
+  cr_assert_not(read(R"(,"scaling":null)")->services[0].scaling.has_value());
+}
+
+Test(platform_json, nonsense_in_bounds_and_prices_is_refused) {
+  // What the parser lets through, the validation of the controllers must stop.
+  for (const std::string scaling :
+       {R"(7)", R"("x")", R"([])", R"({})", R"({"minimum":-1,"maximum":3})",
+        R"({"minimum":1,"maximum":2.5})", R"({"minimum":4,"maximum":3})",
+        R"({"minimum":1,"maximum":"3"})", R"({"minimum":1,"maximum":3,"bootTimeS":-2})",
+        R"({"minimum":1,"maximum":3,"bootTimeS":1e7})",
+        R"({"minimum":1,"maximum":3,"spotPrice":-0.1})",
+        R"({"minimum":1,"maximum":3,"zonePrices":{"":1}})",
+        R"({"minimum":1,"maximum":3,"zonePrices":{"a":"x"}})",
+        R"({"minimum":1,"maximum":3,"zonePrices":[1]})"}) {
+    const auto read = platform::parseConfiguration(
+        R"({"version":1,"routes":[],"services":[{"name":"e","scaling":)" + scaling + "}]}");
+    const bool taken = read && base::recover(
+                                   [&]() -> base::Result<bool> {
+                                     BOOST_LEAF_CHECK(directory::validate(*read));
+                                     return true;
+                                   },
+                                   [](const base::Error&) { return false; });
+    cr_assert_not(taken, "taken: %s", scaling.c_str());
+  }
+}
+
+Test(platform_json, withdrawable_instance_tells_when_it_ends) {
+  const auto read = [](const std::string& fields) {
+    const auto parsed = platform::parseBeat(
+        "i-1", R"({"service":"e","address":"10.0.0.9:8080","zone":"z","slots":8)" + fields + "}");
+    return std::get<directory::InstanceBeat>(parsed).record;
+  };
+  cr_assert_not(read("").withdrawable);
+  const auto leaving = read(R"(,"state":"draining","spot":true,"leaves_ms":2400)");
+  cr_assert(leaving.withdrawable && leaving.leaving);
+  cr_assert_eq(leaving.leavesAfter.count(), base::Duration(base::milliseconds(2400)).count());
+  cr_assert_gt(read(R"(,"state":"draining","leaves_ms":0)").leavesAfter.count(), 0);
+  cr_assert_eq(read(R"(,"state":"draining")").leavesAfter.count(), 0);
+  cr_assert_eq(read(R"(,"state":"ready","leaves_ms":9)").leavesAfter.count(), 0);
+  cr_assert(std::holds_alternative<edge::MalformedCall>(
+      platform::parseBeat("i-1", R"({"service":"e","address":"10.0.0.9:8080","spot":"perhaps"})")));
+}
+
 Test(platform_json, job_and_its_results) {
   const auto configuration = platform::parseConfiguration(kConfiguration);
   const auto job = platform::parseJob("j", "h.example", configuration->routes[0], kJob);
@@ -264,6 +323,25 @@
                1);
 }
 
+Test(platform_dialect, number_of_instances) {
+  const platform::PlatformDialect dialect;
+  namespace duties = tackpick::duties;
+  const duties::ScaleCall ordinary{{"e", "z", duties::InstanceKind::kOrdinary}, 6, 12};
+  const http::UpstreamRequest call = dialect.scaleRequest(ordinary, "core-1");
+  cr_assert_eq(call.method, "POST");
+  cr_assert_eq(call.target, "/scale");
+  cr_assert_eq(call.headers.value("Duty-Holder"), "core-1");
+  cr_assert_eq(call.headers.value("Fencing-Token"), "12");
+  cr_assert(Json::parse(call.body) == Json({{"service", "e"}, {"zone", "z"}, {"desiredCount", 6}}));
+  const duties::ScaleCall withdrawable{{"e", "z", duties::InstanceKind::kWithdrawable}, 2, 12};
+  cr_assert(Json::parse(dialect.scaleRequest(withdrawable, "core-1").body).at("spot") == true);
+  cr_assert(dialect.scaleOutcome(ordinary, 200) == duties::ScaleOutcome::kTaken);
+  cr_assert(dialect.scaleOutcome(ordinary, 409) == duties::ScaleOutcome::kRefused);
+  cr_assert(dialect.scaleOutcome(withdrawable, 409) == duties::ScaleOutcome::kNoneAvailable);
+  cr_assert(dialect.scaleOutcome(ordinary, 429) == duties::ScaleOutcome::kBusy);
+  cr_assert(dialect.scaleOutcome(ordinary, 503) == duties::ScaleOutcome::kUncertain);
+}
+
 Test(platform_dialect, usage_report) {
   const platform::PlatformDialect dialect;
   const http::UpstreamRequest call = dialect.usageRequest({{7, {{"a", 3}}}, 12}, "core-1");
