--- /dev/null
+++ b/apps/tackpickctl/capacity_commands.cpp
@@ -0,0 +1,44 @@
+/// \file
+/// tackpickctl: how many instances the platform is asked for.
+#include <iomanip>
+#include <iostream>
+
+#include "commands.h"
+
+namespace tackpick::ctl {
+namespace {
+
+using runtime::Json;
+
+constexpr int kOk = 200;
+
+void printPool(const Json& pool) {
+  constexpr int kNameWidth = 20;
+  constexpr int kKindWidth = 13;
+  std::cout << std::left << std::setw(kNameWidth) << pool.value("service", "")
+            << std::setw(kNameWidth) << pool.value("zone", "") << std::setw(kKindWidth)
+            << pool.value("kind", "") << " desired=" << pool.value("desired", 0)
+            << (pool.value("taken", false) ? "" : "?") << " there=" << pool.value("there", 0)
+            << " starting=" << pool.value("starting", 0) << " leaving=" << pool.value("leaving", 0)
+            << " refusals=" << pool.value("refusals", 0) << "\n";
+}
+
+}  // namespace
+
+int capacity(const Invocation& invocation) {
+  const ControlAnswer answer = callControl(invocation.address, "GET", "/v1/capacity", "");
+  if (answer.status != kOk || !answer.body.contains("pools")) {
+    std::cerr << "no leading controller answered\n";
+    return kUnreachable;
+  }
+  if (invocation.json) {
+    std::cout << answer.body["pools"].dump(2) << "\n";
+    return kSuccess;
+  }
+  for (const Json& pool : answer.body["pools"]) {
+    printPool(pool);
+  }
+  return kSuccess;
+}
+
+}  // namespace tackpick::ctl
--- a/apps/tackpickctl/commands.h
+++ b/apps/tackpickctl/commands.h
@@ -47,5 +47,6 @@
 int status(const Invocation& invocation);
 int quarantine(const Invocation& invocation);
 int release(const Invocation& invocation);
+int capacity(const Invocation& invocation);
 
 }  // namespace tackpick::ctl
--- a/apps/tackpickctl/main.cpp
+++ b/apps/tackpickctl/main.cpp
@@ -25,7 +25,7 @@
       {"drain", ctl::drain},     {"tenants", ctl::tenants},
       {"members", ctl::members}, {"token", ctl::token},
       {"status", ctl::status},   {"quarantine", ctl::quarantine},
-      {"release", ctl::release},
+      {"release", ctl::release}, {"capacity", ctl::capacity},
   };
   return kCommands;
 }
--- a/src/config/cluster_settings.cpp
+++ b/src/config/cluster_settings.cpp
@@ -1,6 +1,7 @@
 #include "config/cluster_settings.h"
 
 #include <asio/ip/address_v4.hpp>
+#include <set>
 
 #include "config/yaml_reader.h"
 
@@ -47,6 +48,41 @@
   return base::Duration(static_cast<base::Duration::rep>(value * micros));
 }
 
+/// The duties that the platform gives out; none when it does not say.
+std::set<std::string> readDuties(MappingReader& reader) {
+  std::set<std::string> duties;
+  const YAML::Node list = reader.child("platform_duties");
+  if (!list.IsDefined() || list.IsNull()) {
+    return duties;
+  }
+  if (!list.IsSequence()) {
+    reader.problem("platform_duties", "expected a list of names");
+    return duties;
+  }
+  for (const YAML::Node& item : list) {
+    duties.insert(item.as<std::string>(""));
+  }
+  return duties;
+}
+
+duties::CapacityMode readCapacityMode(MappingReader& reader, const ClusterSettings& settings) {
+  const bool given = !settings.dutyPlatform.host.empty() && readDuties(reader).contains("scaling");
+  const std::string mode = reader.text("capacity", given ? "expected" : "hold");
+  if (mode == "hold") {
+    return duties::CapacityMode::kHold;
+  }
+  if (settings.dutyPlatform.host.empty()) {
+    reader.problem("capacity", "numbers of instances need a duty_platform");
+  }
+  if (mode == "waiting") {
+    return duties::CapacityMode::kWaitingWork;
+  }
+  if (mode != "expected") {
+    reader.problem("capacity", "expected hold, waiting or expected");
+  }
+  return duties::CapacityMode::kExpectedSteps;
+}
+
 void readSeeds(MappingReader& reader, ClusterSettings& settings, Problems& problems) {
   const YAML::Node list = reader.child("seeds");
   if (!list.IsDefined() || !list.IsSequence() || list.size() == 0) {
@@ -131,6 +167,7 @@
   settings.dutyPlatform = readEndpoint(reader, "duty_platform", false);
   settings.dutyCallsPerSecond =
       reader.number("duty_calls_per_s", settings.dutyCallsPerSecond, kFewestCalls, kMostCalls);
+  settings.capacity = readCapacityMode(reader, settings);
   settings.usageWindow = readDuration(reader, "usage_window_s", base::seconds(1), {});
   settings.usageDelay =
       readDuration(reader, "usage_delay_s", base::seconds(1), settings.usageDelay);
--- a/src/config/cluster_settings.h
+++ b/src/config/cluster_settings.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "config/process_settings.h"
 #include "directory/directory_messages.h"
+#include "duties/capacity_policy.h"
 #include "transport/peer_network.h"
 
 namespace tackpick::config {
@@ -38,7 +39,9 @@
   bool enginesCheckFences = false;  ///< engines refuse orders with a lower fence than they saw
   /// The platform's service for calls that one machine at a time may make; may be left out.
   transport::Endpoint dutyPlatform;
-  double dutyCallsPerSecond = 10;                 ///< most calls that the platform takes there
+  double dutyCallsPerSecond = 10;  ///< most calls that the platform takes there
+  /// Calls to it set the numbers of instances where a service has bounds on them.
+  duties::CapacityMode capacity = duties::CapacityMode::kHold;
   base::Duration usageWindow{0};                  ///< of usage reports; zero: none are wanted
   base::Duration usageDelay = base::seconds(10);  ///< a report is due so long after its window
   std::uint32_t concurrentLoads = 2;              ///< engines that change weights at once
--- a/src/directory/call_name.cpp
+++ b/src/directory/call_name.cpp
@@ -28,6 +28,10 @@
 
 CallName nameOfTyped(const RelayBeats& /*request*/) { return {"relay_heartbeats", {}, false}; }
 
+CallName nameOfTyped(const duties::ReadCapacity& /*request*/) {
+  return {"read_capacity", {}, false};
+}
+
 CallName nameOfTyped(const quarantine::ReportCrashes& /*request*/) {
   return {"report_crashes", {}, false};
 }
--- /dev/null
+++ b/src/directory/capacity_sight.cpp
@@ -0,0 +1,77 @@
+#include "directory/capacity_sight.h"
+
+#include <algorithm>
+
+namespace tackpick::directory {
+namespace {
+
+/// The ledgers' leader tells its open work twice a second; older figures decide nothing.
+constexpr base::Duration kWorkLifetime = base::seconds(2);
+
+void count(const InstanceSight& instance, duties::RegisteredInstances& zone) {
+  const InstanceRecord& record = *instance.record;
+  if (record.leaving) {
+    ++(record.withdrawable ? zone.withdrawableLeaving : zone.ordinaryLeaving);
+    return;
+  }
+  ++(record.withdrawable ? zone.withdrawable : zone.ordinary);
+  zone.silent += instance.silent ? 1 : 0;
+}
+
+std::optional<duties::CapacityDemand> demandOf(const Service& service, const HeardWork& work,
+                                               const std::map<std::string, double>& recentWork,
+                                               base::TimePoint now) {
+  // What else a service runs is not told.
+  const bool known = !service.models.empty() && work.heardAt && now - *work.heardAt < kWorkLifetime;
+  if (!known) {
+    return std::nullopt;
+  }
+  duties::CapacityDemand demand;
+  demand.startTime = service.scaling->startTime;
+  demand.toldBefore = now - *work.heardAt;
+  for (const std::string& model : service.models) {
+    const auto open = work.works.find(model);
+    if (open != work.works.end() && !open->second.empty()) {
+      demand.works.insert(*open);
+    }
+    const auto recent = recentWork.find(model);
+    demand.recentEvents += recent == recentWork.end() ? 0 : recent->second;
+  }
+  return demand;
+}
+
+void addInstances(const std::vector<InstanceSight>& instances, duties::ServiceSight& service) {
+  for (const InstanceSight& instance : instances) {
+    if (instance.record->service != service.name) {
+      continue;
+    }
+    count(instance, service.zones[instance.record->zone]);
+    if (service.demand && !instance.record->leaving && !instance.silent) {
+      service.demand->placesThere += instance.record->slots;
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<duties::ServiceSight> scaledServices(const DirectoryState& state,
+                                                 const std::vector<InstanceSight>& instances,
+                                                 const HeardWork& work,
+                                                 const std::map<std::string, double>& recentWork,
+                                                 base::TimePoint now) {
+  std::vector<duties::ServiceSight> services;
+  for (const Service& service : state.configuration().services) {
+    if (!service.scaling) {
+      continue;
+    }
+    duties::ServiceSight& sight = services.emplace_back();
+    sight.name = service.name;
+    sight.scaling = *service.scaling;
+    sight.slots = std::max(service.slots, 1U);
+    sight.demand = demandOf(service, work, recentWork, now);
+    addInstances(instances, sight);
+  }
+  return services;
+}
+
+}  // namespace tackpick::directory
--- /dev/null
+++ b/src/directory/capacity_sight.h
@@ -0,0 +1,28 @@
+/// \file
+/// What the controllers' leader knows of the services whose instances the platform starts.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "directory/directory_state.h"
+#include "directory/view_history.h"
+#include "duties/capacity_duty.h"
+#include "jobs/open_work.h"
+
+namespace tackpick::directory {
+
+/// Open work as the ledgers' leader last told it.
+struct HeardWork {
+  jobs::OpenWorks works;
+  std::optional<base::TimePoint> heardAt;
+};
+
+/// The services with bounds on their instances. `recentWork` by model: see ModelDemand.
+[[nodiscard]] std::vector<duties::ServiceSight> scaledServices(
+    const DirectoryState& state, const std::vector<InstanceSight>& instances, const HeardWork& work,
+    const std::map<std::string, double>& recentWork, base::TimePoint now);
+
+}  // namespace tackpick::directory
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -16,6 +16,7 @@
 #include "base/time.h"
 #include "consensus/raft_types.h"
 #include "directory/configuration.h"
+#include "duties/capacity_messages.h"
 #include "duties/usage_messages.h"
 #include "jobs/open_work.h"
 #include "quarantine/quarantine_messages.h"
@@ -211,7 +212,7 @@
     std::variant<ReplaceConfiguration, ReadConfiguration, InstanceBeat, InstanceLeaves,
                  PublishVersion, Watch, RetireNode, ReadRetirement, TellUsage, RelayBeats,
                  quarantine::ReportCrashes, quarantine::AskTrial, quarantine::ReadQuarantine,
-                 quarantine::ReleaseRequest, TellOpenWork>;
+                 quarantine::ReleaseRequest, TellOpenWork, duties::ReadCapacity>;
 
 // Answers.
 
@@ -278,11 +279,12 @@
   /// bytes: whole views of 3,000 instances are 1 MB each, and after a change of leader 300 nodes
   /// want one at once.
   base::Bytes packedView = {};
-  std::vector<quarantine::HoldSight> holds = {};  ///< answers ReadQuarantine
+  std::vector<quarantine::HoldSight> holds = {};     ///< answers ReadQuarantine
+  std::vector<duties::CapacitySight> capacity = {};  ///< answers ReadCapacity
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(status, text, view, packedView, holds);
+    archive(status, text, view, packedView, holds, capacity);
   }
 };
 
@@ -399,6 +401,7 @@
                  PublishVersion, FoundLedgers, BeginRetirement, CompleteRetirement, RecordVersions,
                  NoteOrders, duties::BeginUsage, duties::NoteUsage, duties::DecideUsage,
                  duties::ConfirmUsage, RecordHomes, quarantine::HoldRequest, quarantine::NoteTrial,
-                 quarantine::ReleaseRequest>;
+                 quarantine::ReleaseRequest, duties::NoteBaseline, duties::SetCapacity,
+                 duties::ConfirmCapacity>;
 
 }  // namespace tackpick::directory
--- a/src/directory/directory_requests.cpp
+++ b/src/directory/directory_requests.cpp
@@ -126,7 +126,7 @@
     completeRetirements(*request.ledgerMembership, now);
   }
   if (request.openWork) {
-    orders_.noteOpenWork(*request.openWork, now);
+    noteOpenWork(*request.openWork, now);
   }
   watches_.add(caller, request, now);
 }
@@ -139,10 +139,17 @@
 
 void DirectoryRole::onRequest(const Caller& caller, const TellOpenWork& request,
                               base::TimePoint now) {
-  orders_.noteOpenWork(request.openWork, now);
+  noteOpenWork(request.openWork, now);
   reply(caller, DirectoryStatus::kDone);
 }
 
+void DirectoryRole::onRequest(const Caller& caller, const duties::ReadCapacity& /*request*/,
+                              base::TimePoint /*now*/) {
+  DirectoryReply answer;
+  answer.capacity = m_capacity.sights();
+  replyWith(caller, answer);
+}
+
 void DirectoryRole::completeRetirements(const consensus::Membership& ledgers, base::TimePoint now) {
   for (const auto& [name, retirement] : state_.retirements()) {
     if (retirement != Retirement::kRunning) {
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -34,6 +34,7 @@
       orders_(settings.orders),
       order_lease_(self_.node, settings.orderLease, log.lastIndex(), now),
       usage_(settings.usage, random),
+      m_capacity(settings.capacity, random),
       watches_(settings.watches) {}
 
 void DirectoryRole::handle(base::NodeId from, const transport::RaftEnvelope& message,
@@ -98,6 +99,7 @@
     }
   }
   stepUsage(now);
+  stepCapacity(now);
   giveNoted(orders_.step(state_, reports_, modelDemand(now), replica_.raft().currentTerm(), now),
             now);
   recordHomes(now);
@@ -140,6 +142,42 @@
   }
 }
 
+void DirectoryRole::stepCapacity(base::TimePoint now) {
+  if (!m_capacity.enabled()) {
+    return;
+  }
+  duties::CapacityDuty::Present present;
+  present.settled = now - leader_since_ > settings_.repair.silenceLimit;
+  present.fence = replica_.raft().currentTerm();
+  present.now = now;
+  present.services =
+      scaledServices(state_, presentInstances(now), m_openWork, modelDemand(now), now);
+  duties::CapacityWork work = m_capacity.step(state_.capacity(), present);
+  for (auto& command : work.commands) {
+    std::visit([&](auto& typed) { proposeQuietly(DirectoryCommand{std::move(typed)}, now); },
+               command);
+  }
+  actions_.capacityDecisions.insert(actions_.capacityDecisions.end(), work.decisions.begin(),
+                                    work.decisions.end());
+  if (work.call) {
+    const bool proposed =
+        replica_.propose(base::encode(DirectoryCommand{NoteOrders{self_.node}}), now,
+                         [this, call = *work.call](const base::Bytes* result, consensus::LogIndex) {
+                           if (result != nullptr) {
+                             m_notedScaleCalls.push_back(call);
+                           }
+                         });
+    if (!proposed) {
+      m_capacity.onOutcome(*work.call, duties::ScaleOutcome::kBusy, now);
+    }
+  }
+}
+
+void DirectoryRole::noteOpenWork(const jobs::OpenWorks& works, base::TimePoint now) {
+  orders_.noteOpenWork(works, now);
+  m_openWork = {works, now};
+}
+
 void DirectoryRole::giveNoted(std::vector<VersionOrder> orders, base::TimePoint now) {
   if (orders.empty()) {
     return;
@@ -273,6 +311,7 @@
   // Which engines are in reserve must be known before the first view is told, or all would be news.
   (void)orders_.step(state_, reports_, {}, replica_.raft().currentTerm(), now);
   usage_.reset(state_.usage(), order_lease_.freeFrom());
+  m_capacity.reset(state_.capacity(), order_lease_.freeFrom(), now);
   begun_ = true;
 }
 
@@ -285,9 +324,11 @@
   }
   const std::vector<VersionOrder> noted = std::exchange(noted_orders_, {});
   const std::vector<duties::UsageReport> notedReports = std::exchange(noted_reports_, {});
+  const std::vector<duties::ScaleCall> notedScaleCalls = std::exchange(m_notedScaleCalls, {});
   if (leads(now)) {
     actions_.orders.insert(actions_.orders.end(), noted.begin(), noted.end());
     actions_.usageReports = notedReports;
+    actions_.scaleCalls = notedScaleCalls;
   }
   answerWatches(now);
   transport::Outbox answers = std::exchange(service_.outbox(), {});
@@ -308,6 +349,7 @@
     nodes_.clear();
     ledger_voters_.clear();
     clock_.reset();
+    m_openWork = {};
     recording_versions_ = false;
     m_recordingHomes = false;
     forgetting_ = false;
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -10,12 +10,14 @@
 
 #include "cluster/group_service.h"
 #include "consensus/replica.h"
+#include "directory/capacity_sight.h"
 #include "directory/directory_messages.h"
 #include "directory/directory_state.h"
 #include "directory/order_lease.h"
 #include "directory/version_orders.h"
 #include "directory/view_history.h"
 #include "directory/watch_queue.h"
+#include "duties/capacity_duty.h"
 #include "duties/cluster_time.h"
 #include "duties/usage_duty.h"
 #include "quarantine/crash_tally.h"
@@ -34,6 +36,7 @@
   OrderLeaseSettings orderLease;
   WatchPacing watches;
   duties::UsageDutySettings usage;
+  duties::CapacityDutySettings capacity;
   /// An instance silent for longer is told as silent. More than the time between two heartbeats.
   base::Duration instanceSilence = base::seconds(4);
   cluster::GroupRepairSettings repair;
@@ -52,6 +55,8 @@
   std::vector<VersionOrder> orders;
   std::vector<InstanceRecord> reportsWanted;  ///< engines to be asked for their versions
   std::vector<duties::UsageReport> usageReports;
+  std::vector<duties::ScaleCall> scaleCalls;
+  std::vector<duties::CapacityDecision> capacityDecisions;
 };
 
 /// Deterministic; owned by one thread. Only the leader decides, and only under its lease.
@@ -67,6 +72,10 @@
                       base::TimePoint now) {
     usage_.onOutcome(report, outcome, now);
   }
+  void onScaleOutcome(const duties::ScaleCall& call, duties::ScaleOutcome outcome,
+                      base::TimePoint now) {
+    m_capacity.onOutcome(call, outcome, now);
+  }
   /// An engine told its versions.
   void onReport(const std::string& instance, const std::map<std::string, std::uint64_t>& versions,
                 base::TimePoint now);
@@ -78,6 +87,10 @@
 
   [[nodiscard]] const DirectoryState& state() const { return state_; }
   [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+  /// Numbers of instances, as this process last decided about them as leader.
+  [[nodiscard]] const std::vector<duties::CapacitySight>& capacity() const {
+    return m_capacity.sights();
+  }
   /// Of the controllers' group, as its leader sees it.
   [[nodiscard]] const std::optional<cluster::GroupHealth>& groupHealth() const {
     return service_.health();
@@ -110,6 +123,7 @@
   void onRequest(const Caller& caller, const TellUsage& request, base::TimePoint now);
   void onRequest(const Caller& caller, const TellOpenWork& request, base::TimePoint now);
   void onRequest(const Caller& caller, const RelayBeats& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const duties::ReadCapacity& request, base::TimePoint now);
   void onRequest(const Caller& caller, const quarantine::ReportCrashes& request,
                  base::TimePoint now);
   void onRequest(const Caller& caller, const quarantine::AskTrial& request, base::TimePoint now);
@@ -139,6 +153,9 @@
   void giveNoted(std::vector<VersionOrder> orders, base::TimePoint now);
   /// Reports the usage of windows that are over.
   void stepUsage(base::TimePoint now);
+  /// Asks the platform for as many instances as are needed.
+  void stepCapacity(base::TimePoint now);
+  void noteOpenWork(const jobs::OpenWorks& works, base::TimePoint now);
   [[nodiscard]] base::WallTime clusterTime(base::TimePoint now) const {
     return clock_.at(now, wall_.wallNow());
   }
@@ -180,6 +197,9 @@
   duties::ClusterClock clock_;
   duties::UsageDuty usage_;
   std::vector<duties::UsageReport> noted_reports_;  ///< to be sent at the end of this turn
+  duties::CapacityDuty m_capacity;
+  std::vector<duties::ScaleCall> m_notedScaleCalls;  ///< to be sent at the end of this turn
+  HeardWork m_openWork;
   quarantine::CrashTally m_crashes;
   std::map<quarantine::RequestFingerprint, AskedTrial> m_trialsUnderWay;
   WatchQueue watches_;
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -11,6 +11,7 @@
 
 #include "consensus/state_machine.h"
 #include "directory/directory_messages.h"
+#include "duties/capacity_state.h"
 #include "duties/usage_state.h"
 #include "quarantine/quarantine_state.h"
 
@@ -66,6 +67,7 @@
     return data_.retirements;
   }
   [[nodiscard]] const duties::UsageState& usage() const { return data_.usage; }
+  [[nodiscard]] const duties::CapacityState& capacity() const { return data_.capacity; }
   [[nodiscard]] const quarantine::QuarantineState& quarantine() const { return data_.quarantine; }
   /// Rises with every change.
   [[nodiscard]] std::uint64_t revision() const { return data_.revision; }
@@ -84,11 +86,12 @@
     OrderNote orderNote;
     duties::UsageState usage;
     quarantine::QuarantineState quarantine;
+    duties::CapacityState capacity;
 
     template <class Archive>
     void serialize(Archive& archive) {
       archive(revision, configuration, instances, heldVersions, homes, leftInOrder, versions,
-              ledgerFounders, retirements, orderNote, usage, quarantine);
+              ledgerFounders, retirements, orderNote, usage, quarantine, capacity);
     }
   };
 
@@ -107,6 +110,9 @@
   void applyTyped(const duties::NoteUsage& command) { data_.usage.apply(command); }
   void applyTyped(const duties::DecideUsage& command) { data_.usage.apply(command); }
   void applyTyped(const duties::ConfirmUsage& command) { data_.usage.apply(command); }
+  void applyTyped(const duties::NoteBaseline& command) { data_.capacity.apply(command); }
+  void applyTyped(const duties::SetCapacity& command) { data_.capacity.apply(command); }
+  void applyTyped(const duties::ConfirmCapacity& command) { data_.capacity.apply(command); }
   void applyTyped(const quarantine::HoldRequest& command) { data_.quarantine.apply(command); }
   void applyTyped(const quarantine::NoteTrial& command) { data_.quarantine.apply(command); }
   void applyTyped(const quarantine::ReleaseRequest& command) { data_.quarantine.apply(command); }
--- /dev/null
+++ b/src/duties/capacity_duty.cpp
@@ -0,0 +1,307 @@
+#include "duties/capacity_duty.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace tackpick::duties {
+namespace {
+
+/// With the open work that it is decided from.
+CapacityDecision decisionFrom(const ServiceSight& service) {
+  CapacityDecision decision;
+  if (!service.demand) {
+    return decision;
+  }
+  decision.workKnown = true;
+  decision.workAge = service.demand->toldBefore;
+  for (const auto& [model, works] : service.demand->works) {
+    for (const jobs::OpenWork& work : works) {
+      decision.items += work.items;
+      decision.waiting += work.waiting;
+    }
+  }
+  return decision;
+}
+
+}  // namespace
+
+void CapacityDuty::reset(const CapacityState& state, base::TimePoint callsFrom,
+                         base::TimePoint now) {
+  m_plans.clear();
+  m_subjects.clear();
+  m_wishes.clear();
+  m_sights.clear();
+  m_confirm.clear();
+  for (const auto& [subject, desired] : state.desired()) {
+    // What the predecessor asked for last may be starting.
+    m_subjects[subject].askedAt = std::max(now, callsFrom);
+  }
+  m_calling = false;
+  m_callAt = callsFrom;
+  m_retry = {};
+}
+
+KindSight CapacityDuty::kindSight(const CapacitySubject& subject, RegisteredKind registered,
+                                  const CapacityState& state, base::Duration startTime,
+                                  base::TimePoint now) {
+  Subject& known = m_subjects[subject];
+  known.lost =
+      known.lost || registered.there < known.seen.there || registered.leaving < known.seen.leaving;
+  known.seen = registered;
+  const DesiredCapacity noted = state.desired(subject).value_or(DesiredCapacity{});
+  if (known.proposed == noted.count) {
+    known.proposed.reset();
+  }
+  KindSight sight;
+  sight.there = registered.there;
+  sight.desired = known.proposed.value_or(noted.count);
+  sight.unavailable = now < known.availableFrom;
+  const bool toBeAsked = known.unanswered || !noted.taken;
+  const bool starting = known.askedAt && now - *known.askedAt <= startTime + m_settings.startMargin;
+  if ((toBeAsked || starting) && !sight.unavailable) {
+    sight.starting = sight.desired - std::min(sight.desired, registered.there);
+  }
+  return sight;
+}
+
+std::vector<ZoneSight> CapacityDuty::zonesOf(const ServiceSight& service,
+                                             const CapacityState& state, base::TimePoint now) {
+  std::map<std::string, RegisteredInstances> zones = service.zones;
+  for (const std::string& zone : state.zones(service.name)) {
+    zones.try_emplace(zone);
+  }
+  std::vector<ZoneSight> sights;
+  for (const auto& [zone, registered] : zones) {
+    const CapacitySubject ordinary{service.name, zone, InstanceKind::kOrdinary};
+    const CapacitySubject withdrawable{service.name, zone, InstanceKind::kWithdrawable};
+    if (registered.withdrawableLeaving > 0) {
+      Subject& withdrawn = m_subjects[withdrawable];
+      withdrawn.availableFrom = std::max(withdrawn.availableFrom, now + m_settings.firstPause);
+    }
+    const base::Duration start = service.scaling.startTime;
+    ZoneSight sight;
+    sight.zone = zone;
+    sight.ordinary =
+        kindSight(ordinary, {registered.ordinary, registered.ordinaryLeaving}, state, start, now);
+    sight.withdrawable = kindSight(
+        withdrawable, {registered.withdrawable, registered.withdrawableLeaving}, state, start, now);
+    sight.silent = registered.silent;
+    sight.leaving = registered.ordinaryLeaving + registered.withdrawableLeaving;
+    sight.baseline = state.baseline(service.name, zone);
+    sights.push_back(sight);
+    for (const auto& [subject, kind, leaving] :
+         {std::tuple(ordinary, sight.ordinary, registered.ordinaryLeaving),
+          std::tuple(withdrawable, sight.withdrawable, registered.withdrawableLeaving)}) {
+      const bool taken = state.desired(subject).value_or(DesiredCapacity{}).taken;
+      m_sights.push_back({subject, kind.desired, taken, kind.there, kind.starting, leaving,
+                          m_subjects[subject].refusals});
+    }
+  }
+  return sights;
+}
+
+void CapacityDuty::noteBaselines(const ServiceSight& service, const CapacityState& state,
+                                 CapacityWork& work) {
+  for (const auto& [zone, registered] : service.zones) {
+    const bool asked = state.desired({service.name, zone, InstanceKind::kOrdinary}).has_value();
+    if (!asked && registered.ordinary > state.baseline(service.name, zone)) {
+      work.commands.emplace_back(NoteBaseline{service.name, zone, registered.ordinary});
+    }
+  }
+}
+
+bool CapacityDuty::propose(const CapacitySubject& subject, std::uint32_t count, base::TimePoint now,
+                           CapacityWork& work) {
+  Subject& known = m_subjects[subject];
+  if (known.proposed == count && now - known.proposedAt < m_settings.noteTime) {
+    return false;
+  }
+  known.proposed = count;
+  known.proposedAt = now;
+  work.commands.emplace_back(SetCapacity{subject, count});
+  return true;
+}
+
+void CapacityDuty::noteWithdrawn(const ServiceSight& service, const std::vector<ZoneSight>& zones,
+                                 base::TimePoint now, CapacityWork& work) {
+  for (const ZoneSight& zone : zones) {
+    const KindSight& kind = zone.withdrawable;
+    if (kind.unavailable && kind.desired > kind.there) {
+      (void)propose({service.name, zone.zone, InstanceKind::kWithdrawable}, kind.there, now, work);
+    }
+  }
+}
+
+void CapacityDuty::decide(CapacityDecision decision, const CapacityState& state,
+                          base::TimePoint now, CapacityWork& work) {
+  const auto noted = state.desired(decision.subject);
+  if (noted && noted->count == decision.count) {
+    return;
+  }
+  if (propose(decision.subject, decision.count, now, work)) {
+    Subject& known = m_subjects[decision.subject];
+    known.taken.reset();
+    known.repeat = {};
+    decision.before = noted.value_or(DesiredCapacity{}).count;
+    work.decisions.push_back(std::move(decision));
+  }
+}
+
+void CapacityDuty::plan(const ServiceSight& service, const CapacityState& state,
+                        const Present& present, CapacityWork& work) {
+  noteBaselines(service, state, work);
+  CapacityInputs inputs;
+  inputs.scaling = service.scaling;
+  inputs.slots = service.slots;
+  inputs.zones = zonesOf(service, state, present.now);
+  inputs.demand = service.demand;
+  inputs.settled = present.settled;
+  inputs.now = present.now;
+  noteWithdrawn(service, inputs.zones, present.now, work);
+  CapacityPlan& plan = m_plans.try_emplace(service.name, m_settings.plan).first->second;
+  const CapacityDecision common = decisionFrom(service);
+  for (const CapacityTarget& target : plan.step(inputs)) {
+    CapacityDecision decision = common;
+    decision.subject = {service.name, target.zone, target.kind};
+    const RegisteredKind seen = m_subjects[decision.subject].seen;
+    m_wishes.insert_or_assign(decision.subject, Wish{target, service.scaling.startTime});
+    decision.count = target.count;
+    decision.there = seen.there;
+    decision.leaving = seen.leaving;
+    decision.wanted = plan.wanted();
+    decide(std::move(decision), state, present.now, work);
+  }
+}
+
+bool CapacityDuty::isDue(const CapacitySubject& subject, const Wish& wish,
+                         const CapacityState& state, base::TimePoint now) {
+  const Subject& known = m_subjects[subject];
+  const auto noted = state.desired(subject);
+  if (!noted || noted->count != wish.target.count || now < known.availableFrom) {
+    return false;
+  }
+  const bool taken = (noted->taken || known.taken == noted->count) && !known.unanswered;
+  if (!taken || known.lost || !known.askedAt) {
+    return true;
+  }
+  const base::Duration patience = std::max(wish.startTime + m_settings.startMargin, known.repeat);
+  return now - *known.askedAt > patience;
+}
+
+/// A call without an answer may have been carried out after a newer one.
+std::optional<ScaleCall> CapacityDuty::assertedCall(const CapacityState& state,
+                                                    const Present& present) {
+  for (auto& [subject, known] : m_subjects) {
+    if (!known.uncertain || present.now < known.uncertainUntil) {
+      continue;
+    }
+    const std::uint32_t lowest = *std::exchange(known.uncertain, std::nullopt);
+    const auto noted = state.desired(subject);
+    const bool superseded = noted && lowest < noted->count;
+    if (superseded && noted->count >= known.seen.there) {
+      return ScaleCall{subject, noted->count, present.fence};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<ScaleCall> CapacityDuty::nextCall(const CapacityState& state,
+                                                const Present& present) {
+  if (m_calling || present.now < m_callAt || present.fence == m_refusedFence) {
+    return std::nullopt;
+  }
+  std::optional<ScaleCall> next;
+  std::tuple<bool, base::TimePoint> nextRank;
+  for (const auto& [subject, wish] : m_wishes) {
+    if (!isDue(subject, wish, state, present.now)) {
+      continue;
+    }
+    // More before less, and of these what waits longest.
+    const std::tuple<bool, base::TimePoint> rank{
+        wish.target.givesBack, m_subjects[subject].askedAt.value_or(base::TimePoint{})};
+    if (!next || rank < nextRank) {
+      next = ScaleCall{subject, wish.target.count, present.fence};
+      nextRank = rank;
+    }
+  }
+  return next ? next : assertedCall(state, present);
+}
+
+void CapacityDuty::onSent(const ScaleCall& call, base::TimePoint now) {
+  m_calling = true;
+  Subject& known = m_subjects[call.subject];
+  known.askedAt = now;
+  known.unanswered = true;
+  known.lost = false;
+  known.repeat = std::clamp(known.repeat * 2, m_settings.firstRepeat, m_settings.longestRepeat);
+}
+
+CapacityWork CapacityDuty::step(const CapacityState& state, const Present& present) {
+  CapacityWork work;
+  if (!enabled()) {
+    return work;
+  }
+  m_wishes.clear();
+  m_sights.clear();
+  for (const ServiceSight& service : present.services) {
+    plan(service, state, present, work);
+  }
+  for (const ConfirmCapacity& confirm : std::exchange(m_confirm, {})) {
+    work.commands.emplace_back(confirm);
+  }
+  work.call = nextCall(state, present);
+  if (work.call) {
+    onSent(*work.call, present.now);
+  }
+  return work;
+}
+
+void CapacityDuty::noteUnavailable(Subject& subject, base::TimePoint now) const {
+  subject.pause = std::clamp(subject.pause * 2, m_settings.firstPause, m_settings.longestPause);
+  subject.availableFrom = now + subject.pause;
+  subject.askedAt.reset();
+  subject.unanswered = false;
+  ++subject.refusals;
+}
+
+void CapacityDuty::pauseCalls(base::TimePoint now) {
+  m_retry = std::clamp(m_retry * 2, m_settings.firstRetry, m_settings.longestRetry);
+  // Half of the pause is drawn, so that calls do not meet others in step.
+  const auto half = m_retry.count() / 2;
+  m_callAt = now + base::Duration(half + static_cast<base::Duration::rep>(
+                                             m_random.below(static_cast<std::uint64_t>(half) + 1)));
+}
+
+void CapacityDuty::onOutcome(const ScaleCall& call, ScaleOutcome outcome, base::TimePoint now) {
+  m_calling = false;
+  m_callAt = now + m_settings.callInterval;
+  Subject& known = m_subjects[call.subject];
+  switch (outcome) {
+    case ScaleOutcome::kTaken:
+      m_retry = {};
+      known.taken = call.count;
+      known.unanswered = false;
+      known.pause = {};
+      known.refusals = 0;
+      m_confirm.push_back({call.subject, call.count});
+      return;
+    case ScaleOutcome::kRefused:
+      m_refusedFence = call.fence;
+      return;
+    case ScaleOutcome::kNoneAvailable:
+      m_retry = {};
+      noteUnavailable(known, now);
+      return;
+    case ScaleOutcome::kUncertain:
+      known.uncertain = std::min(call.count, known.uncertain.value_or(call.count));
+      known.uncertainUntil = now + m_settings.latestEffect;
+      pauseCalls(now);
+      return;
+    case ScaleOutcome::kBusy:
+      pauseCalls(now);
+      return;
+  }
+}
+
+}  // namespace tackpick::duties
--- /dev/null
+++ b/src/duties/capacity_duty.h
@@ -0,0 +1,173 @@
+/// \file
+/// The duty to set the numbers of instances, as the controllers' leader does it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/random.h"
+#include "duties/capacity_plan.h"
+#include "duties/capacity_state.h"
+
+namespace tackpick::duties {
+
+/// Knobs of a CapacityDuty.
+struct CapacityDutySettings {
+  CapacityPlanSettings plan;
+  /// Between two calls at least; the platform limits the rate of all of them.
+  base::Duration callInterval = base::milliseconds(100);
+  /// A call without an answer is repeated after this time, and then after twice as long each time.
+  base::Duration firstRetry = base::milliseconds(300);
+  base::Duration longestRetry = base::milliseconds(2400);
+  /// A new instance has registered so long after its start time, or the call is repeated.
+  base::Duration startMargin = base::seconds(2);
+  /// ... and then after twice as long each time.
+  base::Duration firstRepeat = base::seconds(4);
+  base::Duration longestRepeat = base::seconds(60);
+  /// An entry of the log that was not applied in this time is proposed again.
+  base::Duration noteTime = base::seconds(1);
+  /// A call without an answer may be carried out so late.
+  base::Duration latestEffect = base::seconds(15);
+  /// No withdrawable instances are asked for in a zone that has none for this time, and then twice
+  /// as long each time.
+  base::Duration firstPause = base::seconds(3);
+  base::Duration longestPause = base::seconds(60);
+};
+
+/// Instances of a service in a zone, as they are registered.
+struct RegisteredInstances {
+  std::uint32_t ordinary = 0;  ///< not leaving
+  std::uint32_t withdrawable = 0;
+  std::uint32_t silent = 0;  ///< of both
+  std::uint32_t ordinaryLeaving = 0;
+  std::uint32_t withdrawableLeaving = 0;
+};
+
+/// A service whose instances the platform starts and stops.
+struct ServiceSight {
+  std::string name;
+  Scaling scaling;
+  std::uint32_t slots = 1;
+  std::map<std::string, RegisteredInstances> zones;
+  std::optional<CapacityDemand> demand;  ///< nothing: it is not known, or too old
+};
+
+/// A new number of instances, and what it was decided from.
+struct CapacityDecision {
+  CapacitySubject subject;
+  std::uint32_t count = 0;
+  std::uint32_t before = 0;  ///< the count that was asked for until now
+  std::uint32_t there = 0;
+  std::uint32_t leaving = 0;
+  std::uint32_t wanted = 0;  ///< in all zones, of both kinds
+  bool workKnown = false;    ///< the open work below decided too
+  std::uint32_t items = 0;   ///< open ones
+  std::uint32_t waiting = 0;
+  base::Duration workAge{0};  ///< since the open work was told
+};
+
+/// What the leader is to do now.
+struct CapacityWork {
+  /// To be written to the log.
+  std::vector<std::variant<NoteBaseline, SetCapacity, ConfirmCapacity>> commands;
+  std::optional<ScaleCall> call;  ///< to be sent
+  std::vector<CapacityDecision> decisions;
+};
+
+/// Deterministic; owned by one thread. A count stands in the log before the platform is first asked
+/// for it. One call is under way at a time; a fence that was refused is not used again.
+class CapacityDuty {
+ public:
+  CapacityDuty(CapacityDutySettings settings, base::Random& random)
+      : m_settings(settings), m_random(random) {}
+
+  /// Call when this controller becomes leader. It makes no call before `callsFrom`.
+  void reset(const CapacityState& state, base::TimePoint callsFrom, base::TimePoint now);
+  struct Present {
+    std::vector<ServiceSight> services;
+    /// The leader has led long enough to have heard of every instance.
+    bool settled = false;
+    std::uint64_t fence = 0;
+    base::TimePoint now;
+  };
+  [[nodiscard]] CapacityWork step(const CapacityState& state, const Present& present);
+  void onOutcome(const ScaleCall& call, ScaleOutcome outcome, base::TimePoint now);
+
+  [[nodiscard]] const std::vector<CapacitySight>& sights() const { return m_sights; }
+  [[nodiscard]] bool enabled() const { return m_settings.plan.mode != CapacityMode::kHold; }
+
+ private:
+  /// Instances of one kind in a zone.
+  struct RegisteredKind {
+    std::uint32_t there = 0;
+    std::uint32_t leaving = 0;
+  };
+  /// What this leader knows of a subject.
+  struct Subject {
+    std::optional<base::TimePoint> askedAt;  ///< the platform, for the present count
+    base::Duration repeat{0};                ///< until it is asked again
+    std::optional<std::uint32_t> proposed;   ///< its entry is on its way to the log ...
+    base::TimePoint proposedAt{};            ///< ... since then
+    std::optional<std::uint32_t> taken;      ///< the confirmation may be on its way
+    bool unanswered = false;                 ///< the last call
+    bool lost = false;  ///< instances left since the last call: it is due again at once
+    RegisteredKind seen;
+    /// The lowest count of calls without an answer, which may still be carried out ...
+    std::optional<std::uint32_t> uncertain;
+    base::TimePoint uncertainUntil{};  ///< ... until then
+    base::TimePoint availableFrom{};
+    base::Duration pause{0};
+    std::uint32_t refusals = 0;
+  };
+  struct Wish {
+    CapacityTarget target;
+    base::Duration startTime{0};
+  };
+
+  [[nodiscard]] std::vector<ZoneSight> zonesOf(const ServiceSight& service,
+                                               const CapacityState& state, base::TimePoint now);
+  [[nodiscard]] KindSight kindSight(const CapacitySubject& subject, RegisteredKind registered,
+                                    const CapacityState& state, base::Duration startTime,
+                                    base::TimePoint now);
+  static void noteBaselines(const ServiceSight& service, const CapacityState& state,
+                            CapacityWork& work);
+  /// What was withdrawn or refused is not counted on.
+  void noteWithdrawn(const ServiceSight& service, const std::vector<ZoneSight>& zones,
+                     base::TimePoint now, CapacityWork& work);
+  /// Writes a count to the log; false when that is under way.
+  [[nodiscard]] bool propose(const CapacitySubject& subject, std::uint32_t count,
+                             base::TimePoint now, CapacityWork& work);
+  void plan(const ServiceSight& service, const CapacityState& state, const Present& present,
+            CapacityWork& work);
+  /// `decision.before` is not known yet.
+  void decide(CapacityDecision decision, const CapacityState& state, base::TimePoint now,
+              CapacityWork& work);
+  [[nodiscard]] bool isDue(const CapacitySubject& subject, const Wish& wish,
+                           const CapacityState& state, base::TimePoint now);
+  [[nodiscard]] std::optional<ScaleCall> nextCall(const CapacityState& state,
+                                                  const Present& present);
+  [[nodiscard]] std::optional<ScaleCall> assertedCall(const CapacityState& state,
+                                                      const Present& present);
+  void onSent(const ScaleCall& call, base::TimePoint now);
+  void noteUnavailable(Subject& subject, base::TimePoint now) const;
+  void pauseCalls(base::TimePoint now);
+
+  const CapacityDutySettings m_settings;
+  base::Random& m_random;
+  std::map<std::string, CapacityPlan> m_plans;  ///< by service
+  std::map<CapacitySubject, Subject> m_subjects;
+  std::map<CapacitySubject, Wish> m_wishes;  ///< of the present step
+  std::vector<CapacitySight> m_sights;
+  std::vector<ConfirmCapacity> m_confirm;  ///< to be written to the log
+  bool m_calling = false;
+  std::uint64_t m_refusedFence = 0;
+  base::TimePoint m_callAt{};  ///< not before
+  base::Duration m_retry{0};
+};
+
+}  // namespace tackpick::duties
--- a/src/duties/capacity_messages.h
+++ b/src/duties/capacity_messages.h
@@ -34,6 +34,65 @@
   }
 };
 
+// From operators, and to them.
+
+struct ReadCapacity {
+  std::uint8_t reserved = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(reserved);
+  }
+};
+
+/// What an operator is shown of one kind of a service's instances in a zone.
+struct CapacitySight {
+  CapacitySubject subject;
+  std::uint32_t desired = 0;  ///< asked for; zero: nothing was
+  bool taken = false;         ///< by the platform
+  std::uint32_t there = 0;
+  std::uint32_t starting = 0;
+  std::uint32_t leaving = 0;
+  std::uint32_t refusals = 0;  ///< in a row: none could be had
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(subject, desired, taken, there, starting, leaving, refusals);
+  }
+};
+
+// Through the controllers' log.
+
+/// So many ordinary instances run in a zone without any call of the duty.
+struct NoteBaseline {
+  std::string service;
+  std::string zone;
+  std::uint32_t count = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, zone, count);
+  }
+};
+
+/// The platform is going to be asked for so many. Written before the first such call.
+struct SetCapacity {
+  CapacitySubject subject;
+  std::uint32_t count = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(subject, count);
+  }
+};
+
+/// The platform has taken the call for that count.
+struct ConfirmCapacity {
+  CapacitySubject subject;
+  std::uint32_t count = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(subject, count);
+  }
+};
+
 // To the platform.
 
 /// A call that only the present holder of the duty may make.
--- /dev/null
+++ b/src/duties/capacity_plan.cpp
@@ -0,0 +1,216 @@
+#include "duties/capacity_plan.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace tackpick::duties {
+namespace {
+
+constexpr std::uint32_t kWholePercent = 100;
+
+double priceOf(const std::string& zone, const Scaling& scaling) {
+  const auto price = scaling.zonePrices.find(zone);
+  return price == scaling.zonePrices.end() ? 1 : price->second;
+}
+
+std::uint32_t difference(std::uint32_t from, std::uint32_t other) {
+  return from - std::min(from, other);
+}
+
+/// Many at once are more likely to be cut off from the controllers than lost.
+bool silenceIsCredible(const CapacityInputs& inputs) {
+  constexpr std::uint32_t kMostSilent = 3;  // one in so many
+  std::uint32_t silent = 0;
+  std::uint32_t there = 0;
+  for (const ZoneSight& zone : inputs.zones) {
+    silent += zone.silent;
+    there += zone.ordinary.there + zone.withdrawable.there;
+  }
+  return inputs.settled && silent * kMostSilent <= there;
+}
+
+/// No more than `target` are there.
+bool hasGone(const CapacityTarget& target, const std::vector<ZoneSight>& zones) {
+  return std::any_of(zones.begin(), zones.end(), [&](const ZoneSight& zone) {
+    const bool ordinary = target.kind == InstanceKind::kOrdinary;
+    const KindSight& kind = ordinary ? zone.ordinary : zone.withdrawable;
+    return zone.zone == target.zone && kind.there <= target.count;
+  });
+}
+
+}  // namespace
+
+/// What a zone gets, as far as it is decided.
+struct CapacityPlan::ZonePlan {
+  const ZoneSight* sight = nullptr;
+  double price = 1;
+  std::uint32_t floor = 0;  ///< of ordinary instances
+  std::uint32_t ordinary = 0;
+  std::uint32_t withdrawable = 0;
+
+  [[nodiscard]] std::uint32_t total() const { return ordinary + withdrawable; }
+};
+
+std::uint32_t CapacityPlan::floorOf(const ZoneSight& zone, const CapacityInputs& inputs) const {
+  const bool longIdle =
+      m_idleSince && inputs.now - *m_idleSince >= m_settings.longIdle && inputs.demand;
+  const std::uint32_t kept = longIdle ? 0 : zone.baseline;
+  return std::clamp(kept, inputs.scaling.minimum, inputs.scaling.maximum);
+}
+
+/// What there is, what was there before the first call, and one for each that seems lost.
+std::vector<CapacityPlan::ZonePlan> CapacityPlan::hold(const CapacityInputs& inputs) const {
+  const bool replaceSilent = silenceIsCredible(inputs);
+  std::vector<ZonePlan> plans;
+  for (const ZoneSight& zone : inputs.zones) {
+    ZonePlan plan;
+    plan.sight = &zone;
+    plan.price = priceOf(zone.zone, inputs.scaling);
+    plan.floor = floorOf(zone, inputs);
+    plan.withdrawable = zone.withdrawable.coming();
+    const std::uint32_t room = difference(inputs.scaling.maximum, plan.withdrawable);
+    const std::uint32_t lost = replaceSilent ? zone.silent : 0;
+    const std::uint32_t asked = std::max(zone.ordinary.desired, plan.floor + lost);
+    plan.ordinary = std::max(zone.ordinary.coming(), std::min(asked, room));
+    plans.push_back(plan);
+  }
+  std::stable_sort(plans.begin(), plans.end(),
+                   [](const ZonePlan& a, const ZonePlan& b) { return a.price < b.price; });
+  return plans;
+}
+
+void CapacityPlan::noteDemand(const CapacityInputs& inputs) {
+  if (!inputs.demand || !inputs.demand->idle()) {
+    m_idleSince.reset();
+  } else if (!m_idleSince) {
+    m_idleSince = inputs.now;
+  }
+}
+
+std::uint32_t CapacityPlan::wantedNow(const CapacityInputs& inputs) {
+  std::uint32_t floors = 0;
+  std::uint32_t asked = 0;
+  for (const ZoneSight& zone : inputs.zones) {
+    floors += floorOf(zone, inputs);
+    asked += zone.ordinary.desired + zone.withdrawable.desired;
+  }
+  const std::uint32_t most = floors + floors * m_settings.mostExtraPercent / kWholePercent;
+  if (!inputs.demand) {
+    // Who follows a lost leader, or hears nothing, keeps to what was asked for.
+    return std::clamp(std::max(asked, m_wanted), floors, most);
+  }
+  const std::uint32_t places = m_policy->placesWanted(*inputs.demand, inputs.now);
+  const std::uint32_t slots = std::max(inputs.slots, 1U);
+  return std::clamp((places + slots - 1) / slots, floors, most);
+}
+
+/// One instance after the other, each in the next zone by price, so that no zone carries them all.
+void CapacityPlan::add(std::vector<ZonePlan>& plans, std::uint32_t missing,
+                       const CapacityInputs& inputs) const {
+  std::uint32_t withdrawable = 0;
+  std::uint32_t floors = 0;
+  for (const ZonePlan& plan : plans) {
+    withdrawable += plan.withdrawable;
+    floors += plan.floor;
+  }
+  const std::uint32_t extra = difference(m_wanted, floors);
+  const std::uint32_t share = extra * m_settings.withdrawablePercent / kWholePercent;
+  std::uint32_t cheaper = std::min(missing, difference(share, withdrawable));
+  const auto spread = [&](std::uint32_t& count, auto take) {
+    for (bool took = true; took && count > 0;) {
+      took = false;
+      for (ZonePlan& plan : plans) {
+        if (count > 0 && plan.total() < inputs.scaling.maximum && take(plan)) {
+          --count;
+          took = true;
+        }
+      }
+    }
+  };
+  const std::uint32_t planned = cheaper;
+  spread(cheaper, [](ZonePlan& plan) {
+    plan.withdrawable += plan.sight->withdrawable.unavailable ? 0 : 1;
+    return !plan.sight->withdrawable.unavailable;
+  });
+  std::uint32_t rest = missing - (planned - cheaper);
+  spread(rest, [](ZonePlan& plan) {
+    ++plan.ordinary;
+    return true;
+  });
+}
+
+/// Ordinary ones of the dearest zone first.
+std::optional<CapacityTarget> CapacityPlan::dearest(const std::vector<ZonePlan>& plans) {
+  for (auto plan = plans.rbegin(); plan != plans.rend(); ++plan) {
+    const std::uint32_t ordinary = plan->sight->ordinary.there;
+    if (ordinary > plan->floor) {
+      return CapacityTarget{plan->sight->zone, InstanceKind::kOrdinary, ordinary - 1, true};
+    }
+  }
+  for (auto plan = plans.rbegin(); plan != plans.rend(); ++plan) {
+    const std::uint32_t withdrawable = plan->sight->withdrawable.there;
+    if (withdrawable > 0) {
+      return CapacityTarget{plan->sight->zone, InstanceKind::kWithdrawable, withdrawable - 1, true};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<CapacityTarget> CapacityPlan::giveBack(const std::vector<ZonePlan>& plans,
+                                                     const CapacityInputs& inputs) {
+  std::uint32_t there = 0;
+  bool quiet = inputs.settled && inputs.demand.has_value();
+  for (const ZonePlan& plan : plans) {
+    const ZoneSight& zone = *plan.sight;
+    there += zone.ordinary.there + zone.withdrawable.there;
+    quiet = quiet && zone.silent == 0 && zone.leaving == 0 && zone.ordinary.starting == 0 &&
+            zone.withdrawable.starting == 0;
+  }
+  if (!quiet || there <= m_wanted) {
+    m_unusedSince.reset();
+    m_givingBack.reset();
+    return std::nullopt;
+  }
+  if (m_givingBack && hasGone(*m_givingBack, inputs.zones)) {
+    m_givingBack.reset();
+    m_unusedSince = inputs.now;
+  }
+  m_unusedSince = m_unusedSince.value_or(inputs.now);
+  if (inputs.now - *m_unusedSince < m_settings.keepUnused) {
+    return std::nullopt;
+  }
+  // The same until it has gone: then something leaves, and the time begins anew.
+  if (!m_givingBack) {
+    m_givingBack = dearest(plans);
+  }
+  return m_givingBack;
+}
+
+std::vector<CapacityTarget> CapacityPlan::step(const CapacityInputs& inputs) {
+  if (m_policy == nullptr) {
+    return {};
+  }
+  noteDemand(inputs);
+  m_wanted = wantedNow(inputs);
+  std::vector<ZonePlan> plans = hold(inputs);
+  const std::uint32_t held =
+      std::accumulate(plans.begin(), plans.end(), 0U,
+                      [](std::uint32_t sum, const ZonePlan& plan) { return sum + plan.total(); });
+  add(plans, difference(m_wanted, held), inputs);
+  std::vector<CapacityTarget> targets;
+  for (const ZonePlan& plan : plans) {
+    const ZoneSight& zone = *plan.sight;
+    if (plan.ordinary > zone.ordinary.there) {
+      targets.push_back({zone.zone, InstanceKind::kOrdinary, plan.ordinary});
+    }
+    if (plan.withdrawable > zone.withdrawable.there) {
+      targets.push_back({zone.zone, InstanceKind::kWithdrawable, plan.withdrawable});
+    }
+  }
+  if (const auto less = giveBack(plans, inputs)) {
+    targets.push_back(*less);
+  }
+  return targets;
+}
+
+}  // namespace tackpick::duties
--- /dev/null
+++ b/src/duties/capacity_policy.h
@@ -0,0 +1,99 @@
+/// \file
+/// How many places of a service the open work calls for.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "jobs/open_work.h"
+
+namespace tackpick::duties {
+
+/// Which rule decides how many instances are ordered.
+enum class CapacityMode : std::uint8_t {
+  kHold,           ///< what is there is left as it is; no call is made
+  kWaitingWork,    ///< places for what waits
+  kExpectedSteps,  ///< places for whole steps, as large as the last ones, before they come
+};
+
+/// The open work of a service.
+struct CapacityDemand {
+  jobs::OpenWorks works;          ///< of the models of that service only
+  std::uint32_t placesThere = 0;  ///< of the instances that serve
+  base::Duration startTime{0};    ///< of a new instance
+  base::Duration toldBefore{0};   ///< age of these figures
+  double recentEvents = 0;        ///< of streams of those models, jobs or not; older count less
+
+  [[nodiscard]] bool idle() const {
+    constexpr double kNoEvents = 0.5;
+    return works.empty() && recentEvents < kNoEvents;
+  }
+};
+
+/// Deterministic; one for each service.
+class CapacityPolicy {
+ public:
+  virtual ~CapacityPolicy() = default;
+  /// Places that should be there, or be starting.
+  [[nodiscard]] virtual std::uint32_t placesWanted(const CapacityDemand& demand,
+                                                   base::TimePoint now) = 0;
+
+  /// Nothing for CapacityMode::kHold.
+  [[nodiscard]] static std::unique_ptr<CapacityPolicy> make(CapacityMode mode);
+};
+
+/// Knobs of FollowWaitingWork.
+struct WaitingWorkSettings {
+  /// Items of a job that came just now are leased within this time where there is room.
+  base::Duration patience = base::milliseconds(400);
+  /// What was wanted is remembered so long: a trainer's next step needs it again.
+  base::Duration memory = base::seconds(30);
+};
+
+/// Wants a place for each item that has waited, and for those for which there is none when their
+/// job would be late by the time a new instance serves.
+class FollowWaitingWork final : public CapacityPolicy {
+ public:
+  explicit FollowWaitingWork(WaitingWorkSettings settings = {}) : m_settings(settings) {}
+  [[nodiscard]] std::uint32_t placesWanted(const CapacityDemand& demand,
+                                           base::TimePoint now) override;
+
+ private:
+  const WaitingWorkSettings m_settings;
+  std::uint32_t m_peak = 0;
+  base::TimePoint m_peakAt{};
+};
+
+/// Knobs of FollowExpectedSteps.
+struct ExpectedStepsSettings {
+  WaitingWorkSettings waiting;
+  /// A model whose last job came before that is expected to send none.
+  base::Duration memory = base::seconds(30);
+};
+
+/// Wants a place for each item of the largest recent job of each model, so that a whole step can
+/// begin at once; where that misjudges, for what waits.
+class FollowExpectedSteps final : public CapacityPolicy {
+ public:
+  explicit FollowExpectedSteps(ExpectedStepsSettings settings = {})
+      : m_settings(settings), m_waiting(settings.waiting) {}
+  [[nodiscard]] std::uint32_t placesWanted(const CapacityDemand& demand,
+                                           base::TimePoint now) override;
+
+ private:
+  struct Step {
+    std::uint32_t items = 0;
+    base::TimePoint seenAt{};
+  };
+  void note(const jobs::OpenWorks& works, base::TimePoint now);
+
+  const ExpectedStepsSettings m_settings;
+  FollowWaitingWork m_waiting;
+  std::map<std::string, Step> m_largest;  ///< by model
+};
+
+}  // namespace tackpick::duties
--- /dev/null
+++ b/src/duties/capacity_state.h
@@ -0,0 +1,51 @@
+/// \file
+/// The part of the controllers' replicated state that concerns capacity.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "duties/capacity_messages.h"
+
+namespace tackpick::duties {
+
+/// What the platform is asked for.
+struct DesiredCapacity {
+  std::uint32_t count = 0;
+  bool taken = false;  ///< by the platform
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(count, taken);
+  }
+};
+
+/// Deterministic.
+class CapacityState {
+ public:
+  void apply(const NoteBaseline& command);
+  void apply(const SetCapacity& command);
+  void apply(const ConfirmCapacity& command);
+
+  [[nodiscard]] const std::map<CapacitySubject, DesiredCapacity>& desired() const {
+    return m_desired;
+  }
+  [[nodiscard]] std::optional<DesiredCapacity> desired(const CapacitySubject& subject) const;
+  /// Ordinary instances that ran before the first call about that zone; zero when none were seen.
+  [[nodiscard]] std::uint32_t baseline(const std::string& service, const std::string& zone) const;
+  /// Zones of `service` in which instances ran before the first call.
+  [[nodiscard]] std::vector<std::string> zones(const std::string& service) const;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(m_baselines, m_desired);
+  }
+
+ private:
+  std::map<std::pair<std::string, std::string>, std::uint32_t> m_baselines;  ///< service and zone
+  std::map<CapacitySubject, DesiredCapacity> m_desired;
+};
+
+}  // namespace tackpick::duties
--- /dev/null
+++ b/src/edge/capacity_call.h
@@ -0,0 +1,18 @@
+/// \file
+/// The operators' call about numbers of instances. It is the product's own and the same on every
+/// site: `GET /v1/capacity`.
+#pragma once
+
+#include <optional>
+
+#include "edge/dialect.h"
+
+namespace tackpick::edge {
+
+/// Nothing when the request is no such call.
+[[nodiscard]] std::optional<ControlCall> capacityCall(const http::RawRequest& request);
+/// Nothing when `request` is no such call.
+[[nodiscard]] std::optional<Answer> capacityAnswer(const directory::DirectoryRequest& request,
+                                                   const directory::DirectoryReply& reply);
+
+}  // namespace tackpick::edge
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "directory/call_name.h"
+#include "edge/capacity_call.h"
 #include "edge/quarantine_call.h"
 #include "edge/unanswered.h"
 #include "http/status.h"
@@ -37,7 +38,10 @@
 
 void ControlFront::onRequest(const http::RawRequest& request,
                              const std::shared_ptr<http::Exchange>& exchange) {
-  const std::optional<edge::ControlCall> own = edge::quarantineCall(request);
+  std::optional<edge::ControlCall> own = edge::quarantineCall(request);
+  if (!own) {
+    own = edge::capacityCall(request);
+  }
   edge::ControlCall call = own ? *own : node_.dialect().controlCall(request);
   if (std::holds_alternative<edge::UnknownCall>(call)) {
     exchange->respond(kNotFound, {}, {});
@@ -98,6 +102,9 @@
   if (const auto own = edge::quarantineAnswer(request, reply)) {
     return *own;
   }
+  if (const auto own = edge::capacityAnswer(request, reply)) {
+    return *own;
+  }
   if (std::holds_alternative<directory::InstanceBeat>(request)) {
     // Later heartbeats come here too, so that each controller takes a part of them.
     const transport::Endpoint& own = node_.settings().control;
--- a/src/node/duty_caller.cpp
+++ b/src/node/duty_caller.cpp
@@ -22,25 +22,46 @@
 
 /// One call on its way.
 struct DutyCaller::Call {
-  Call(asio::io_context& context, duties::UsageReport sent, Callback done)
-      : report(std::move(sent)), callback(std::move(done)), deadline(context) {}
+  Call(asio::io_context& context, std::function<void(const CallEnd&)> done)
+      : callback(std::move(done)), deadline(context) {}
 
-  duties::UsageReport report;
-  Callback callback;
+  std::function<void(const CallEnd&)> callback;
   base::Timer deadline;
   http::ExchangeId exchange;
   int status = 0;
 };
 
 void DutyCaller::send(const duties::UsageReport& report, Callback callback) {
-  auto call = std::make_shared<Call>(m_node.context(), report, std::move(callback));
-  http::UpstreamRequest request = m_node.dialect().usageRequest(report, m_node.settings().name);
+  start(m_node.dialect().usageRequest(report, m_node.settings().name),
+        [this, report, callback = std::move(callback)](const CallEnd& end) {
+          const duties::DutyOutcome outcome = end.complete
+                                                  ? m_node.dialect().dutyOutcome(end.status)
+                                                  : duties::DutyOutcome::kUncertain;
+          tell(report, outcome, end);
+          callback(outcome);
+        });
+}
+
+void DutyCaller::send(const duties::ScaleCall& call, ScaleCallback callback) {
+  start(m_node.dialect().scaleRequest(call, m_node.settings().name),
+        [this, call, callback = std::move(callback)](const CallEnd& end) {
+          const duties::ScaleOutcome outcome = end.complete
+                                                   ? m_node.dialect().scaleOutcome(call, end.status)
+                                                   : duties::ScaleOutcome::kUncertain;
+          tell(call, outcome, end);
+          callback(outcome);
+        });
+}
+
+void DutyCaller::start(http::UpstreamRequest request,
+                       std::function<void(const CallEnd&)> callback) {
+  auto call = std::make_shared<Call>(m_node.context(), std::move(callback));
   const transport::Endpoint& platform = m_node.settings().dutyPlatform;
   request.address = {platform.host, platform.port};
   request.headers.set("Host", platform.host);
   http::UpstreamEvents events;
   events.onHead = [call](int status, const http::HeaderList&) { call->status = status; };
-  events.onEnd = [this, call](const http::UpstreamEnd& end) {
+  events.onEnd = [call](const http::UpstreamEnd& end) {
     call->deadline.cancel();
     onEnd(call, end.complete, end.error);
   };
@@ -55,25 +76,44 @@
 }
 
 void DutyCaller::onEnd(const std::shared_ptr<Call>& call, bool complete, const std::string& error) {
-  const Callback callback = std::exchange(call->callback, nullptr);
-  if (!callback) {
-    return;  // the answer and the deadline came in one turn
+  const auto callback = std::exchange(call->callback, nullptr);
+  if (callback) {  // else the answer and the deadline came in one turn
+    callback({complete, call->status, error});
   }
-  const duties::DutyOutcome outcome =
-      complete ? m_node.dialect().dutyOutcome(call->status) : duties::DutyOutcome::kUncertain;
+}
+
+void DutyCaller::tell(const duties::UsageReport& report, duties::DutyOutcome outcome,
+                      const CallEnd& end) {
   m_node.metrics().count(telemetry::CounterId::kDutyCalls, duties::toString(outcome));
   telemetry::logEvent(outcome == duties::DutyOutcome::kTaken
                           ? telemetry::EventId::kUsageReported
                           : telemetry::EventId::kUsageReportFailed,
                       telemetry::Detail()
-                          .add("window", call->report.usage.window)
-                          .add("total", totalOf(call->report.usage))
-                          .add("fence", call->report.fence)
+                          .add("window", report.usage.window)
+                          .add("total", totalOf(report.usage))
+                          .add("fence", report.fence)
+                          .add("outcome", duties::toString(outcome))
+                          .add("status", static_cast<std::uint64_t>(end.status))
+                          .add("error", end.error)
+                          .text());
+}
+
+void DutyCaller::tell(const duties::ScaleCall& call, duties::ScaleOutcome outcome,
+                      const CallEnd& end) {
+  m_node.metrics().count(telemetry::CounterId::kScaleCalls, duties::toString(outcome));
+  telemetry::logEvent(outcome == duties::ScaleOutcome::kTaken
+                          ? telemetry::EventId::kCapacityAsked
+                          : telemetry::EventId::kCapacityCallFailed,
+                      telemetry::Detail()
+                          .add("service", call.subject.service)
+                          .add("zone", call.subject.zone)
+                          .add("kind", duties::toString(call.subject.kind))
+                          .add("count", call.count)
+                          .add("fence", call.fence)
                           .add("outcome", duties::toString(outcome))
-                          .add("status", static_cast<std::uint64_t>(call->status))
-                          .add("error", error)
+                          .add("status", static_cast<std::uint64_t>(end.status))
+                          .add("error", end.error)
                           .text());
-  callback(outcome);
 }
 
 }  // namespace tackpick::node
--- a/src/node/duty_caller.h
+++ b/src/node/duty_caller.h
@@ -6,24 +6,37 @@
 #include <functional>
 #include <memory>
 
+#include "duties/capacity_messages.h"
 #include "duties/usage_duty.h"
+#include "http/upstream_client.h"
 
 namespace tackpick::node {
 
 class Node;
 
-/// Thin: UsageDuty decides when to call and what an outcome means.
+/// Thin: UsageDuty and CapacityDuty decide when to call and what an outcome means.
 class DutyCaller {
  public:
   explicit DutyCaller(Node& node) : m_node(node) {}
 
   using Callback = std::function<void(duties::DutyOutcome outcome)>;
   void send(const duties::UsageReport& report, Callback callback);
+  using ScaleCallback = std::function<void(duties::ScaleOutcome outcome)>;
+  void send(const duties::ScaleCall& call, ScaleCallback callback);
 
  private:
   struct Call;
-
-  void onEnd(const std::shared_ptr<Call>& call, bool complete, const std::string& error);
+  /// How a call ended.
+  struct CallEnd {
+    bool complete = false;  ///< the answer is whole
+    int status = 0;
+    std::string error;
+  };
+
+  void start(http::UpstreamRequest request, std::function<void(const CallEnd&)> callback);
+  static void onEnd(const std::shared_ptr<Call>& call, bool complete, const std::string& error);
+  void tell(const duties::UsageReport& report, duties::DutyOutcome outcome, const CallEnd& end);
+  void tell(const duties::ScaleCall& call, duties::ScaleOutcome outcome, const CallEnd& end);
 
   Node& m_node;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -194,12 +194,16 @@
   constexpr base::Duration kOrderMargin = base::milliseconds(100);
   settings.orderLease = {settings_.orderLease + kOrderMargin, settings_.enginesCheckFences};
   constexpr double kMicrosPerSecond = 1e6;
-  // Callers of other duties share the rate.
+  // Both duties share the rate, with others.
   constexpr double kShareOfRate = 0.5;
+  constexpr double kCapacityShareOfRate = 0.25;
   settings.usage.window = settings_.usageWindow;
   settings.usage.delay = settings_.usageDelay;
   settings.usage.callInterval = base::Duration(static_cast<base::Duration::rep>(
       kMicrosPerSecond / (settings_.dutyCallsPerSecond * kShareOfRate)));
+  settings.capacity.plan.mode = settings_.capacity;
+  settings.capacity.callInterval = base::Duration(static_cast<base::Duration::rep>(
+      kMicrosPerSecond / (settings_.dutyCallsPerSecond * kCapacityShareOfRate)));
   directory_ = std::make_unique<directory::DirectoryRole>(ownRecord(), settings, *log_, *random_,
                                                           wall_clock_, now());
   duty_caller_ = std::make_unique<DutyCaller>(*this);
@@ -362,6 +366,10 @@
     for (const duties::UsageReport& report : actions.usageReports) {
       sendUsageReport(report);
     }
+    tellCapacity(actions.capacityDecisions);
+    for (const duties::ScaleCall& call : actions.scaleCalls) {
+      sendScaleCall(call);
+    }
   }
   if (ledger_) {
     sendAll(ledger_->finish(now()));
@@ -480,6 +488,13 @@
   });
 }
 
+void Node::sendScaleCall(const duties::ScaleCall& call) {
+  duty_caller_->send(call, [this, call](duties::ScaleOutcome outcome) {
+    directory_->onScaleOutcome(call, outcome, now());
+    wake();
+  });
+}
+
 void Node::askForReport(const directory::InstanceRecord& engine) {
   const auto body = std::make_shared<std::string>();
   http::UpstreamEvents events;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -83,6 +83,9 @@
   void onView(const directory::DirectoryView& view);
   void sendOrder(const directory::VersionOrder& order);
   void sendUsageReport(const duties::UsageReport& report);
+  void sendScaleCall(const duties::ScaleCall& call);
+  static void tellCapacity(const std::vector<duties::CapacityDecision>& decisions);
+  void reportCapacity();
   void askForReport(const directory::InstanceRecord& engine);
   void sendAll(const transport::Outbox& outbox);
   void tick();
--- a/src/node/node_telemetry.cpp
+++ b/src/node/node_telemetry.cpp
@@ -86,6 +86,39 @@
                .text());
 }
 
+void Node::tellCapacity(const std::vector<duties::CapacityDecision>& decisions) {
+  for (const duties::CapacityDecision& decision : decisions) {
+    logEvent(EventId::kCapacityDecided, Detail()
+                                            .add("service", decision.subject.service)
+                                            .add("zone", decision.subject.zone)
+                                            .add("kind", duties::toString(decision.subject.kind))
+                                            .add("count", decision.count)
+                                            .add("before", decision.before)
+                                            .add("there", decision.there)
+                                            .add("leaving", decision.leaving)
+                                            .add("wanted", decision.wanted)
+                                            .add("work_known", decision.workKnown)
+                                            .add("items", decision.items)
+                                            .add("waiting", decision.waiting)
+                                            .add("work_age_ms", decision.workAge)
+                                            .text());
+  }
+}
+
+void Node::reportCapacity() {
+  const bool leads = replica()->raft().isLeader();
+  const auto told = [leads](std::uint32_t figure) { return leads ? figure : 0; };
+  for (const duties::CapacitySight& sight : directory_->capacity()) {
+    const std::string pool = sight.subject.service + "/" + sight.subject.zone + "/" +
+                             std::string(duties::toString(sight.subject.kind));
+    metrics_.set(GaugeId::kInstancesDesired, pool, told(sight.desired));
+    metrics_.set(GaugeId::kInstancesThere, pool, told(sight.there));
+    metrics_.set(GaugeId::kInstancesStarting, pool, told(sight.starting));
+    metrics_.set(GaugeId::kInstancesLeaving, pool, told(sight.leaving));
+    metrics_.set(GaugeId::kInstancesRefused, pool, told(sight.refusals));
+  }
+}
+
 void Node::reportFigures() {
   if (const consensus::Replica* own = replica()) {
     const consensus::RaftConsensus& raft = own->raft();
@@ -100,6 +133,9 @@
     metrics_.set(GaugeId::kLogBytes, static_cast<double>(log_->logBytes()));
     metrics_.set(GaugeId::kSnapshotBytes, static_cast<double>(log_->snapshotBytes()));
   }
+  if (directory_) {
+    reportCapacity();
+  }
   if (ledger_) {
     const auto& kept = ledger_->state().jobs();
     const auto open = std::count_if(kept.begin(), kept.end(),
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -59,6 +59,17 @@
        "a usage report was refused or got no answer",
        "it is repeated unchanged; refused means that another controller leads by now. Look at the "
        "platform when it goes on"},
+      {Id::kCapacityDecided, "capacity_decided", kInfo,
+       "the number of instances that a zone should have of one kind has changed: the new count, "
+       "the one before, how many are there and leave, how many are wanted in all zones, and the "
+       "open work and its age that this was decided from",
+       ""},
+      {Id::kCapacityAsked, "capacity_asked", kInfo,
+       "the platform took a call that sets a number of instances", ""},
+      {Id::kCapacityCallFailed, "capacity_call_failed", kWarning,
+       "the platform refused or did not answer a call that sets a number of instances",
+       "none_available: other zones and kinds are asked, and this one later; refused: another "
+       "controller leads by now; else it is repeated. Look at the platform when it goes on"},
       {Id::kLeaseLost, "lease_lost", kWarning,
        "this gateway has lost its serving lease and refuses new work",
        "check that a majority of controllers runs and is reachable"},
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -28,6 +28,7 @@
   kTextsSaved,
   kOrdersGiven,  ///< by outcome
   kDutyCalls,    ///< by outcome
+  kScaleCalls,   ///< by outcome
   kElectionsWon,
   kConnectionsOpened,
   kForeignAnswers,
@@ -49,7 +50,12 @@
   kConfigurationVersion,
   kControllersHeardAge,
   kConfigurationAge,
-  kInstances,  ///< by state
+  kInstances,         ///< by state
+  kInstancesDesired,  ///< this and the next four by service, zone and kind
+  kInstancesThere,
+  kInstancesStarting,
+  kInstancesLeaving,
+  kInstancesRefused,
   kHeldRequests,
   kItemsRunning,
   kScoringCalls,
--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -44,6 +44,7 @@
       const directory::DirectoryActions actions = role->finish(now);
       orders.insert(orders.end(), actions.orders.begin(), actions.orders.end());
       reports.insert(reports.end(), actions.usageReports.begin(), actions.usageReports.end());
+      scaleCalls.insert(scaleCalls.end(), actions.scaleCalls.begin(), actions.scaleCalls.end());
       for (const auto& outgoing : actions.messages) {
         if (const auto* answer = std::get_if<transport::CommandResponse>(&outgoing.message)) {
           answers.push_back(*answer);
@@ -78,6 +79,7 @@
   std::vector<transport::CommandResponse> answers;
   std::vector<directory::VersionOrder> orders;
   std::vector<tackpick::duties::UsageReport> reports;
+  std::vector<tackpick::duties::ScaleCall> scaleCalls;
   tackpick::test::ManualWall wall;
   const base::WallTime wallBegin{base::seconds(1'000'000)};
   directory::DirectorySettings settings;
@@ -252,6 +254,83 @@
   cr_assert(controller.reports.empty());
 }
 
+namespace {
+
+directory::Configuration scaledConfiguration(std::uint64_t version, std::uint32_t minimum,
+                                             std::uint32_t maximum) {
+  directory::Configuration made = configuration();
+  made.version = version;
+  made.services[0].scaling = {minimum, maximum, base::seconds(4), 0.2, {{"z", 1.0}}};
+  return made;
+}
+
+/// The engine of engineBeat and another; the other is about to leave.
+void announceLeave(LoneController& controller) {
+  directory::InstanceBeat other = engineBeat(1, 1);
+  other.record.id = "e1";
+  other.record.host = "10.0.0.8";
+  controller.ask(engineBeat(1, 1));
+  controller.ask(other);
+  controller.run(base::milliseconds(500));
+  other.sequence = 2;
+  other.record.leaving = true;
+  other.record.leavesAfter = base::milliseconds(2000);
+  controller.ask(other);
+  controller.run(base::milliseconds(200));
+}
+
+}  // namespace
+
+Test(directory_role, successor_of_a_leaving_engine_is_asked_for_under_the_leaders_term) {
+  LoneController controller;
+  controller.settings.capacity.plan.mode = tackpick::duties::CapacityMode::kExpectedSteps;
+  controller.start();
+  controller.run(base::seconds(3));
+  controller.ask(directory::ReplaceConfiguration{scaledConfiguration(1, 1, 10)});
+  controller.run(base::milliseconds(200));
+  announceLeave(controller);
+  cr_assert_eq(controller.scaleCalls.size(), 1U);
+  const tackpick::duties::ScaleCall first = controller.scaleCalls[0];
+  cr_assert_eq(first.subject.zone, "z");
+  cr_assert_eq(first.count, 2U);
+  cr_assert_eq(controller.role->state().capacity().desired(first.subject)->count, 2U);
+  controller.start();
+  controller.run(base::seconds(5));
+  cr_assert_geq(controller.scaleCalls.size(), 2U, "the outcome was not heard");
+  cr_assert(controller.scaleCalls[1].subject == first.subject);
+  cr_assert_eq(controller.scaleCalls[1].count, first.count);
+  cr_assert_gt(controller.scaleCalls[1].fence, first.fence);
+}
+
+Test(directory_role, without_bounds_or_by_setting_no_engine_is_asked_for) {
+  LoneController unbounded;
+  unbounded.settings.capacity.plan.mode = tackpick::duties::CapacityMode::kExpectedSteps;
+  unbounded.start();
+  unbounded.run(base::seconds(3));
+  unbounded.ask(directory::ReplaceConfiguration{configuration()});
+  announceLeave(unbounded);
+  LoneController held;
+  held.run(base::seconds(3));
+  held.ask(directory::ReplaceConfiguration{scaledConfiguration(1, 1, 10)});
+  announceLeave(held);
+  cr_assert(unbounded.scaleCalls.empty() && held.scaleCalls.empty());
+}
+
+Test(directory_role, contradictory_bounds_are_refused_and_the_former_stay) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  controller.ask(directory::ReplaceConfiguration{scaledConfiguration(1, 1, 10)});
+  controller.run(base::milliseconds(200));
+  controller.answers.clear();
+  controller.ask(directory::ReplaceConfiguration{scaledConfiguration(2, 11, 10)});
+  controller.run(base::milliseconds(200));
+  cr_assert_eq(controller.answers.size(), 1U);
+  const auto reply = base::decode<directory::DirectoryReply>(controller.answers[0].payload);
+  cr_assert(reply->status == directory::DirectoryStatus::kInvalid);
+  cr_assert_eq(controller.role->state().configuration().version, 1U);
+  cr_assert_eq(controller.role->state().configuration().services[0].scaling->maximum, 10U);
+}
+
 Test(directory_role, late_heartbeat_of_a_displaced_instance_does_not_bring_it_back) {
   LoneController controller;
   controller.run(base::seconds(3));
