Runs go on elsewhere before an engine that says when it ends does

Cause: a run at an engine that ends at a stated time ran until the connection broke, and its end counted as one under a request.

Change: gateways note when such engines end; jobs::mustMoveOn decides: a run whose expected rest does not end there moves at once with what it has, the others stay until the time to hand over is all that is left. Engines that name no time are left as before.

The move itself has no test with real processes.

--- a/src/jobs/run_decisions.h
+++ b/src/jobs/run_decisions.h
@@ -41,4 +41,21 @@
   return run.begun && run.silence > kStallLimit && run.moves < kMostMoves;
 }
 
+/// A run at an engine that ends at a stated time.
+struct EndingRun {
+  base::Duration untilEnd{0};  ///< of the engine
+  double restEvents = 0;       ///< still expected of its text; zero: unknown
+  base::Duration pace{0};      ///< between two events there; zero: unknown
+};
+
+/// True when a run should go on elsewhere now, with the events that it has: what is left of it does
+/// not end there, or the time to hand it over is all that is left.
+[[nodiscard]] inline bool mustMoveOn(const EndingRun& run) {
+  // To break off, and to be taken by another engine before this one closes the connection.
+  constexpr base::Duration kHandOver = base::milliseconds(300);
+  const auto rest = base::Duration(
+      static_cast<base::Duration::rep>(run.restEvents * static_cast<double>(run.pace.count())));
+  return run.untilEnd <= kHandOver + rest;
+}
+
 }  // namespace tackpick::jobs
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -48,6 +48,7 @@
 }  // namespace
 
 void ItemRunner::onView(const directory::DirectoryView& view) {
+  noteLeaving(view, node_.now());
   if (!sharers_told_) {
     sharers_ = std::max(view.gateways, 1U);
   }
@@ -65,6 +66,7 @@
   moveFromSlow(now);
   moveFromQueues(now);
   moveFromStalls(now);
+  moveFromLeaving(now);
   startAttempts(now);
   startScoring(now);
   commit(now);
--- a/src/node/item_runner.h
+++ b/src/node/item_runner.h
@@ -54,6 +54,7 @@
         : run(std::move(leased)), parser(std::move(versionField)) {}
 
     jobs::ItemRun run;
+    std::uint64_t eventsAtLease = run.lastEvent().value_or(0);
     jobs::StreamEventParser parser;
     base::TimePoint leasedAt{};
     base::TimePoint notBefore{};
@@ -119,6 +120,9 @@
   [[nodiscard]] forwarding::InstanceNeed needOf(const Running& item) const;
   /// Continues texts elsewhere whose engine makes no events of them any more.
   void moveFromStalls(base::TimePoint now);
+  /// Continues texts elsewhere that do not end before their engine does.
+  void moveFromLeaving(base::TimePoint now);
+  void noteLeaving(const directory::DirectoryView& view, base::TimePoint now);
   /// Breaks the running attempt off; the item goes on at `instance`.
   void moveTo(const jobs::ItemKey& key, Running& item, const std::string& instance,
               std::string_view reason);
@@ -151,6 +155,7 @@
   bool sharers_told_ = false;  ///< ... as the ledgers say; until then all gateways count
   bool standby_ = false;       ///< others run the items of this gateway's zone
   forwarding::ServiceModels engine_models_;
+  std::map<std::string, base::TimePoint> m_endings;  ///< of engines that say when they end
   bool leasing_ = false;
   bool committing_ = false;
   bool stopping_ = false;
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -113,6 +113,50 @@
   }
 }
 
+void ItemRunner::noteLeaving(const directory::DirectoryView& view, base::TimePoint now) {
+  for (const std::string& id : view.removed) {
+    m_endings.erase(id);
+  }
+  std::map<std::string, base::TimePoint> told;
+  for (const directory::InstanceView& instance : view.instances) {
+    const base::Duration leavesAfter = instance.record.leavesAfter;
+    if (leavesAfter > base::Duration{0}) {
+      told.emplace(instance.record.id, now + leavesAfter);
+    }
+  }
+  // What was noted first is nearest to when it was said.
+  if (view.whole) {
+    std::erase_if(m_endings, [&](const auto& entry) { return !told.contains(entry.first); });
+  }
+  m_endings.merge(told);
+}
+
+void ItemRunner::moveFromLeaving(base::TimePoint now) {
+  if (m_endings.empty()) {
+    return;
+  }
+  for (const auto& [key, item] : items_) {
+    const auto ending = m_endings.find(item->instance);
+    if (ending == m_endings.end() || !item->exchange.valid() || item->trial) {
+      continue;
+    }
+    const double made = static_cast<double>(item->run.lastEvent().value_or(0)) -
+                        static_cast<double>(item->eventsAtLease);
+    const auto* entry = instances_.find(item->instance);
+    jobs::EndingRun run;
+    run.untilEnd = ending->second - now;
+    run.restEvents = std::max(0.0, item->run.leased().restEvents - made);
+    run.pace = entry == nullptr ? base::Duration{0}
+                                : base::Duration(static_cast<base::Duration::rep>(
+                                      entry->paceMs * base::milliseconds(1).count()));
+    if (!jobs::mustMoveOn(run)) {
+      continue;
+    }
+    const auto* idle = instances_.findIdle(needOf(*item), {item->instance}, node_.random(), now);
+    moveTo(key, *item, idle == nullptr ? std::string() : idle->record.id, "leaving");
+  }
+}
+
 void ItemRunner::moveTo(const jobs::ItemKey& key, Running& item, const std::string& instance,
                         std::string_view reason) {
   node_.metrics().count(CounterId::kItemsMoved, reason);
