Capacity: places that are free call for no more engines; waiting is the default

Cause: both policies ordered engines for steps that waited for weights, not for places.

Change: waiting counts items beyond the free places only, when that has lasted for half a second; expected stays as it was and is a choice of the operator. Baselines are kept by kind: withdrawable instances that were there at the start had been given back (seen failing in the load test).

--- a/src/config/cluster_settings.cpp
+++ b/src/config/cluster_settings.cpp
@@ -67,7 +67,7 @@
 
 duties::CapacityMode readCapacityMode(MappingReader& reader, const ClusterSettings& settings) {
   const bool given = !settings.dutyPlatform.host.empty() && readDuties(reader).contains("scaling");
-  const std::string mode = reader.text("capacity", given ? "expected" : "hold");
+  const std::string mode = reader.text("capacity", given ? "waiting" : "hold");
   if (mode == "hold") {
     return duties::CapacityMode::kHold;
   }
--- a/src/directory/capacity_sight.cpp
+++ b/src/directory/capacity_sight.cpp
@@ -27,7 +27,6 @@
     return std::nullopt;
   }
   duties::CapacityDemand demand;
-  demand.startTime = service.scaling->startTime;
   demand.toldBefore = now - *work.heardAt;
   for (const std::string& model : service.models) {
     const auto open = work.works.find(model);
--- a/src/duties/capacity_duty.cpp
+++ b/src/duties/capacity_duty.cpp
@@ -88,7 +88,8 @@
         withdrawable, {registered.withdrawable, registered.withdrawableLeaving}, state, start, now);
     sight.silent = registered.silent;
     sight.leaving = registered.ordinaryLeaving + registered.withdrawableLeaving;
-    sight.baseline = state.baseline(service.name, zone);
+    sight.baseline = state.baseline(ordinary);
+    sight.withdrawableBaseline = state.baseline(withdrawable);
     sights.push_back(sight);
     for (const auto& [subject, kind, leaving] :
          {std::tuple(ordinary, sight.ordinary, registered.ordinaryLeaving),
@@ -103,11 +104,14 @@
 
 void CapacityDuty::noteBaselines(const ServiceSight& service, const CapacityState& state,
                                  CapacityWork& work) {
-  for (const auto& [zone, registered] : service.zones) {
-    const bool asked = state.desired({service.name, zone, InstanceKind::kOrdinary}).has_value();
-    if (!asked && registered.ordinary > state.baseline(service.name, zone)) {
-      work.commands.emplace_back(NoteBaseline{service.name, zone, registered.ordinary});
+  const auto note = [&](const CapacitySubject& subject, std::uint32_t there) {
+    if (!state.desired(subject) && there > state.baseline(subject)) {
+      work.commands.emplace_back(NoteBaseline{subject, there});
     }
+  };
+  for (const auto& [zone, registered] : service.zones) {
+    note({service.name, zone, InstanceKind::kOrdinary}, registered.ordinary);
+    note({service.name, zone, InstanceKind::kWithdrawable}, registered.withdrawable);
   }
 }
 
--- a/src/duties/capacity_messages.h
+++ b/src/duties/capacity_messages.h
@@ -62,14 +62,13 @@
 
 // Through the controllers' log.
 
-/// So many ordinary instances run in a zone without any call of the duty.
+/// So many instances run without any call of the duty.
 struct NoteBaseline {
-  std::string service;
-  std::string zone;
+  CapacitySubject subject;
   std::uint32_t count = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, zone, count);
+    archive(subject, count);
   }
 };
 
--- a/src/duties/capacity_plan.cpp
+++ b/src/duties/capacity_plan.cpp
@@ -51,13 +51,24 @@
   [[nodiscard]] std::uint32_t total() const { return ordinary + withdrawable; }
 };
 
+bool CapacityPlan::longIdle(const CapacityInputs& inputs) const {
+  return inputs.demand && m_idleSince && inputs.now - *m_idleSince >= m_settings.longIdle;
+}
+
 std::uint32_t CapacityPlan::floorOf(const ZoneSight& zone, const CapacityInputs& inputs) const {
-  const bool longIdle =
-      m_idleSince && inputs.now - *m_idleSince >= m_settings.longIdle && inputs.demand;
-  const std::uint32_t kept = longIdle ? 0 : zone.baseline;
+  const std::uint32_t kept = longIdle(inputs) ? 0 : zone.baseline;
   return std::clamp(kept, inputs.scaling.minimum, inputs.scaling.maximum);
 }
 
+std::uint32_t CapacityPlan::keptOf(const CapacityInputs& inputs) const {
+  std::uint32_t kept = 0;
+  for (const ZoneSight& zone : inputs.zones) {
+    const std::uint32_t withdrawable = longIdle(inputs) ? 0 : zone.withdrawableBaseline;
+    kept += std::min(floorOf(zone, inputs) + withdrawable, inputs.scaling.maximum);
+  }
+  return kept;
+}
+
 /// What there is, what was there before the first call, and one for each that seems lost.
 std::vector<CapacityPlan::ZonePlan> CapacityPlan::hold(const CapacityInputs& inputs) const {
   const bool replaceSilent = silenceIsCredible(inputs);
@@ -88,33 +99,32 @@
 }
 
 std::uint32_t CapacityPlan::wantedNow(const CapacityInputs& inputs) {
-  std::uint32_t floors = 0;
+  const std::uint32_t kept = keptOf(inputs);
   std::uint32_t asked = 0;
   for (const ZoneSight& zone : inputs.zones) {
-    floors += floorOf(zone, inputs);
     asked += zone.ordinary.desired + zone.withdrawable.desired;
   }
-  const std::uint32_t most = floors + floors * m_settings.mostExtraPercent / kWholePercent;
+  const std::uint32_t most = kept + kept * m_settings.mostExtraPercent / kWholePercent;
   if (!inputs.demand) {
     // Who follows a lost leader, or hears nothing, keeps to what was asked for.
-    return std::clamp(std::max(asked, m_wanted), floors, most);
+    return std::clamp(std::max(asked, m_wanted), kept, most);
   }
   const std::uint32_t places = m_policy->placesWanted(*inputs.demand, inputs.now);
   const std::uint32_t slots = std::max(inputs.slots, 1U);
-  return std::clamp((places + slots - 1) / slots, floors, most);
+  return std::clamp((places + slots - 1) / slots, kept, most);
 }
 
 /// One instance after the other, each in the next zone by price, so that no zone carries them all.
 void CapacityPlan::add(std::vector<ZonePlan>& plans, std::uint32_t missing,
                        const CapacityInputs& inputs) const {
   std::uint32_t withdrawable = 0;
-  std::uint32_t floors = 0;
+  std::uint32_t share = 0;
   for (const ZonePlan& plan : plans) {
     withdrawable += plan.withdrawable;
-    floors += plan.floor;
+    share += plan.sight->withdrawableBaseline;
   }
-  const std::uint32_t extra = difference(m_wanted, floors);
-  const std::uint32_t share = extra * m_settings.withdrawablePercent / kWholePercent;
+  const std::uint32_t extra = difference(m_wanted, keptOf(inputs));
+  share += extra * m_settings.withdrawablePercent / kWholePercent;
   std::uint32_t cheaper = std::min(missing, difference(share, withdrawable));
   const auto spread = [&](std::uint32_t& count, auto take) {
     for (bool took = true; took && count > 0;) {
--- a/src/duties/capacity_plan.h
+++ b/src/duties/capacity_plan.h
@@ -32,6 +32,7 @@
   std::uint32_t silent = 0;    ///< of those there: their heartbeats are overdue
   std::uint32_t leaving = 0;   ///< registered, get no new work
   std::uint32_t baseline = 0;  ///< ordinary instances before the first call
+  std::uint32_t withdrawableBaseline = 0;
 
   [[nodiscard]] std::uint32_t coming() const { return ordinary.coming() + withdrawable.coming(); }
 };
@@ -85,7 +86,11 @@
  private:
   struct ZonePlan;
 
+  [[nodiscard]] bool longIdle(const CapacityInputs& inputs) const;
+  /// Ordinary instances that a zone keeps.
   [[nodiscard]] std::uint32_t floorOf(const ZoneSight& zone, const CapacityInputs& inputs) const;
+  /// Instances of both kinds that a service keeps, in whatever zones.
+  [[nodiscard]] std::uint32_t keptOf(const CapacityInputs& inputs) const;
   [[nodiscard]] std::vector<ZonePlan> hold(const CapacityInputs& inputs) const;
   void noteDemand(const CapacityInputs& inputs);
   [[nodiscard]] std::uint32_t wantedNow(const CapacityInputs& inputs);
--- a/src/duties/capacity_policy.cpp
+++ b/src/duties/capacity_policy.cpp
@@ -1,24 +1,24 @@
 #include "duties/capacity_policy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tackpick::duties {
 namespace {
 
-/// Waiting items for which there is no place, or none that they may use.
-std::uint32_t itemsAtRisk(const CapacityDemand& demand, base::Duration patience) {
-  std::uint32_t waited = 0;
-  std::uint32_t urgent = 0;  // late by the time a new instance serves
+/// Waiting items beyond the free places. Items that wait although places are free wait for weights:
+/// more engines would share the same loads.
+std::uint32_t shortageOf(const CapacityDemand& demand) {
+  std::uint32_t waiting = 0;
   std::uint32_t running = 0;
   for (const auto& [model, works] : demand.works) {
     for (const jobs::OpenWork& work : works) {
-      waited += work.age > patience ? work.waiting : 0;
-      urgent += work.slack < demand.startTime ? work.waiting : 0;
+      waiting += work.waiting;
       running += work.items - std::min(work.items, work.waiting);
     }
   }
   const std::uint32_t free = demand.placesThere - std::min(demand.placesThere, running);
-  return std::max(waited, urgent - std::min(urgent, free));
+  return waiting - std::min(waiting, free);
 }
 
 }  // namespace
@@ -35,9 +35,28 @@
   return nullptr;
 }
 
+std::uint32_t FollowWaitingWork::lastingShortage(const CapacityDemand& demand,
+                                                 base::TimePoint now) {
+  const std::uint32_t shortage = shortageOf(demand);
+  if (shortage == 0) {
+    m_shortSince.reset();
+    return 0;
+  }
+  if (!m_shortSince) {
+    m_shortSince = now;
+    m_leastShortage = shortage;
+  }
+  m_leastShortage = std::min(m_leastShortage, shortage);
+  if (now - *m_shortSince < m_settings.patience) {
+    return 0;
+  }
+  m_shortSince = now;
+  return std::exchange(m_leastShortage, shortage);
+}
+
 std::uint32_t FollowWaitingWork::placesWanted(const CapacityDemand& demand, base::TimePoint now) {
-  const std::uint32_t atRisk = itemsAtRisk(demand, m_settings.patience);
-  const std::uint32_t wanted = atRisk == 0 ? 0 : demand.placesThere + atRisk;
+  const std::uint32_t shortage = lastingShortage(demand, now);
+  const std::uint32_t wanted = shortage == 0 ? 0 : demand.placesThere + shortage;
   if (wanted >= m_peak || now - m_peakAt > m_settings.memory) {
     m_peak = wanted;
     m_peakAt = now;
--- a/src/duties/capacity_policy.h
+++ b/src/duties/capacity_policy.h
@@ -48,14 +48,13 @@
 
 /// Knobs of FollowWaitingWork.
 struct WaitingWorkSettings {
-  /// Items of a job that came just now are leased within this time where there is room.
-  base::Duration patience = base::milliseconds(400);
+  /// A burst that the engines there work off in this time calls for none that start later.
+  base::Duration patience = base::milliseconds(500);
   /// What was wanted is remembered so long: a trainer's next step needs it again.
   base::Duration memory = base::seconds(30);
 };
 
-/// Wants a place for each item that has waited, and for those for which there is none when their
-/// job would be late by the time a new instance serves.
+/// Wants a place for each item that keeps waiting while none is free.
 class FollowWaitingWork final : public CapacityPolicy {
  public:
   explicit FollowWaitingWork(WaitingWorkSettings settings = {}) : m_settings(settings) {}
@@ -63,7 +62,12 @@
                                            base::TimePoint now) override;
 
  private:
+  /// The least over the last while; zero until it has lasted.
+  [[nodiscard]] std::uint32_t lastingShortage(const CapacityDemand& demand, base::TimePoint now);
+
   const WaitingWorkSettings m_settings;
+  std::optional<base::TimePoint> m_shortSince;
+  std::uint32_t m_leastShortage = 0;
   std::uint32_t m_peak = 0;
   base::TimePoint m_peakAt{};
 };
@@ -76,7 +80,8 @@
 };
 
 /// Wants a place for each item of the largest recent job of each model, so that a whole step can
-/// begin at once; where that misjudges, for what waits.
+/// begin at once; where that misjudges, for what waits. It pays where new engines have the weights
+/// that steps need: where loads of weights are the limit, more engines are each loaded more seldom.
 class FollowExpectedSteps final : public CapacityPolicy {
  public:
   explicit FollowExpectedSteps(ExpectedStepsSettings settings = {})
--- a/src/duties/capacity_state.cpp
+++ b/src/duties/capacity_state.cpp
@@ -5,7 +5,7 @@
 namespace tackpick::duties {
 
 void CapacityState::apply(const NoteBaseline& command) {
-  std::uint32_t& count = m_baselines[{command.service, command.zone}];
+  std::uint32_t& count = m_baselines[command.subject];
   count = std::max(count, command.count);
 }
 
@@ -25,16 +25,16 @@
   return known == m_desired.end() ? std::nullopt : std::optional(known->second);
 }
 
-std::uint32_t CapacityState::baseline(const std::string& service, const std::string& zone) const {
-  const auto known = m_baselines.find({service, zone});
+std::uint32_t CapacityState::baseline(const CapacitySubject& subject) const {
+  const auto known = m_baselines.find(subject);
   return known == m_baselines.end() ? 0 : known->second;
 }
 
-std::vector<std::string> CapacityState::zones(const std::string& service) const {
-  std::vector<std::string> zones;
-  for (const auto& [place, count] : m_baselines) {
-    if (place.first == service) {
-      zones.push_back(place.second);
+std::set<std::string> CapacityState::zones(const std::string& service) const {
+  std::set<std::string> zones;
+  for (const auto& [subject, count] : m_baselines) {
+    if (subject.service == service) {
+      zones.insert(subject.zone);
     }
   }
   return zones;
--- a/src/duties/capacity_state.h
+++ b/src/duties/capacity_state.h
@@ -4,8 +4,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
-#include <utility>
 
 #include "duties/capacity_messages.h"
 
@@ -33,10 +33,10 @@
     return m_desired;
   }
   [[nodiscard]] std::optional<DesiredCapacity> desired(const CapacitySubject& subject) const;
-  /// Ordinary instances that ran before the first call about that zone; zero when none were seen.
-  [[nodiscard]] std::uint32_t baseline(const std::string& service, const std::string& zone) const;
+  /// Instances that ran before the first call about them; zero when none were seen.
+  [[nodiscard]] std::uint32_t baseline(const CapacitySubject& subject) const;
   /// Zones of `service` in which instances ran before the first call.
-  [[nodiscard]] std::vector<std::string> zones(const std::string& service) const;
+  [[nodiscard]] std::set<std::string> zones(const std::string& service) const;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -44,7 +44,7 @@
   }
 
  private:
-  std::map<std::pair<std::string, std::string>, std::uint32_t> m_baselines;  ///< service and zone
+  std::map<CapacitySubject, std::uint32_t> m_baselines;
   std::map<CapacitySubject, DesiredCapacity> m_desired;
 };
 
--- a/test/duties/capacity_test.cpp
+++ b/test/duties/capacity_test.cpp
@@ -38,7 +38,7 @@
   world.demand->works["m"][0].waiting = 0;
   world.run(base::seconds(60));
   cr_assert(world.sent.empty());
-  cr_assert_eq(world.state.baseline("e", "b"), 15U);
+  cr_assert_eq((world.state.baseline({"e", "b", kOrdinary})), 15U);
 }
 
 Test(capacity_plan, a_step_larger_than_the_places_is_ordered_for) {
@@ -174,6 +174,20 @@
   cr_assert_eq(world.platform.emptied, 0U);
 }
 
+Test(capacity_plan, withdrawable_instances_that_were_there_are_kept) {
+  CapacityWorld world;
+  for (const char* zone : {"a", "b", "c"}) {
+    world.platform.zones[{zone, kWithdrawable}].there = 3;
+  }
+  world.offer(8, base::milliseconds(10));
+  world.demand->works["m"][0].waiting = 0;
+  world.run(base::seconds(300));
+  cr_assert(world.sent.empty());
+  world.platform.withdraw("b", kWithdrawable, 3);
+  world.run(base::seconds(6));
+  cr_assert_eq(world.platform.total(), 54U);
+}
+
 Test(capacity_plan, withdrawn_zone_is_replaced_in_others) {
   CapacityWorld world;
   world.offer(480);
--- a/test/duties/capacity_world.cpp
+++ b/test/duties/capacity_world.cpp
@@ -92,7 +92,6 @@
   service.demand = demand;
   if (service.demand) {
     service.demand->placesThere = platform.total() * service.slots;
-    service.demand->startTime = scaling.startTime;
   }
   const duties::CapacityWork work = duty->step(state, {{service}, settled, fence, now});
   for (const auto& command : work.commands) {
--- a/test/duties/engine_load.cpp
+++ b/test/duties/engine_load.cpp
@@ -34,8 +34,8 @@
 
 }  // namespace
 
-EngineLoad::EngineLoad(duties::CapacityMode mode, bool taken, std::uint64_t seed)
-    : m_taken(taken), m_random(seed), m_duty(settingsOf(mode), m_random) {
+EngineLoad::EngineLoad(duties::CapacityMode mode, LoadScenario scenario, std::uint64_t seed)
+    : m_scenario(scenario), m_random(seed), m_duty(settingsOf(mode), m_random) {
   m_scaling = {1, 30, base::seconds(4), 0.2, {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}}};
   m_queues.resize(kStepItems.size());
   m_lastStep.resize(kStepItems.size());
@@ -85,10 +85,11 @@
       continue;
     }
     m_lastStep[model] = m_now;
-    for (std::uint32_t item = 0; item < kStepItems[model]; ++item) {
+    const std::uint32_t items = kStepItems[model] * m_scenario.stepPercent / 100;
+    for (std::uint32_t item = 0; item < items; ++item) {
       m_queues[model].push_back({m_now, drawLength(m_random)});
     }
-    m_figures.items += kStepItems[model];
+    m_figures.items += items;
   }
 }
 
@@ -162,7 +163,6 @@
   service.scaling = m_scaling;
   service.slots = kSlots;
   service.demand.emplace();
-  service.demand->startTime = m_scaling.startTime;
   std::vector<std::uint32_t> running(m_queues.size());
   for (const Engine& engine : m_engines) {
     if (engine.servesFrom > m_now) {
@@ -226,7 +226,7 @@
   const base::TimePoint end = m_now + time;
   bool tookAway = false;
   for (; m_now < end; m_now += kTick) {
-    if (m_taken && !tookAway && m_now - m_begun >= time / 2) {
+    if (m_scenario.taken && !tookAway && m_now - m_begun >= time / 2) {
       tookAway = true;
       takeAway();
     }
--- a/test/duties/engine_load.h
+++ b/test/duties/engine_load.h
@@ -25,12 +25,17 @@
   std::vector<std::uint32_t> waiting;  ///< once a second
 };
 
+/// What is played.
+struct LoadScenario {
+  bool taken = false;  ///< half way one zone's withdrawable engines and 13 % of the others leave
+  std::uint32_t stepPercent = 100;  ///< size of the steps
+};
+
 /// 45 engines of 8 places in three zones, of which a fifth may be withdrawn, and four trainers with
-/// a step each 4 s. Engines follow one model each; a new one follows that with most waiting. When
-/// `taken` holds, half way one zone's withdrawable engines and 13 % of the others leave.
+/// a step each 4 s. Engines follow one model each; a new one follows that with most waiting.
 class EngineLoad {
  public:
-  EngineLoad(duties::CapacityMode mode, bool taken, std::uint64_t seed);
+  EngineLoad(duties::CapacityMode mode, LoadScenario scenario, std::uint64_t seed);
   [[nodiscard]] LoadFigures run(base::Duration time);
 
  private:
@@ -57,7 +62,7 @@
   [[nodiscard]] duties::ServiceSight sight() const;
   void account(base::Duration step);
 
-  const bool m_taken;
+  const LoadScenario m_scenario;
   base::SeededRandom m_random;
   base::TimePoint m_now{base::seconds(1000)};
   const base::TimePoint m_begun = m_now;
