Capacity: figures that were told once do not last; an instance's kind stays as first told

A draining instance that no longer says that it may be withdrawn would have been registered anew with each heartbeat.

Change: how long places were short is counted between tellings; a record keeps its kind.

Tests: capacity_plan figures_that_were_told_once (seen failing with the former line), directory_role kind_and_end (written with the change). test_duties 44, test_directory 68.

--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -66,7 +66,7 @@
                                                const InstanceRecord& heard) {
   return known.service == heard.service && known.host == heard.host && known.port == heard.port &&
          known.slots == heard.slots && known.zone == heard.zone &&
-         known.withdrawable == heard.withdrawable && (known.leaving || !heard.leaving) &&
+         (known.withdrawable || !heard.withdrawable) && (known.leaving || !heard.leaving) &&
          (known.leavesAfter > base::Duration{0} || heard.leavesAfter == base::Duration{0});
 }
 
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -40,6 +40,7 @@
   const auto [known, added] = data_.instances.try_emplace(record.id);
   InstanceRecord& stored = known->second;
   const bool leaving = record.leaving || stored.leaving;
+  const bool withdrawable = record.withdrawable || stored.withdrawable;
   const base::Duration leavesAfter =
       stored.leavesAfter > base::Duration{0} ? stored.leavesAfter : record.leavesAfter;
   if (!added) {
@@ -47,6 +48,7 @@
   }
   stored = record;
   stored.leaving = leaving;
+  stored.withdrawable = withdrawable;
   stored.leavesAfter = leavesAfter;
   m_idsByAddress[addressOf(record)] = record.id;
   ++data_.revision;
--- a/src/duties/capacity_policy.cpp
+++ b/src/duties/capacity_policy.cpp
@@ -37,20 +37,22 @@
 
 std::uint32_t FollowWaitingWork::lastingShortage(const CapacityDemand& demand,
                                                  base::TimePoint now) {
+  // The same figures, seen again, are no news.
+  const base::TimePoint toldAt = now - demand.toldBefore;
   const std::uint32_t shortage = shortageOf(demand);
   if (shortage == 0) {
     m_shortSince.reset();
     return 0;
   }
   if (!m_shortSince) {
-    m_shortSince = now;
+    m_shortSince = toldAt;
     m_leastShortage = shortage;
   }
   m_leastShortage = std::min(m_leastShortage, shortage);
-  if (now - *m_shortSince < m_settings.patience) {
+  if (toldAt - *m_shortSince < m_settings.patience) {
     return 0;
   }
-  m_shortSince = now;
+  m_shortSince = toldAt;
   return std::exchange(m_leastShortage, shortage);
 }
 
--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -302,6 +302,28 @@
   cr_assert_gt(controller.scaleCalls[1].fence, first.fence);
 }
 
+Test(directory_role, kind_and_end_of_an_instance_stay_as_first_told) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  directory::InstanceBeat beat = engineBeat(1, 1);
+  beat.record.withdrawable = true;
+  controller.ask(beat);
+  controller.run(base::milliseconds(200));
+  beat.sequence = 2;
+  beat.record.withdrawable = false;
+  beat.record.leaving = true;
+  beat.record.leavesAfter = base::milliseconds(2000);
+  controller.ask(beat);
+  controller.run(base::milliseconds(200));
+  beat.sequence = 3;
+  beat.record.leavesAfter = base::milliseconds(800);
+  controller.ask(beat);
+  controller.run(base::milliseconds(200));
+  const directory::InstanceRecord& record = controller.role->state().instances().at("e0");
+  cr_assert(record.withdrawable && record.leaving);
+  cr_assert(record.leavesAfter == base::milliseconds(2000), "told again, it is no change");
+}
+
 Test(directory_role, without_bounds_or_by_setting_no_engine_is_asked_for) {
   LoneController unbounded;
   unbounded.settings.capacity.plan.mode = tackpick::duties::CapacityMode::kExpectedSteps;
--- a/test/duties/capacity_test.cpp
+++ b/test/duties/capacity_test.cpp
@@ -174,6 +174,20 @@
   cr_assert_eq(world.platform.emptied, 0U);
 }
 
+Test(capacity_plan, figures_that_were_told_once_do_not_last) {
+  CapacityWorld world(duties::CapacityMode::kWaitingWork);
+  world.offer(480);
+  for (int step = 0; step < 36; ++step) {
+    world.step();
+    world.now += base::milliseconds(50);
+    world.demand->toldBefore += base::milliseconds(50);
+  }
+  cr_assert(world.sent.empty());
+  world.demand->toldBefore = {};
+  world.run(base::milliseconds(300));
+  cr_assert_eq(world.sent.size(), 3U, "told again: it has lasted");
+}
+
 Test(capacity_plan, withdrawable_instances_that_were_there_are_kept) {
   CapacityWorld world;
   for (const char* zone : {"a", "b", "c"}) {
