--- a/src/node/node.h
+++ b/src/node/node.h
@@ -84,6 +84,9 @@
   void sendOrder(const directory::VersionOrder& order);
   void reportWeights();
   void sendUsageReport(const duties::UsageReport& report);
+  void sendScaleCall(const duties::ScaleCall& call);
+  static void tellCapacity(const std::vector<duties::CapacityDecision>& decisions);
+  void reportCapacity();
   void askForReport(const directory::InstanceRecord& engine);
   void sendAll(const transport::Outbox& outbox);
   void tick();
