--- a/test/jobs/engine_affinity_test.cpp
+++ b/test/jobs/engine_affinity_test.cpp
@@ -46,13 +46,14 @@
 constexpr std::uint32_t kSlots = 8;
 constexpr std::uint32_t kItemsPerJob = 50;
 constexpr int kJobs = 20;
+constexpr base::Duration kLeaseTime = base::milliseconds(1500);
 
 /// One zone: a job of either of two models each 2 s, gateways that call each 80 ms, items that run
 /// for 1.5 to 3.5 s, and connections that are closed 2 s after their last item.
 class ZoneRun {
  public:
   ZoneRun(jobs::EngineAffinitySettings settings, std::uint64_t seed)
-      : m_random(seed), m_leases(base::milliseconds(1500), base::milliseconds(5), settings) {
+      : m_random(seed), m_leases(kLeaseTime, base::milliseconds(5), settings) {
     std::vector<jobs::PlacementEngine> engines;
     for (std::uint32_t i = 0; i < kEngines; ++i) {
       engines.push_back({"e" + std::to_string(i), kSlots, {{"m", 1}, {"n", 1}}, "a"});
@@ -89,6 +90,8 @@
   [[nodiscard]] std::uint32_t finished() const { return m_finished; }
   /// From the submission of an item, for which there is a place, to its first lease.
   [[nodiscard]] base::Duration longestWait() const { return m_longestWait; }
+  /// From the freeze until the last item of the frozen gateway ran elsewhere.
+  [[nodiscard]] base::Duration longestReturn() const { return m_longestReturn; }
   [[nodiscard]] base::Duration meanWait() const {
     return m_waits / std::max<std::size_t>(m_seen.size(), 1);
   }
@@ -173,6 +176,8 @@
       const base::Duration waited = m_now - m_submittedAt;
       m_longestWait = std::max(m_longestWait, waited);
       m_waits += waited;
+    } else {
+      m_longestReturn = std::max(m_longestReturn, m_now - m_frozenAt);
     }
   }
 
@@ -191,6 +196,7 @@
   std::uint32_t m_finished = 0;
   int m_submitted = 0;
   base::Duration m_longestWait{0};
+  base::Duration m_longestReturn{0};
   base::Duration m_waits{0};
 };
 
@@ -318,5 +324,7 @@
                 static_cast<long long>(run.longestWait().count()));
     cr_assert_eq(run.finished(), 1000U);
     cr_assert_leq(run.longestWait(), base::milliseconds(160));
+    // What it ran goes on at others when its leases end, at their next calls.
+    cr_assert_leq(run.longestReturn(), kLeaseTime + base::milliseconds(160));
   }
 }
