Gateways' sizes and their event loops' lateness can be seen

JobRole::gateways() (zone, places, items held, active, slow since) for operators' tools, and the gauge tackpick_tick_lateness_seconds. The linter's finding in ServerConnection::makeRoom() is mended.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -377,8 +377,7 @@
     if (!found) {
       return;
     }
-    const std::shared_ptr<ServerConnection> connection = *slowest;
-    connection->cutUnread();
+    (*slowest)->shared_from_this()->cutUnread();
   }
 }
 
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -71,6 +71,10 @@
 
   [[nodiscard]] const JobState& state() const { return state_; }
   [[nodiscard]] const consensus::Replica& replica() const { return replica_; }
+  /// Gateways that ask for items; empty when another leads.
+  [[nodiscard]] std::vector<GatewaySight> gateways(base::TimePoint now) const {
+    return replica_.canRead(now) ? leases_.gateways() : std::vector<GatewaySight>{};
+  }
   /// Of the ledgers' group, as its leader sees it.
   [[nodiscard]] const std::optional<cluster::GroupHealth>& groupHealth() const {
     return service_.health();
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -136,6 +136,9 @@
   });
   metrics.set(telemetry::GaugeId::kItemsRunning, static_cast<double>(items_.size()));
   metrics.set(telemetry::GaugeId::kResultsWaiting, static_cast<double>(waiting));
+  constexpr double kMicrosPerSecond = 1e6;
+  metrics.set(telemetry::GaugeId::kTickLateness,
+              static_cast<double>(m_lateness.average().count()) / kMicrosPerSecond);
   metrics.set(telemetry::GaugeId::kScoringCalls, static_cast<double>(scores_.size()));
 }
 
--- a/src/telemetry/metric.cpp
+++ b/src/telemetry/metric.cpp
@@ -91,6 +91,8 @@
       row(G::kOpenExchanges, "tackpick_open_exchanges", "callers' requests without an answer"),
       row(G::kUnreadBytes, "tackpick_unread_answer_bytes",
           "answers that callers have not read yet"),
+      row(G::kTickLateness, "tackpick_tick_lateness_seconds",
+          "how late the event loop of this gateway ticks; the ledgers hear it"),
       row(G::kOpenJobs, "tackpick_open_jobs", "jobs of which something may still run"),
       row(G::kKeptJobs, "tackpick_kept_jobs", "jobs whose results can be read"),
       row(G::kPublishedVersion, "tackpick_published_version", "newest published weights", "model"),
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -57,6 +57,7 @@
   kResultsWaiting,
   kOpenExchanges,
   kUnreadBytes,
+  kTickLateness,
   kOpenJobs,
   kKeptJobs,
   kPublishedVersion,  ///< by model
