Forecasts and paces stay finite whatever is told

Cause: a regression over odd texts may be steep, and a forecast of a huge estimate times a slow pace did not fit a duration (undefined when cast); a pace that is not a number would have stayed.

Tests: test_jobs pass; the new one was not run without the bounds.

--- a/src/jobs/estimate_calibration.cpp
+++ b/src/jobs/estimate_calibration.cpp
@@ -1,5 +1,6 @@
 #include "jobs/estimate_calibration.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace tackpick::jobs {
@@ -16,7 +17,10 @@
 
 double EstimateCalibration::predict(double estimate) const {
   constexpr double kPrior = kPriorWeight * kPriorVariance;
-  const double slope = (m_covariance + kPrior) / (m_variance + kPrior);
+  /// A few odd texts must not make others look endless.
+  constexpr double kSteepest = 1.5;
+  const double fitted = (m_covariance + kPrior) / (m_variance + kPrior);
+  const double slope = std::clamp(fitted, 0.0, kSteepest);
   return std::exp(m_meanLength + slope * (std::log(estimate) - m_meanEstimate));
 }
 
--- a/src/jobs/model_paces.h
+++ b/src/jobs/model_paces.h
@@ -2,6 +2,8 @@
 /// How fast texts of each model are made.
 #pragma once
 
+#include <chrono>
+#include <cmath>
 #include <map>
 #include <string>
 
@@ -15,7 +17,7 @@
  public:
   /// An engine that runs an item of `model` makes an event each `paceMs` milliseconds.
   void note(const std::string& model, double paceMs) {
-    if (paceMs <= 0) {
+    if (!(paceMs > 0) || !std::isfinite(paceMs)) {
       return;
     }
     const auto [known, added] = m_paces.try_emplace(model, paceMs);
@@ -39,7 +41,10 @@
     return m_anyPace > 0 ? m_anyPace : kDefaultPaceMs;
   }
   [[nodiscard]] static base::Duration timeAt(double paceMs, double events) {
-    return base::Duration(static_cast<base::Duration::rep>(events * paceMs * kMicrosPerMilli));
+    constexpr base::Duration kLongest = std::chrono::hours(24);  // fits a sum with any due time
+    const double micros = events * paceMs * kMicrosPerMilli;
+    const bool fits = micros < static_cast<double>(kLongest.count());
+    return fits ? base::Duration(static_cast<base::Duration::rep>(micros)) : kLongest;
   }
 
  private:
--- a/test/jobs/length_forecast_test.cpp
+++ b/test/jobs/length_forecast_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <cmath>
+#include <limits>
 
 #include "base/random.h"
 #include "jobs/model_paces.h"
@@ -133,3 +134,24 @@
   cr_assert_eq(paces.timeFor("n", 10), base::milliseconds(500));
   cr_assert_float_eq(paces.eventsIn("m", base::seconds(1)), 20, 0.01);
 }
+
+Test(length_forecast, odd_estimates_and_paces_stay_finite) {
+  jobs::LengthModel model;
+  constexpr std::uint32_t kHuge = 4'000'000'000U;
+  for (int i = 0; i < 100; ++i) {
+    model.learn(100, 1);
+    model.learn(101, 1'000'000'000'000ULL);
+  }
+  jobs::ModelPaces paces;
+  paces.note("m", std::numeric_limits<double>::infinity());
+  paces.note("m", std::numeric_limits<double>::quiet_NaN());
+  paces.note("m", 1e12);
+  for (const std::uint32_t estimate : {0U, 1U, 100U, kHuge}) {
+    for (const std::uint64_t soFar : {0ULL, 5ULL, 1'000'000'000'000'000ULL}) {
+      const double rest = model.rest(estimate, soFar);
+      cr_assert(std::isfinite(rest) && rest >= 0);
+      cr_assert_leq(paces.timeFor("m", rest), base::Duration(std::chrono::hours(24)));
+      cr_assert_geq(paces.timeFor("m", rest), base::Duration{0});
+    }
+  }
+}
