--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -189,6 +189,11 @@
   return found == m_engines.end() ? std::string() : found->second.told.zone;
 }
 
+double EnginePlacement::paceOf(const std::string& engine) const {
+  const auto found = m_engines.find(engine);
+  return found == m_engines.end() ? 0 : found->second.paceMs;
+}
+
 std::map<std::string, std::uint32_t> EnginePlacement::placesByZone() const {
   std::map<std::string, std::uint32_t> places;
   for (const auto& [id, engine] : m_inUse) {
--- a/test/jobs/engine_placement_test.cpp
+++ b/test/jobs/engine_placement_test.cpp
@@ -223,4 +223,6 @@
   cr_assert_eq(sights[3].id, "unseen");
   cr_assert_not(sights[3].sampleAge.has_value());
   cr_assert_float_eq(sights[3].paceMs, 41, 0.1, "typical");
+  cr_assert_float_eq(fixture.placement.paceOf("slow"), 90, 0.1);
+  cr_assert_eq(fixture.placement.paceOf("gone"), 0.0);
 }
