--- a/test/integration/self_formed_cluster.cpp
+++ b/test/integration/self_formed_cluster.cpp
@@ -76,7 +76,7 @@
       "\nseeds: [" + seeds() + "]\nlosses_borne: " + std::to_string(m_layout.losses) + "\n";
   if (m_layout.dutyPlatform != 0) {
     text += "duty_platform: 127.0.0.1:" + std::to_string(m_layout.dutyPlatform) +
-            "\nusage_window_s: 1\nusage_delay_s: 4\n";
+            "\nusage_window_s: 1\nusage_delay_s: 4\nplatform_duties: [usage, scaling]\n";
   }
   if (machine.role == "gateway") {
     text += "traffic: " + at(m_httpPort) + "\nreadiness: " + at(m_readinessPort) + "\n";
