--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -184,11 +184,6 @@
   m_loaded.insert(&engine);
 }
 
-double EnginePlacement::paceOf(const std::string& engine) const {
-  const auto found = m_engines.find(engine);
-  return found == m_engines.end() ? 0 : found->second.paceMs;
-}
-
 std::string EnginePlacement::zoneOf(const std::string& engine) const {
   const auto found = m_engines.find(engine);
   return found == m_engines.end() ? std::string() : found->second.told.zone;
--- a/src/jobs/engine_placement.h
+++ b/src/jobs/engine_placement.h
@@ -64,8 +64,6 @@
   [[nodiscard]] double paceOf(const std::string& engine) const;
   /// The zone of a known engine; else empty.
   [[nodiscard]] std::string zoneOf(const std::string& engine) const;
-  /// Milliseconds between two events as expected of a known engine; else, or unknown, zero.
-  [[nodiscard]] double paceOf(const std::string& engine) const;
   /// Places at all engines that take items and are not in reserve, by zone.
   [[nodiscard]] std::map<std::string, std::uint32_t> placesByZone() const;
   /// The engine that will have run an item soonest, counting the item there from now on. A few
