Capacity: a leader that leads again waits for the end of its former call

Cause: a controller that lost and regained leadership within the 1.5 s of a call could send the same subject's next call beside it, under a higher fence; the older one could then arrive last.

Change: a call counts as under way until its outcome or 3 s, whatever the term.

--- a/src/duties/capacity_duty.cpp
+++ b/src/duties/capacity_duty.cpp
@@ -37,7 +37,6 @@
     // What the predecessor asked for last may be starting.
     m_subjects[subject].askedAt = std::max(now, callsFrom);
   }
-  m_calling = false;
   m_callAt = callsFrom;
   m_retry = {};
 }
@@ -212,7 +211,8 @@
 
 std::optional<ScaleCall> CapacityDuty::nextCall(const CapacityState& state,
                                                 const Present& present) {
-  if (m_calling || present.now < m_callAt || present.fence == m_refusedFence) {
+  const bool calling = m_callingSince && present.now - *m_callingSince < m_settings.callLimit;
+  if (calling || present.now < m_callAt || present.fence == m_refusedFence) {
     return std::nullopt;
   }
   std::optional<ScaleCall> next;
@@ -233,7 +233,7 @@
 }
 
 void CapacityDuty::onSent(const ScaleCall& call, base::TimePoint now) {
-  m_calling = true;
+  m_callingSince = now;
   Subject& known = m_subjects[call.subject];
   known.askedAt = now;
   known.unanswered = true;
@@ -278,7 +278,7 @@
 }
 
 void CapacityDuty::onOutcome(const ScaleCall& call, ScaleOutcome outcome, base::TimePoint now) {
-  m_calling = false;
+  m_callingSince.reset();
   m_callAt = now + m_settings.callInterval;
   Subject& known = m_subjects[call.subject];
   switch (outcome) {
--- a/src/duties/capacity_duty.h
+++ b/src/duties/capacity_duty.h
@@ -29,6 +29,8 @@
   /// ... and then after twice as long each time.
   base::Duration firstRepeat = base::seconds(4);
   base::Duration longestRepeat = base::seconds(60);
+  /// A call has ended by then, or was never sent.
+  base::Duration callLimit = base::seconds(3);
   /// An entry of the log that was not applied in this time is proposed again.
   base::Duration noteTime = base::seconds(1);
   /// A call without an answer may be carried out so late.
@@ -86,7 +88,8 @@
   CapacityDuty(CapacityDutySettings settings, base::Random& random)
       : m_settings(settings), m_random(random) {}
 
-  /// Call when this controller becomes leader. It makes no call before `callsFrom`.
+  /// Call when this controller becomes leader. It makes no call before `callsFrom`, nor before the
+  /// end of one that it made when it led before.
   void reset(const CapacityState& state, base::TimePoint callsFrom, base::TimePoint now);
   struct Present {
     std::vector<ServiceSight> services;
@@ -163,8 +166,8 @@
   std::map<CapacitySubject, Subject> m_subjects;
   std::map<CapacitySubject, Wish> m_wishes;  ///< of the present step
   std::vector<CapacitySight> m_sights;
-  std::vector<ConfirmCapacity> m_confirm;  ///< to be written to the log
-  bool m_calling = false;
+  std::vector<ConfirmCapacity> m_confirm;         ///< to be written to the log
+  std::optional<base::TimePoint> m_callingSince;  ///< a call is under way
   std::uint64_t m_refusedFence = 0;
   base::TimePoint m_callAt{};  ///< not before
   base::Duration m_retry{0};
--- a/test/duties/capacity_test.cpp
+++ b/test/duties/capacity_test.cpp
@@ -264,6 +264,23 @@
   cr_assert_eq(world.sent.size(), 1U);
 }
 
+Test(capacity_duty, leader_that_leads_again_waits_for_the_end_of_its_call) {
+  CapacityWorld world;
+  world.run(base::seconds(1));
+  world.answer = [](const duties::ScaleCall&) { return std::nullopt; };
+  world.platform.withdraw("a", kOrdinary, 6);
+  world.run(base::milliseconds(200));
+  cr_assert_eq(world.sent.size(), 1U);
+  world.duty->reset(world.state, world.now, world.now);
+  ++world.fence;
+  world.run(base::milliseconds(500));
+  cr_assert_eq(world.sent.size(), 1U, "two calls about one subject never run at once");
+  world.duty->onOutcome(world.sent[0], ScaleOutcome::kUncertain, world.now);
+  world.run(base::milliseconds(500));
+  cr_assert_eq(world.sent.size(), 2U);
+  cr_assert_gt(world.sent[1].fence, world.sent[0].fence);
+}
+
 Test(capacity_duty, holder_frozen_past_its_lease_stops_when_its_fence_is_refused) {
   CapacityWorld world;
   world.run(base::seconds(1));
