Calls that were noted but not sent are due again in the same term

A call to the platform whose note was committed while the leader could not lead (a hand-over that nobody took, a lease that had lapsed) was dropped, and CapacityDuty and UsageDuty went on waiting for its outcome until another term: no further call was made. They are told now that it was not sent. The same for a usage report whose note could not be proposed. Both tests failed before.

--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -133,12 +133,16 @@
                command);
   }
   if (work.report) {
-    replica_.propose(base::encode(DirectoryCommand{NoteOrders{self_.node}}), now,
-                     [this, report = *work.report](const base::Bytes* result, consensus::LogIndex) {
-                       if (result != nullptr) {
-                         noted_reports_.push_back(report);
-                       }
-                     });
+    const bool proposed = replica_.propose(
+        base::encode(DirectoryCommand{NoteOrders{self_.node}}), now,
+        [this, report = *work.report](const base::Bytes* result, consensus::LogIndex) {
+          if (result != nullptr) {
+            noted_reports_.push_back(report);
+          }
+        });
+    if (!proposed) {
+      takeBack({*work.report}, {}, now);
+    }
   }
 }
 
@@ -168,7 +172,7 @@
                            }
                          });
     if (!proposed) {
-      m_capacity.onOutcome(*work.call, duties::ScaleOutcome::kBusy, now);
+      takeBack({}, {*work.call}, now);
     }
   }
 }
@@ -329,6 +333,9 @@
     actions_.orders.insert(actions_.orders.end(), noted.begin(), noted.end());
     actions_.usageReports = notedReports;
     actions_.scaleCalls = notedScaleCalls;
+  } else {
+    // It may go on in this term, for instance when it wanted to hand over and nobody took it.
+    takeBack(notedReports, notedScaleCalls, now);
   }
   answerWatches(now);
   transport::Outbox answers = std::exchange(service_.outbox(), {});
@@ -337,6 +344,17 @@
   return std::exchange(actions_, {});
 }
 
+void DirectoryRole::takeBack(const std::vector<duties::UsageReport>& reports,
+                             const std::vector<duties::ScaleCall>& scaleCalls,
+                             base::TimePoint now) {
+  for (const duties::UsageReport& report : reports) {
+    usage_.onOutcome(report, duties::DutyOutcome::kUncertain, now);
+  }
+  for (const duties::ScaleCall& call : scaleCalls) {
+    m_capacity.onOutcome(call, duties::ScaleOutcome::kBusy, now);
+  }
+}
+
 void DirectoryRole::observeLeadership(base::TimePoint now) {
   const consensus::RaftConsensus& raft = replica_.raft();
   const bool newTerm = raft.isLeader() && (!was_leader_ || observed_term_ != raft.currentTerm());
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -159,6 +159,9 @@
   void stepUsage(base::TimePoint now);
   /// Asks the platform for as many instances as are needed.
   void stepCapacity(base::TimePoint now);
+  /// Calls that were decided but not sent are due again.
+  void takeBack(const std::vector<duties::UsageReport>& reports,
+                const std::vector<duties::ScaleCall>& scaleCalls, base::TimePoint now);
   void noteOpenWork(const jobs::OpenWorks& works, base::TimePoint now);
   [[nodiscard]] base::WallTime clusterTime(base::TimePoint now) const {
     return clock_.at(now, wall_.wallNow());
--- /dev/null
+++ b/test/directory/unsent_calls_test.cpp
@@ -0,0 +1,165 @@
+/// Calls to the platform whose note in the log is committed while the leader cannot lead.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+#include "directory/directory_role.h"
+#include "duties/manual_wall.h"
+#include "simulation/simulated_disk.h"
+#include "storage/segmented_log.h"
+
+namespace base = tackpick::base;
+namespace consensus = tackpick::consensus;
+namespace directory = tackpick::directory;
+namespace duties = tackpick::duties;
+namespace simulation = tackpick::simulation;
+namespace storage = tackpick::storage;
+namespace transport = tackpick::transport;
+
+namespace {
+
+constexpr base::NodeId kGateway = base::makeNodeId(9, 1);
+constexpr base::Duration kStep = base::milliseconds(10);
+
+struct Controller {
+  base::NodeId self;
+  simulation::SimulatedDisk disk;
+  std::unique_ptr<storage::SegmentedLog> log;
+  std::unique_ptr<directory::DirectoryRole> role;
+  transport::Outbox received;  ///< `to` is the sender
+};
+
+/// Two controllers. A hand-over is not taken: the message that begins it is lost.
+struct TwoControllers {
+  explicit TwoControllers(std::optional<base::TimePoint> when = std::nullopt) : handOverAt(when) {
+    const std::set<base::NodeId> voters{base::makeNodeId(1, 0), base::makeNodeId(2, 0)};
+    directory::DirectorySettings settings;
+    settings.capacity.plan.mode = duties::CapacityMode::kWaitingWork;
+    settings.usage.window = base::seconds(1);
+    settings.usage.delay = base::seconds(1);
+    auto voter = voters.begin();
+    for (Controller& controller : controllers) {
+      controller.self = *voter++;
+      controller.log = base::recover(
+          [&] {
+            return storage::SegmentedLog::open(
+                controller.disk, {"cluster", controller.self, directory::kDirectoryGroup},
+                {voters, {}});
+          },
+          [](const base::Error&) { return std::unique_ptr<storage::SegmentedLog>(); });
+      controller.role = std::make_unique<directory::DirectoryRole>(
+          directory::NodeRecord{controller.self, directory::NodeRole::kController, "c", "z",
+                                "10.0.0.1:1"},
+          settings, *controller.log, random, wall, now);
+    }
+  }
+
+  void run(base::Duration time) {
+    for (const base::TimePoint end = now + time; now < end; now += kStep) {
+      wall.at = base::WallTime{base::seconds(1'000'000)} + (now - base::TimePoint{});
+      for (Controller& controller : controllers) {
+        turn(controller);
+      }
+    }
+  }
+
+  void turn(Controller& controller) {
+    for (const auto& message : std::exchange(controller.received, {})) {
+      if (const auto* raft = std::get_if<transport::RaftEnvelope>(&message.message)) {
+        controller.role->handle(message.to, *raft, now);
+      }
+    }
+    if (handOverAt == now) {
+      controller.role->prepareStop(now);
+    }
+    controller.role->tick(now);
+    const directory::DirectoryActions actions = controller.role->finish(now);
+    scaleCalls.insert(scaleCalls.end(), actions.scaleCalls.begin(), actions.scaleCalls.end());
+    reports.insert(reports.end(), actions.usageReports.begin(), actions.usageReports.end());
+    if (!actions.scaleCalls.empty()) {
+      calledAt = calledAt.value_or(now);
+    }
+    if (!actions.usageReports.empty()) {
+      reportedAt = reportedAt.value_or(now);
+    }
+    for (const auto& outgoing : actions.messages) {
+      const auto* raft = std::get_if<transport::RaftEnvelope>(&outgoing.message);
+      if (raft == nullptr || std::holds_alternative<consensus::TimeoutNowRequest>(raft->message)) {
+        continue;
+      }
+      for (Controller& other : controllers) {
+        if (other.self == outgoing.to) {
+          other.received.push_back({controller.self, outgoing.message});
+        }
+      }
+    }
+  }
+
+  void ask(const directory::DirectoryRequest& request) {
+    for (Controller& controller : controllers) {
+      transport::CommandRequest message;
+      message.group = directory::kDirectoryGroup;
+      message.call = base::CallId{++calls};
+      message.payload = base::encode(request);
+      controller.role->handle(kGateway, message, now);
+    }
+  }
+
+  [[nodiscard]] consensus::Term term() const {
+    return controllers[0].role->replica().raft().currentTerm();
+  }
+
+  /// One engine fewer than the bounds ask for, and a tenant whose usage is reported.
+  void configure() {
+    run(base::seconds(5));
+    directory::Configuration made;
+    made.version = 1;
+    made.services = {{"s", "/health", 10, 4, {"m"}}};
+    made.services[0].scaling = {2, 10, base::seconds(4), 1, {}};
+    made.tenants = {{"a", {}}};
+    ask(directory::ReplaceConfiguration{made});
+    run(base::milliseconds(200));
+    directory::InstanceBeat beat;
+    beat.record = {"e0", "s", "10.0.0.9", 1, "z", 4, false};
+    beat.sequence = 1;
+    ask(beat);
+    run(base::seconds(6));
+  }
+
+  std::array<Controller, 2> controllers;
+  base::SeededRandom random{1};
+  tackpick::test::ManualWall wall;
+  base::TimePoint now{base::seconds(100)};
+  std::optional<base::TimePoint> handOverAt;
+  std::vector<duties::ScaleCall> scaleCalls;
+  std::vector<duties::UsageReport> reports;
+  std::optional<base::TimePoint> calledAt;
+  std::optional<base::TimePoint> reportedAt;
+  std::uint64_t calls = 0;
+};
+
+}  // namespace
+
+Test(unsent_calls, number_of_instances_is_asked_for_after_a_hand_over_that_failed) {
+  TwoControllers undisturbed;
+  undisturbed.configure();
+  cr_assert(undisturbed.calledAt.has_value());
+  TwoControllers disturbed(undisturbed.calledAt);
+  disturbed.configure();
+  cr_assert_eq(disturbed.term(), undisturbed.term());
+  cr_assert(disturbed.calledAt.has_value(), "the call was forgotten");
+  cr_assert(*disturbed.calledAt > *undisturbed.calledAt, "it was not held up");
+}
+
+Test(unsent_calls, usage_is_reported_after_a_hand_over_that_failed) {
+  TwoControllers undisturbed;
+  undisturbed.configure();
+  cr_assert(undisturbed.reportedAt.has_value());
+  TwoControllers disturbed(undisturbed.reportedAt);
+  disturbed.configure();
+  cr_assert_eq(disturbed.term(), undisturbed.term());
+  cr_assert(disturbed.reportedAt.has_value(), "the report was forgotten");
+  cr_assert(*disturbed.reportedAt > *undisturbed.reportedAt, "it was not held up");
+}
