Capacity: what was given back stays away, one at a time, one call at a time

Without work a zone now keeps what it was asked for. - A count that gives one instance back was kept until it was carried out; when others had come meanwhile it took several away. It is decided anew then. - The outcome of a call of a former term counted as the answer to the present one, so that two calls were under way at once. It is ignored.

--- a/src/duties/capacity_duty.cpp
+++ b/src/duties/capacity_duty.cpp
@@ -37,7 +37,7 @@
     // What the predecessor asked for last may be starting.
     m_subjects[subject].askedAt = std::max(now, callsFrom);
   }
-  m_calling = false;
+  m_callingFence.reset();
   m_callAt = callsFrom;
   m_retry = {};
 }
@@ -56,6 +56,7 @@
   KindSight sight;
   sight.there = registered.there;
   sight.desired = known.proposed.value_or(noted.count);
+  sight.asked = known.proposed || state.desired(subject);
   sight.unavailable = now < known.availableFrom;
   const bool toBeAsked = known.unanswered || !noted.taken;
   const bool starting = known.askedAt && now - *known.askedAt <= startTime + m_settings.startMargin;
@@ -212,7 +213,7 @@
 
 std::optional<ScaleCall> CapacityDuty::nextCall(const CapacityState& state,
                                                 const Present& present) {
-  if (m_calling || present.now < m_callAt || present.fence == m_refusedFence) {
+  if (m_callingFence || present.now < m_callAt || present.fence == m_refusedFence) {
     return std::nullopt;
   }
   std::optional<ScaleCall> next;
@@ -233,7 +234,7 @@
 }
 
 void CapacityDuty::onSent(const ScaleCall& call, base::TimePoint now) {
-  m_calling = true;
+  m_callingFence = call.fence;
   Subject& known = m_subjects[call.subject];
   known.askedAt = now;
   known.unanswered = true;
@@ -278,7 +279,10 @@
 }
 
 void CapacityDuty::onOutcome(const ScaleCall& call, ScaleOutcome outcome, base::TimePoint now) {
-  m_calling = false;
+  if (call.fence != m_callingFence) {
+    return;  // of a former term: what it asked for is asked for anew
+  }
+  m_callingFence.reset();
   m_callAt = now + m_settings.callInterval;
   Subject& known = m_subjects[call.subject];
   switch (outcome) {
--- a/src/duties/capacity_duty.h
+++ b/src/duties/capacity_duty.h
@@ -163,8 +163,8 @@
   std::map<CapacitySubject, Subject> m_subjects;
   std::map<CapacitySubject, Wish> m_wishes;  ///< of the present step
   std::vector<CapacitySight> m_sights;
-  std::vector<ConfirmCapacity> m_confirm;  ///< to be written to the log
-  bool m_calling = false;
+  std::vector<ConfirmCapacity> m_confirm;       ///< to be written to the log
+  std::optional<std::uint64_t> m_callingFence;  ///< of the call that is under way
   std::uint64_t m_refusedFence = 0;
   base::TimePoint m_callAt{};  ///< not before
   base::Duration m_retry{0};
--- a/src/duties/capacity_plan.cpp
+++ b/src/duties/capacity_plan.cpp
@@ -29,13 +29,15 @@
   return inputs.settled && silent * kMostSilent <= there;
 }
 
-/// No more than `target` are there.
-bool hasGone(const CapacityTarget& target, const std::vector<ZoneSight>& zones) {
-  return std::any_of(zones.begin(), zones.end(), [&](const ZoneSight& zone) {
-    const bool ordinary = target.kind == InstanceKind::kOrdinary;
-    const KindSight& kind = ordinary ? zone.ordinary : zone.withdrawable;
-    return zone.zone == target.zone && kind.there <= target.count;
+/// Those of the target's zone and kind that are there.
+std::uint32_t thereOf(const CapacityTarget& target, const std::vector<ZoneSight>& zones) {
+  const auto zone = std::find_if(zones.begin(), zones.end(), [&](const ZoneSight& candidate) {
+    return candidate.zone == target.zone;
   });
+  if (zone == zones.end()) {
+    return 0;
+  }
+  return target.kind == InstanceKind::kOrdinary ? zone->ordinary.there : zone->withdrawable.there;
 }
 
 }  // namespace
@@ -55,15 +57,32 @@
   return inputs.demand && m_idleSince && inputs.now - *m_idleSince >= m_settings.longIdle;
 }
 
+bool CapacityPlan::isResting(const CapacityInputs& inputs) {
+  const bool hasWork = inputs.demand && !inputs.demand->idle();
+  return !hasWork &&
+         std::any_of(inputs.zones.begin(), inputs.zones.end(), [&](const ZoneSight& zone) {
+           return zone.ordinary.asked &&
+                  zone.ordinary.desired < std::min(zone.baseline, inputs.scaling.maximum);
+         });
+}
+
+std::uint32_t CapacityPlan::keptOf(std::uint32_t baseline, const KindSight& kind,
+                                   const CapacityInputs& inputs) const {
+  if (longIdle(inputs)) {
+    return 0;
+  }
+  return kind.asked && isResting(inputs) ? std::min(baseline, kind.desired) : baseline;
+}
+
 std::uint32_t CapacityPlan::floorOf(const ZoneSight& zone, const CapacityInputs& inputs) const {
-  const std::uint32_t kept = longIdle(inputs) ? 0 : zone.baseline;
+  const std::uint32_t kept = keptOf(zone.baseline, zone.ordinary, inputs);
   return std::clamp(kept, inputs.scaling.minimum, inputs.scaling.maximum);
 }
 
 std::uint32_t CapacityPlan::keptOf(const CapacityInputs& inputs) const {
   std::uint32_t kept = 0;
   for (const ZoneSight& zone : inputs.zones) {
-    const std::uint32_t withdrawable = longIdle(inputs) ? 0 : zone.withdrawableBaseline;
+    const std::uint32_t withdrawable = keptOf(zone.withdrawableBaseline, zone.withdrawable, inputs);
     kept += std::min(floorOf(zone, inputs) + withdrawable, inputs.scaling.maximum);
   }
   return kept;
@@ -181,9 +200,14 @@
     m_givingBack.reset();
     return std::nullopt;
   }
-  if (m_givingBack && hasGone(*m_givingBack, inputs.zones)) {
-    m_givingBack.reset();
-    m_unusedSince = inputs.now;
+  if (m_givingBack) {
+    const std::uint32_t left = thereOf(*m_givingBack, inputs.zones);
+    if (left <= m_givingBack->count) {
+      m_givingBack.reset();
+      m_unusedSince = inputs.now;
+    } else if (left > m_givingBack->count + 1) {
+      m_givingBack.reset();  // others came: that count would take several away
+    }
   }
   m_unusedSince = m_unusedSince.value_or(inputs.now);
   if (inputs.now - *m_unusedSince < m_settings.keepUnused) {
--- a/src/duties/capacity_plan.h
+++ b/src/duties/capacity_plan.h
@@ -19,6 +19,7 @@
   std::uint32_t there = 0;     ///< registered and not leaving
   std::uint32_t starting = 0;  ///< asked for lately and not registered yet
   std::uint32_t desired = 0;   ///< what the platform was last asked for
+  bool asked = false;          ///< ... if it ever was
   bool unavailable = false;    ///< none can be had now
 
   [[nodiscard]] std::uint32_t coming() const { return there + starting; }
@@ -87,6 +88,12 @@
   struct ZonePlan;
 
   [[nodiscard]] bool longIdle(const CapacityInputs& inputs) const;
+  /// Nothing shows that there is work, and a long idle service gave instances of its baseline back:
+  /// they stay away.
+  [[nodiscard]] static bool isResting(const CapacityInputs& inputs);
+  /// Of `baseline` instances, those that are kept.
+  [[nodiscard]] std::uint32_t keptOf(std::uint32_t baseline, const KindSight& kind,
+                                     const CapacityInputs& inputs) const;
   /// Ordinary instances that a zone keeps.
   [[nodiscard]] std::uint32_t floorOf(const ZoneSight& zone, const CapacityInputs& inputs) const;
   /// Instances of both kinds that a service keeps, in whatever zones.
--- a/test/duties/capacity_test.cpp
+++ b/test/duties/capacity_test.cpp
@@ -158,6 +158,38 @@
   cr_assert_eq(world.platform.total(), 45U);
 }
 
+Test(capacity_plan, what_a_long_idle_service_gave_back_stays_away_until_there_is_work) {
+  CapacityWorld world;
+  for (int round = 0; round < 600; ++round) {
+    world.run(base::seconds(5));
+    world.platform.endLeaving();
+  }
+  cr_assert_eq(world.platform.total(), 3U);
+  world.elect();
+  world.run(base::seconds(30));
+  cr_assert_eq(world.platform.total(), 3U, "another leader is no work");
+  world.demand.reset();
+  world.run(base::seconds(30));
+  cr_assert_eq(world.platform.total(), 3U, "nor is it work that no figures come");
+  world.offer(8);
+  world.run(base::seconds(6));
+  cr_assert_eq(world.platform.total(), 45U);
+}
+
+Test(capacity_plan, one_is_given_back_also_when_others_came_before_the_call) {
+  CapacityWorld world;
+  world.offer(480);
+  world.run(base::seconds(10));
+  world.demand.emplace();
+  world.answer = [](const duties::ScaleCall&) { return ScaleOutcome::kBusy; };
+  world.run(base::seconds(100));
+  const duties::CapacitySubject subject = world.sent.back().subject;
+  world.platform.zones[{subject.zone, subject.kind}].there += 3;
+  world.answer = nullptr;
+  world.run(base::seconds(10));
+  cr_assert_eq(world.platform.emptied, 1U, "%u were emptied", world.platform.emptied);
+}
+
 Test(capacity_plan, zone_without_withdrawable_instances_is_passed_over_with_growing_pauses) {
   CapacityWorld world;
   world.answer = [](const duties::ScaleCall& call) -> std::optional<ScaleOutcome> {
@@ -278,6 +310,24 @@
   cr_assert_eq(world.sent.size(), 3U);
 }
 
+Test(capacity_duty, outcome_of_a_call_of_a_former_term_is_no_answer_to_the_present_one) {
+  CapacityWorld world;
+  world.run(base::seconds(1));
+  world.platform.withdraw("a", kOrdinary, 6);
+  world.platform.withdraw("b", kOrdinary, 2);
+  world.answer = [](const duties::ScaleCall&) { return std::nullopt; };
+  world.run(base::milliseconds(200));
+  cr_assert_eq(world.sent.size(), 1U);
+  const duties::ScaleCall former = world.sent[0];
+  world.duty->reset(world.state, world.now, world.now);
+  ++world.fence;
+  world.run(base::milliseconds(200));
+  cr_assert_eq(world.sent.size(), 2U);
+  world.duty->onOutcome(former, ScaleOutcome::kTaken, world.now);
+  world.run(base::seconds(1));
+  cr_assert_eq(world.sent.size(), 2U, "the present call has no answer yet");
+}
+
 Test(capacity_duty, platform_silent_while_a_zone_is_withdrawn) {
   CapacityWorld world;
   world.offer(480);
