A machine that lost its disk does not take turns with another holder either

Engines know the holder of orders by its name; the lease compared node ids, which are drawn anew with the data folder. After A, B and A with a new disk it waited for the transit only. Notes of the same node number are its own now. The test failed before.

--- a/src/directory/order_lease.cpp
+++ b/src/directory/order_lease.cpp
@@ -5,7 +5,7 @@
 namespace tackpick::directory {
 
 void OrderLease::onNote(base::NodeId holder, consensus::LogIndex index, base::TimePoint now) {
-  if (holder == m_self && (!m_own || m_own->index < index)) {
+  if (base::nodeNumber(holder) == base::nodeNumber(m_self) && (!m_own || m_own->index < index)) {
     m_own = Note{holder, index, now};
   }
   if (!m_newest || m_newest->index < index) {
@@ -22,6 +22,9 @@
     return {};
   }
   const base::TimePoint arrived = leadingSince + m_settings.transit;
+  if (base::nodeNumber(m_newest->holder) == base::nodeNumber(m_self)) {
+    return arrived;
+  }
   return wouldTakeTurns(*m_newest) ? std::max(arrived, restOfLease()) : arrived;
 }
 
--- a/src/directory/order_lease.h
+++ b/src/directory/order_lease.h
@@ -63,7 +63,7 @@
   const consensus::LogIndex m_lastIndex;
   const base::TimePoint m_startedAt;
   std::optional<Note> m_newest;
-  std::optional<Note> m_own;
+  std::optional<Note> m_own;  ///< also of this machine before it lost its disk
 };
 
 }  // namespace tackpick::directory
--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -230,6 +230,18 @@
   cr_assert(lease.freeFrom(leading) == leading + kTransit);
 }
 
+// Engines know a holder by its name, which stays when the machine has lost its disk.
+Test(order_lease, a_machine_with_a_new_disk_does_not_take_turns_either) {
+  const base::TimePoint start{base::seconds(100)};
+  const base::TimePoint noted = start + base::milliseconds(10);
+  const base::NodeId former = base::makeNodeId(base::nodeNumber(kSelf), 77);
+  directory::OrderLease lease{kSelf, {kLease, kTransit, false}, 0, start};
+  lease.onNote(former, 11, noted);
+  cr_assert(lease.freeFrom(noted) == noted + kTransit, "it follows itself");
+  lease.onNote(kOtherLeader, 12, noted + base::seconds(1));
+  cr_assert(lease.freeFrom(noted + base::seconds(1)) == noted + base::seconds(1) + kLease);
+}
+
 // A process that was killed and started again may have given orders just before.
 Test(order_lease, notes_older_than_the_process_are_as_young_as_it) {
   const base::TimePoint start{base::seconds(100)};
