--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -102,6 +102,16 @@
   }
 }
 
+void VersionOrders::forgetGone(const DirectoryState& state) {
+  std::erase_if(given_, [&](const auto& given) {
+    const bool isGone = !state.instances().contains(given.first);
+    if (isGone) {
+      m_budget.onAbandoned(given.first);
+    }
+    return isGone;
+  });
+}
+
 bool VersionOrders::isUnderWay(const Given& given, const ReportedEngine& engine,
                                base::TimePoint now) {
   return now < given.loadingUntil && versionOf(engine, given.model) < given.version;
@@ -217,8 +227,7 @@
   notePublished(state, now);
   noteTold(state);
   noteLoaded(engines, now);
-  std::erase_if(given_,
-                [&](const auto& given) { return !state.instances().contains(given.first); });
+  forgetGone(state);
   m_homes.assign(state, engines, demand, now);
   m_budget.setLeast(mostLoads());
   Fleet fleet = observe(state, engines, now);
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -167,6 +167,8 @@
   void noteTold(const DirectoryState& state);
   /// Loads that have ended since the last turn.
   void noteLoaded(const ReportedEngines& engines, base::TimePoint now);
+  /// Orders to engines that are not registered any more.
+  void forgetGone(const DirectoryState& state);
   [[nodiscard]] Fleet observe(const DirectoryState& state, const ReportedEngines& engines,
                               base::TimePoint now) const;
   [[nodiscard]] ModelLoadStates modelStates(const DirectoryState& state, base::TimePoint now) const;
