--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,7 +19,6 @@
 namespace tackpick::node {
 namespace {
 
-using telemetry::CounterId;
 using telemetry::Detail;
 using telemetry::EventId;
 using telemetry::logEvent;
@@ -459,61 +458,4 @@
   ledger_->setNodes(std::move(nodes));
 }
 
-void Node::sendOrder(const directory::VersionOrder& order) {
-  logEvent(EventId::kEngineOrdered, Detail()
-                                        .add("instance", order.instance)
-                                        .add("model", order.model)
-                                        .add("version", order.version)
-                                        .add("fence", order.fence)
-                                        .text());
-  const auto status = std::make_shared<int>(0);
-  http::UpstreamEvents events;
-  events.onHead = [status](int code, const http::HeaderList&) { *status = code; };
-  events.onEnd = [this, order, status](const http::UpstreamEnd& end) {
-    const directory::OrderOutcome outcome =
-        end.complete ? dialect_.orderOutcome(*status) : directory::OrderOutcome::kUncertain;
-    metrics_.count(CounterId::kOrdersGiven, directory::toString(outcome));
-    if (outcome == directory::OrderOutcome::kRefused ||
-        outcome == directory::OrderOutcome::kUncertain) {
-      logEvent(EventId::kEngineOrderFailed, Detail()
-                                                .add("instance", order.instance)
-                                                .add("outcome", directory::toString(outcome))
-                                                .add("status", static_cast<std::uint64_t>(*status))
-                                                .add("error", end.error)
-                                                .text());
-    }
-    directory_->onOrderOutcome(order, outcome, now());
-    wake();
-  };
-  upstream_->start(dialect_.orderRequest(order, settings_.name), std::move(events));
-}
-
-void Node::sendUsageReport(const duties::UsageReport& report) {
-  duty_caller_->send(report, [this, report](duties::DutyOutcome outcome) {
-    directory_->onUsageOutcome(report, outcome, now());
-    wake();
-  });
-}
-
-void Node::sendScaleCall(const duties::ScaleCall& call) {
-  duty_caller_->send(call, [this, call](duties::ScaleOutcome outcome) {
-    directory_->onScaleOutcome(call, outcome, now());
-    wake();
-  });
-}
-
-void Node::askForReport(const directory::InstanceRecord& engine) {
-  const auto body = std::make_shared<std::string>();
-  http::UpstreamEvents events;
-  events.onData = [body](std::string_view data) { body->append(data); };
-  events.onEnd = [this, body, id = engine.id](const http::UpstreamEnd& end) {
-    const auto versions = end.complete ? dialect_.reportedVersions(*body) : std::nullopt;
-    if (versions) {
-      directory_->onReport(id, *versions, now());
-      wake();
-    }
-  };
-  upstream_->start(dialect_.reportRequest(engine), std::move(events));
-}
-
 }  // namespace tackpick::node
