--- a/src/duties/capacity_policy.h
+++ b/src/duties/capacity_policy.h
@@ -24,7 +24,6 @@
 struct CapacityDemand {
   jobs::OpenWorks works;          ///< of the models of that service only
   std::uint32_t placesThere = 0;  ///< of the instances that serve
-  base::Duration startTime{0};    ///< of a new instance
   base::Duration toldBefore{0};   ///< age of these figures
   double recentEvents = 0;        ///< of streams of those models, jobs or not; older count less
 
