--- a/src/duties/capacity_duty.cpp
+++ b/src/duties/capacity_duty.cpp
@@ -55,6 +55,7 @@
   KindSight sight;
   sight.there = registered.there;
   sight.desired = known.proposed.value_or(noted.count);
+  sight.asked = known.proposed || state.desired(subject);
   sight.unavailable = now < known.availableFrom;
   const bool toBeAsked = known.unanswered || !noted.taken;
   const bool starting = known.askedAt && now - *known.askedAt <= startTime + m_settings.startMargin;
@@ -211,7 +212,7 @@
 
 std::optional<ScaleCall> CapacityDuty::nextCall(const CapacityState& state,
                                                 const Present& present) {
-  const bool calling = m_callingSince && present.now - *m_callingSince < m_settings.callLimit;
+  const bool calling = m_calling && present.now - m_calling->since < m_settings.callLimit;
   if (calling || present.now < m_callAt || present.fence == m_refusedFence) {
     return std::nullopt;
   }
@@ -233,7 +234,7 @@
 }
 
 void CapacityDuty::onSent(const ScaleCall& call, base::TimePoint now) {
-  m_callingSince = now;
+  m_calling = CallUnderWay{call.fence, now};
   Subject& known = m_subjects[call.subject];
   known.askedAt = now;
   known.unanswered = true;
@@ -278,7 +279,10 @@
 }
 
 void CapacityDuty::onOutcome(const ScaleCall& call, ScaleOutcome outcome, base::TimePoint now) {
-  m_callingSince.reset();
+  if (!m_calling || call.fence != m_calling->fence) {
+    return;  // of a former term: what it asked for is asked for anew
+  }
+  m_calling.reset();
   m_callAt = now + m_settings.callInterval;
   Subject& known = m_subjects[call.subject];
   switch (outcome) {
--- a/src/duties/capacity_duty.h
+++ b/src/duties/capacity_duty.h
@@ -166,8 +166,12 @@
   std::map<CapacitySubject, Subject> m_subjects;
   std::map<CapacitySubject, Wish> m_wishes;  ///< of the present step
   std::vector<CapacitySight> m_sights;
-  std::vector<ConfirmCapacity> m_confirm;         ///< to be written to the log
-  std::optional<base::TimePoint> m_callingSince;  ///< a call is under way
+  std::vector<ConfirmCapacity> m_confirm;  ///< to be written to the log
+  struct CallUnderWay {
+    std::uint64_t fence = 0;
+    base::TimePoint since{};
+  };
+  std::optional<CallUnderWay> m_calling;
   std::uint64_t m_refusedFence = 0;
   base::TimePoint m_callAt{};  ///< not before
   base::Duration m_retry{0};
