Work order: a job is owed nothing at a priority that it has left

Cause: shares were kept by the job's id alone. After a configuration had moved a job of a tenant to another priority, while other jobs of that tenant stayed at the former one, it was owed items at both. Named there once it was exhausted, the plan took an item from its empty queue, or went round without end.

Test: work_order/job_that_changes_its_priority_is_owed_nothing_at_the_former_one, which failed.

--- a/src/jobs/slack_order.cpp
+++ b/src/jobs/slack_order.cpp
@@ -42,11 +42,11 @@
 void SlackOrder::Shares::keepOnly(const std::vector<Entry>& waiting) {
   std::vector<std::uint32_t> priorities;
   std::vector<TenantKey> tenants;
-  std::vector<Id> jobs;
+  std::vector<std::pair<TenantKey, Id>> jobs;  // one may have come from another priority
   for (const Entry& entry : waiting) {
     priorities.push_back(entry.owner.tenant.first);
     tenants.push_back(entry.owner.tenant);
-    jobs.push_back(entry.owner.job);
+    jobs.emplace_back(entry.owner.tenant, entry.owner.job);
   }
   sortUnique(priorities);
   sortUnique(tenants);
@@ -60,7 +60,7 @@
   }
   std::erase_if(m_jobs, [&](const auto& entry) { return !contains(tenants, entry.first); });
   for (auto& [tenant, shares] : m_jobs) {
-    shares.keepOnly([&](Id job) { return contains(jobs, job); });
+    shares.keepOnly([&, key = tenant](Id job) { return contains(jobs, std::pair(key, job)); });
   }
 }
 
--- a/test/jobs/work_order_test.cpp
+++ b/test/jobs/work_order_test.cpp
@@ -109,7 +109,6 @@
   }
 }
 
-// Before, a job with much slack got nothing while others were urgent.
 Test(work_order, each_tenant_and_each_job_gets_a_quarter_of_its_share) {
   std::vector<jobs::QueuedWork> work;
   constexpr std::uint32_t kSmallTenants = 75;
@@ -181,6 +180,26 @@
   cr_assert_eq(*order.next(), 1U);
 }
 
+// A job that had moved to another priority stayed owed at the former one, where other jobs of its
+// tenant waited: it was named after it was exhausted.
+Test(work_order, job_that_changes_its_priority_is_owed_nothing_at_the_former_one) {
+  jobs::SlackOrder order;
+  std::vector<jobs::QueuedWork> work{{"a", "x", 1, kRelaxed}, {"b", "x", 1, kUrgent}};
+  order.begin(work);
+  work[0].priority = 0;
+  constexpr int kEnoughToBeOwed = 20;
+  for (int i = 0; i < kEnoughToBeOwed; ++i) {
+    order.begin(work);
+    order.onLeased("b");
+  }
+  order.begin(work);
+  cr_assert_eq(*order.next(), 0U, "of the higher priority");
+  order.onExhausted(0);
+  cr_assert_eq(*order.next(), 1U);
+  order.onExhausted(1);
+  cr_assert_not(order.next().has_value());
+}
+
 Test(minimum_shares, one_who_was_away_is_owed_nothing) {
   jobs::MinimumShares<std::string> shares(0.5);
   shares.enter("a");
