Ledgers: a job submitted again after it was forgotten is new

Cause: the time at which a ledger applied a submission was kept by the job's id until another job came. Submitted again before that, the job was as old as the forgotten one, and was forgotten at once. It is told apart by its submission's index in the log.

Test: job_role/job_that_was_forgotten_may_be_submitted_again, which failed.

--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -285,9 +285,12 @@
     return;
   }
   m_observedJobs = state_.jobChanges();
-  std::erase_if(m_firstSeen, [&](const auto& seen) { return state_.find(seen.first) == nullptr; });
+  std::erase_if(m_submissions, [&](const auto& known) {
+    const Job* job = state_.find(known.first);
+    return job == nullptr || job->submittedAt != known.second.index;
+  });
   for (const auto& [id, job] : state_.jobs()) {
-    m_firstSeen.try_emplace(id, now);
+    m_submissions.try_emplace(id, Submission{job.submittedAt, now});
   }
 }
 
@@ -308,7 +311,7 @@
     learnFromResults();
   }
   for (const auto& [id, job] : jobs) {
-    if (leases_.addJob(*id, *job, m_firstSeen.at(*id)) && submittedHere) {
+    if (leases_.addJob(*id, *job, m_submissions.at(*id).appliedAt) && submittedHere) {
       gathering_.addJob(*id, *job, leases_.groupsThatComeAgain(*id));
     }
   }
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -92,6 +92,12 @@
 
  private:
   using Caller = cluster::ServiceCaller;
+  /// A job's submission as this ledger applied it. A job that was forgotten may be submitted again
+  /// by the same id.
+  struct Submission {
+    consensus::LogIndex index = 0;
+    base::TimePoint appliedAt{};  ///< it came no later
+  };
   struct PendingRead {
     Caller caller;
     ReadJob read;
@@ -142,8 +148,7 @@
   base::TimePoint leader_since_{};
   std::optional<std::uint64_t> seen_jobs_;  ///< JobState::jobChanges() when they were taken up
   std::uint64_t m_observedJobs = 0;         ///< JobState::jobChanges() at observeJobs()
-  /// When this ledger applied the submissions; they came no later.
-  std::map<std::string, base::TimePoint> m_firstSeen;
+  std::map<std::string, Submission> m_submissions;  ///< by job
   base::TimePoint slow_work_at_{};
   std::vector<PendingRead> reads_;
   std::set<base::NodeId> m_pacesTold;  ///< gateways that told paces in this term
--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -264,6 +264,17 @@
   cr_assert_str_eq(order.c_str(), "zzzyyyyxxxx");
 }
 
+// It was as old as the forgotten one when no other job had come between, and was forgotten at once.
+Test(job_role, job_that_was_forgotten_may_be_submitted_again) {
+  LoneLedger ledger;
+  (void)ledger.ask(submission("a"));
+  ledger.run(jobs::JobRoleSettings{}.retention + base::seconds(1));
+  cr_assert_null(ledger.role->state().find("j"));
+  (void)ledger.ask(submission("a"));
+  ledger.run(base::seconds(1));
+  cr_assert_not_null(ledger.role->state().find("j"));
+}
+
 Test(job_role, groups_that_come_again_are_known_after_a_restart) {
   LoneLedger ledger;
   for (const char* id : {"z", "a"}) {
