HTTP server: a connection cut while it is read takes no request

Cause: an interim answer (Expect) is handed over while a request is parsed; where that cut the connection for what it left unread, the request was handled all the same and counted as open for ever, so that a draining server waited for it.

Test: unread_answers/connection_that_is_cut_while_it_asks_takes_no_request, which failed.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -218,6 +218,9 @@
   }
   const std::size_t parsed =
       http_parser_execute(&parser_, &parserSettings(), pending_.data(), pending_.size());
+  if (closed_) {
+    return;  // cut for what it left unread, when more was handed over to it
+  }
   const http_errno error = HTTP_PARSER_ERRNO(&parser_);
   if (error == HPE_PAUSED) {
     http_parser_pause(&parser_, 0);
--- a/test/http/stream_relay_test.cpp
+++ b/test/http/stream_relay_test.cpp
@@ -140,7 +140,7 @@
   cr_assert_eq(caller.received().find("0\r\n\r\n"), std::string::npos);
 }
 
-// Before, a caller could have any number of answers made and read none of them.
+// A caller must not have any number of answers made and read none of them.
 Test(unread_answers, no_further_request_is_taken_while_answers_are_unread) {
   http::ExchangeLimits limits;
   limits.unsentBytes = kPiece;
@@ -198,3 +198,24 @@
   cr_assert(whole, "the last one reads, and gets its answer");
   cr_assert_eq(front.server.openConnections(), 2U);
 }
+
+// The exchange stayed open for ever: a request was taken from a connection that had been cut while
+// it was read.
+Test(unread_answers, connection_that_is_cut_while_it_asks_takes_no_request) {
+  http::ExchangeLimits limits;
+  limits.totalUnsentBytes = 1U << 20U;
+  limits.unsentBytes = 64U << 20U;
+  limits.stallTime = base::milliseconds(500);
+  Front front(limits);
+  RawPeer caller(front.context, front.server.port());
+  caller.send(kGet);
+  cr_assert(front.waitOpen(1));
+  front.open[0]->respond(200, {}, std::string(16U << 20U, 'x'));
+  front.runFor(std::chrono::milliseconds(600));
+  caller.send("POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nx");
+  front.runFor(std::chrono::milliseconds(60));
+  cr_assert_eq(front.server.unreadAnswers().cutCount, 1U);
+  cr_assert_eq(front.open.size(), 1U);
+  front.open.clear();
+  cr_assert_eq(front.server.openExchanges(), 0U);
+}
