Engine affinity: engines that are gone are forgotten

Cause: engines were kept by their incarnations until the next change of leader, so each restart of an engine left an entry.

Test: engine_affinity/engine_that_is_gone_is_forgotten.

--- a/src/jobs/engine_affinity.cpp
+++ b/src/jobs/engine_affinity.cpp
@@ -25,6 +25,13 @@
   m_engines.clear();
 }
 
+void EngineAffinity::forget(const std::string& engine) {
+  m_engines.erase(engine);
+  for (auto& [name, zone] : m_zones) {
+    zone.drawn.erase(engine);
+  }
+}
+
 void EngineAffinity::setGateways(const std::string& name, std::vector<ActiveGateway> gateways) {
   Zone& zone = m_zones[name];
   if (zone.gateways != gateways) {
--- a/src/jobs/engine_affinity.h
+++ b/src/jobs/engine_affinity.h
@@ -37,6 +37,8 @@
   explicit EngineAffinity(EngineAffinitySettings settings = {}) : m_settings(settings) {}
 
   void clear();
+  /// The engine is gone.
+  void forget(const std::string& engine);
   /// The gateways that run items in `zone`.
   void setGateways(const std::string& zone, std::vector<ActiveGateway> gateways);
   /// Items wait for an engine of `zone`, by the engine's id.
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -104,6 +104,7 @@
 
 void ItemLeases::setEngines(std::vector<PlacementEngine> engines) {
   placement_.setEngines(std::move(engines));
+  m_engineAffinity.clear();
   observeEngines();
 }
 
@@ -113,6 +114,9 @@
     return;
   }
   placement_.changeEngines(std::move(changed), removed);
+  for (const std::string& engine : removed) {
+    m_engineAffinity.forget(engine);
+  }
   observeEngines();
 }
 
--- a/test/jobs/engine_affinity_test.cpp
+++ b/test/jobs/engine_affinity_test.cpp
@@ -250,6 +250,15 @@
   cr_assert_eq(takers(affinity, "e", 6, kNow).size(), 6U);
 }
 
+Test(engine_affinity, engine_that_is_gone_is_forgotten) {
+  jobs::EngineAffinity affinity;
+  affinity.setGateways("a", gateways(6));
+  affinity.onPlanned("a", {{"e", 1}, {"f", 1}}, kNow);
+  affinity.forget("e");
+  cr_assert_eq(takers(affinity, "e", 6, kNow).size(), 6U, "nothing is known");
+  cr_assert_eq(takers(affinity, "f", 6, kNow).size(), 2U);
+}
+
 Test(engine_affinity, few_engines_change_their_gateways_when_one_goes) {
   jobs::EngineAffinity affinity;
   std::map<std::string, std::uint32_t> items;
