Open work in the order of submission, read in one place

The order of submission was made in three places; JobState::bySubmission() is it.

Test: job_role/open_work_is_told_in_the_order_of_submission_after_a_restart, which failed.

--- a/src/jobs/item_leases_plan.cpp
+++ b/src/jobs/item_leases_plan.cpp
@@ -208,9 +208,9 @@
 }
 
 WorkSight ItemLeases::sight(const JobState& state, base::TimePoint now) const {
-  std::vector<std::pair<consensus::LogIndex, JobSight>> jobs;
   WorkSight sight;
-  for (const auto& [id, job] : state.jobs()) {
+  for (const auto* entry : state.bySubmission()) {
+    const auto& [id, job] = *entry;
     if (job.settled()) {
       continue;
     }
@@ -225,12 +225,7 @@
     TenantSight& tenant = sight.tenants[submission.tenant];
     tenant.waiting += seen.waiting;
     tenant.running += seen.running;
-    jobs.emplace_back(job.submittedAt, std::move(seen));
-  }
-  std::stable_sort(jobs.begin(), jobs.end(),
-                   [](const auto& left, const auto& right) { return left.first < right.first; });
-  for (auto& [submittedAt, job] : jobs) {
-    sight.jobs.push_back(std::move(job));
+    sight.jobs.push_back(std::move(seen));
   }
   for (auto& [name, tenant] : sight.tenants) {
     tenant.share = leases_.empty() ? 0 : tenant.running / static_cast<double>(leases_.size());
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -208,16 +208,12 @@
     return std::nullopt;
   }
   OpenWorks works;
-  for (const auto& [id, job] : state_.jobs()) {
+  for (const auto* entry : state_.bySubmission()) {
+    const auto& [id, job] = *entry;
     if (!job.settled()) {
       works[job.submission.model].push_back(workOf(id, job, now));
     }
   }
-  for (auto& [model, open] : works) {
-    std::stable_sort(open.begin(), open.end(), [](const OpenWork& left, const OpenWork& right) {
-      return left.age > right.age;
-    });
-  }
   return works;
 }
 
@@ -300,19 +296,13 @@
   }
   const bool submittedHere = seen_jobs_.has_value();
   seen_jobs_ = state_.jobChanges();
-  std::vector<std::pair<const std::string*, const Job*>> jobs;
-  for (const auto& [id, job] : state_.jobs()) {
-    jobs.emplace_back(&id, &job);
-  }
-  std::stable_sort(jobs.begin(), jobs.end(), [](const auto& left, const auto& right) {
-    return left.second->submittedAt < right.second->submittedAt;
-  });
   if (!submittedHere) {
     learnFromResults();
   }
-  for (const auto& [id, job] : jobs) {
-    if (leases_.addJob(*id, *job, m_submissions.at(*id).appliedAt) && submittedHere) {
-      gathering_.addJob(*id, *job, leases_.groupsThatComeAgain(*id));
+  for (const auto* entry : state_.bySubmission()) {
+    const auto& [id, job] = *entry;
+    if (leases_.addJob(id, job, m_submissions.at(id).appliedAt) && submittedHere) {
+      gathering_.addJob(id, job, leases_.groupsThatComeAgain(id));
     }
   }
 }
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -1,5 +1,6 @@
 #include "jobs/job_state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/compression.h"
@@ -147,6 +148,18 @@
   }
 }
 
+std::vector<const JobState::Jobs::value_type*> JobState::bySubmission() const {
+  std::vector<const Jobs::value_type*> jobs;
+  jobs.reserve(jobs_.size());
+  for (const auto& job : jobs_) {
+    jobs.push_back(&job);
+  }
+  std::stable_sort(jobs.begin(), jobs.end(), [](const auto* left, const auto* right) {
+    return left->second.submittedAt < right->second.submittedAt;
+  });
+  return jobs;
+}
+
 const Job* JobState::find(const std::string& id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
@@ -181,7 +194,6 @@
 base::Bytes JobState::takeSnapshot() const { return base::encodeLarge(jobs_); }
 
 void JobState::loadSnapshot(const base::Bytes& snapshot) {
-  using Jobs = std::map<std::string, Job>;
   jobs_.clear();  // two states at once may not fit
   jobs_ = base::decode<Jobs>(snapshot).value_or(Jobs{});
   ++revision_;
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -46,12 +46,16 @@
 /// ones change nothing. A result that follows a kept text counts only while that text is kept.
 class JobState final : public consensus::StateMachine {
  public:
+  using Jobs = std::map<std::string, Job>;  ///< by id
+
   base::Bytes apply(consensus::LogIndex index, const base::Bytes& command) override;
   [[nodiscard]] base::Bytes query(const base::Bytes& /*query*/) const override { return {}; }
   [[nodiscard]] base::Bytes takeSnapshot() const override;
   void loadSnapshot(const base::Bytes& snapshot) override;
 
-  [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
+  [[nodiscard]] const Jobs& jobs() const { return jobs_; }
+  /// All jobs in the order of their submission.
+  [[nodiscard]] std::vector<const Jobs::value_type*> bySubmission() const;
   [[nodiscard]] const Job* find(const std::string& id) const;
   /// The job, unless it belongs to another tenant.
   [[nodiscard]] const Job* findFor(const std::string& tenant, const std::string& id) const;
@@ -71,7 +75,7 @@
   void applyTyped(const ForgetJobs& command, consensus::LogIndex index);
   void applyTyped(const SaveProgress& command, consensus::LogIndex index);
 
-  std::map<std::string, Job> jobs_;
+  Jobs jobs_;
   std::uint64_t revision_ = 0;
   std::uint64_t job_changes_ = 0;
   std::uint64_t m_workChanges = 0;
--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -139,6 +139,20 @@
   cr_assert_gt(ledger.role->workChanges(), submitted);
 }
 
+// A ledger that starts again knows the jobs' ages only from then on.
+Test(job_role, open_work_is_told_in_the_order_of_submission_after_a_restart) {
+  LoneLedger ledger;
+  for (const char* id : {"z", "a"}) {
+    jobs::SubmitJob submit = submission("a");
+    submit.job.id = id;
+    (void)ledger.ask(submit);
+  }
+  ledger.restart();
+  const jobs::OpenWorks works = *ledger.role->openWork(ledger.now);
+  cr_assert_eq(works.at("").size(), 2U);
+  cr_assert_eq(works.at("").front().job, "z");
+}
+
 Test(job_role, new_leader_asks_for_paces_and_places_by_them) {
   LoneLedger ledger;
   jobs::LeaseItems call;
