--- a/src/jobs/engine_cost.h
+++ b/src/jobs/engine_cost.h
@@ -10,8 +10,8 @@
 inline constexpr double kUnknownPaceMs = 1.0;
 
 /// `paceMs` between two events; `occupied`: items there, with the one to come, as a part of its
-/// places. A full batch is hardly slower than an empty one (measured: 0.5 % for each item of
-/// twelve), so speed counts more than balance; but what waits for a place makes no progress.
+/// places. A full batch is hardly slower than an empty one, so speed counts more than balance; but
+/// what waits for a place makes no progress.
 [[nodiscard]] inline double engineCost(double paceMs, double occupied) {
   constexpr double kSharing = 0.06;
   constexpr double kQueueing = 4.0;
--- a/src/jobs/estimate_calibration.h
+++ b/src/jobs/estimate_calibration.h
@@ -1,5 +1,5 @@
 /// \file
-/// Corrects callers' estimates by what their earlier ones were worth.
+/// Corrects callers' estimates by how their earlier ones compare with real lengths.
 #pragma once
 
 namespace tackpick::jobs {
--- a/src/jobs/gateway_roster.h
+++ b/src/jobs/gateway_roster.h
@@ -102,8 +102,7 @@
     base::Duration usualLateness{0};               ///< median of those that run items
     base::TimePoint latenessFoundAt{};
     /// Those that run items; found anew when `outdated`, and now and then since others fall silent.
-    /// Every call of every gateway asks for it: counting 1,000 gateways each time grows with their
-    /// square (1,000 calls: 11.6 ms of a core; now 0.8 ms).
+    /// Every call of every gateway asks for it: counting them each time grows with their square.
     std::set<base::NodeId> active;
     bool enough = false;  ///< `active` has all places and the spare gateways
     base::TimePoint foundAt{};
--- a/src/jobs/run_decisions.h
+++ b/src/jobs/run_decisions.h
@@ -75,7 +75,7 @@
 
 /// The longest pace of another engine, in milliseconds, at which the run should go on there;
 /// nothing when it stays: it ends in time where it is, or no engine can make it end clearly sooner.
-[[nodiscard]] inline std::optional<double> paceWorthMoving(const RunOutlook& run) {
+[[nodiscard]] inline std::optional<double> longestPaceToMoveTo(const RunOutlook& run) {
   /// The prompt is read again, and a place may have to be waited for.
   constexpr double kMoveCostMs = 400;
   /// Less is within the error of paces.
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -89,7 +89,7 @@
                                            node_.random(), now)
                    : nullptr;
   }
-  const std::optional<double> longestPaceMs = jobs::paceWorthMoving(outlook);
+  const std::optional<double> longestPaceMs = jobs::longestPaceToMoveTo(outlook);
   return longestPaceMs
              ? instances_.findPaced(need, item.instance, *longestPaceMs, node_.random(), now)
              : nullptr;
--- a/test/forwarding/forwarding_test.cpp
+++ b/test/forwarding/forwarding_test.cpp
@@ -135,8 +135,8 @@
 
 }  // namespace
 
-// Load: each of 200 gateways gets 20 requests one after the other. Before, they used 3,997 pairs of
-// gateway and server, so nearly each request opened a connection; now 600.
+// Each of 200 gateways gets 20 requests one after the other. Spread over all servers nearly each
+// request would open a connection.
 Test(instance_table, gateways_with_little_traffic_keep_to_few_of_many_servers) {
   constexpr int kGateways = 200;
   constexpr int kRequests = 20;
@@ -205,8 +205,7 @@
   cr_assert_not(room.take("m", 1));
 }
 
-// A gateway that walked all 10,000 engines needed 6 ms of a core for the room and 20 ms for the
-// news.
+// To walk all engines for each call would take milliseconds of a core.
 Test(instance_table, calls_for_leases_cost_little_in_a_large_fleet) {
   constexpr int kEngines = 10'000;
   constexpr int kCalls = 1000;
--- a/test/http/exchange_server_test.cpp
+++ b/test/http/exchange_server_test.cpp
@@ -191,8 +191,7 @@
   cr_assert(fixture.waitRequests(1));
   fixture.server.beginDrain();
   cr_assert(idle.waitClosed());
-  // Found by a hunt (zw, trouble-2 --seed 1026242242509): a request that was taken late in a
-  // planned stop was cut by its end.
+  // A request that is taken late in a planned stop would be cut by its end.
   asio::ip::tcp::socket late(fixture.context);
   asio::error_code refused;
   late.connect({asio::ip::make_address("127.0.0.1"), port}, refused);
--- a/test/jobs/engine_affinity_test.cpp
+++ b/test/jobs/engine_affinity_test.cpp
@@ -299,7 +299,7 @@
   cr_assert_lt(engines[2], 220);
 }
 
-// 1,000 items, two models, 15 engines, six gateways of which any took any engine's items before.
+// 1,000 items, two models, 15 engines, six gateways.
 Test(engine_affinity, fewer_connections_and_no_long_wait) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     ZoneRun before(withoutAffinity(), seed);
@@ -320,8 +320,8 @@
   }
 }
 
-// Found with one gateway for each engine: a frozen one held up all items of its engines until it
-// was known to be silent.
+// With one gateway for each engine a frozen one would hold up all items of its engines until it is
+// known to be silent.
 Test(engine_affinity, frozen_gateway_holds_up_no_item) {
   // Right before items come, and as long as it still counts as one that runs items.
   const base::TimePoint at = kNow + base::seconds(10) - base::milliseconds(5);
--- a/test/jobs/gateway_roster_test.cpp
+++ b/test/jobs/gateway_roster_test.cpp
@@ -218,7 +218,7 @@
   cr_assert(active(roster, 10, now) == numbers({1, 2, 3, 4, 5, 6}));
 }
 
-// A thousand gateways ask a thousand times a second. Before, each call counted all of them.
+// Counting all gateways at each call would grow with their square.
 Test(gateway_roster, calls_cost_the_same_with_a_thousand_gateways) {
   jobs::GatewayRoster roster = rosterOfFour();
   constexpr std::uint32_t kGateways = 1000;
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -354,7 +354,7 @@
   cr_assert_eq(placement.place({"m", 2}), "b");
 }
 
-// Before, each plan looked at all engines for each model: 4.9 ms for six at 10,000, now 0.3 ms.
+// A plan that looks at all engines for each model takes too long with many of them.
 Test(engine_placement, plan_of_a_large_fleet_is_cheap) {
   constexpr int kEngines = 10'000;
   constexpr int kInUse = 400;
--- a/test/jobs/lease_order_test.cpp
+++ b/test/jobs/lease_order_test.cpp
@@ -137,7 +137,6 @@
   cr_assert(ordersDiffer, "the load tells the orders apart");
 }
 
-// Before, all items of the older job went first.
 Test(lease_order, long_items_of_a_job_without_slack_go_before_short_ones) {
   Ledger ledger;
   ledger.setEngines(2);
--- a/test/jobs/pace_book_test.cpp
+++ b/test/jobs/pace_book_test.cpp
@@ -142,7 +142,7 @@
   cr_assert_lt(told.expected(0), 1.1 * fixture.expected(0));
 }
 
-Test(pace_book, new_leader_learns_from_old_samples_what_they_are_worth) {
+Test(pace_book, old_samples_weigh_less_at_a_new_leader) {
   Fixture fixture(3);
   fixture.book.note("e1", {kUsualMs, base::seconds(4)}, fixture.now);
   fixture.book.note("e2", {kUsualMs}, fixture.now);
--- a/test/jobs/placement_load_test.cpp
+++ b/test/jobs/placement_load_test.cpp
@@ -259,7 +259,7 @@
                                             static_cast<std::uint64_t>(text.made));
       outlook.untilDue = text.due - m_now;
       outlook.moves = text.moves;
-      return jobs::paceWorthMoving(outlook).value_or(0);
+      return jobs::longestPaceToMoveTo(outlook).value_or(0);
     }
     const bool ranLong = text.made >= 1 && m_now - text.firstSentAt > milliseconds(900);
     return ranLong && text.moves < jobs::kMostMovesToFaster
