--- a/test/runtime/process_limits_test.cpp
+++ b/test/runtime/process_limits_test.cpp
@@ -2,6 +2,7 @@
 #include "config/process_limits.h"
 
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -29,7 +30,7 @@
 struct Loaded {
   explicit Loaded(const std::string& lines) {
     const auto file = std::filesystem::temp_directory_path() /
-                      ("limits_" + std::to_string(reinterpret_cast<std::uintptr_t>(this)));
+                      ("tackpick_limits_" + std::to_string(::getpid()));
     std::ofstream(file) << kGateway << lines;
     base::recover(
         [&]() -> base::Result<int> {
