Settings: platform_duties is a known key also without duty_platform

Cause: the list was read only where a platform is named; elsewhere the key counted as unknown and the process did not start.

Test: capacity_mode/duties_without_a_platform_are_read_and_change_nothing, which failed.

--- a/src/config/cluster_settings.cpp
+++ b/src/config/cluster_settings.cpp
@@ -66,7 +66,8 @@
 }
 
 duties::CapacityMode readCapacityMode(MappingReader& reader, const ClusterSettings& settings) {
-  const bool given = !settings.dutyPlatform.host.empty() && readDuties(reader).contains("scaling");
+  const bool listed = readDuties(reader).contains("scaling");
+  const bool given = listed && !settings.dutyPlatform.host.empty();
   const std::string mode = reader.text("capacity", given ? "waiting" : "hold");
   if (mode == "hold") {
     return duties::CapacityMode::kHold;
--- a/test/runtime/process_limits_test.cpp
+++ b/test/runtime/process_limits_test.cpp
@@ -29,8 +29,8 @@
 /// The settings of a gateway with `lines` added, or what is wrong with them.
 struct Loaded {
   explicit Loaded(const std::string& lines) {
-    const auto file = std::filesystem::temp_directory_path() /
-                      ("tackpick_limits_" + std::to_string(::getpid()));
+    const auto file =
+        std::filesystem::temp_directory_path() / ("tackpick_limits_" + std::to_string(::getpid()));
     std::ofstream(file) << kGateway << lines;
     base::recover(
         [&]() -> base::Result<int> {
@@ -79,3 +79,9 @@
     }
   }
 }
+
+// Refused as an unknown key, the list would keep a process from starting.
+Test(capacity_mode, duties_without_a_platform_are_read_and_change_nothing) {
+  const Loaded loaded("platform_duties: [usage, scaling]\n");
+  cr_assert(loaded.problem.empty(), "%s", loaded.problem.c_str());
+}
