--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -202,8 +202,8 @@
   const InstanceTableSettings settings_;
   std::map<std::string, InstanceEntry> entries_;
   std::map<std::string, std::map<std::string, InstanceEntry*>> m_byService;
-  /// By service and model, of those that get new work. Kept since leases are asked for several times
-  /// a second with what these say.
+  /// By service and model, of those that get new work. Kept since leases are asked for several
+  /// times a second with what these say.
   std::map<std::string, std::map<std::string, VersionPlaces>> m_places;
   std::set<std::string> m_paced;     ///< ids of those whose pace is known
   std::set<std::string> m_departed;  ///< ids of those that the controllers took out
