--- a/src/config/cluster_settings.cpp
+++ b/src/config/cluster_settings.cpp
@@ -84,6 +84,20 @@
   return duties::CapacityMode::kExpectedSteps;
 }
 
+/// Calls to the platform that one machine at a time may make.
+void readDutySettings(MappingReader& reader, ClusterSettings& settings) {
+  settings.dutyPlatform = readEndpoint(reader, "duty_platform", false);
+  settings.dutyCallsPerSecond =
+      reader.number("duty_calls_per_s", settings.dutyCallsPerSecond, kFewestCalls, kMostCalls);
+  settings.capacity = readCapacityMode(reader, settings);
+  settings.usageWindow = readDuration(reader, "usage_window_s", base::seconds(1), {});
+  settings.usageDelay =
+      readDuration(reader, "usage_delay_s", base::seconds(1), settings.usageDelay);
+  if (settings.usageWindow > base::Duration{0} && settings.dutyPlatform.host.empty()) {
+    reader.problem("usage_window_s", "reports of usage need a duty_platform");
+  }
+}
+
 void readSeeds(MappingReader& reader, ClusterSettings& settings, Problems& problems) {
   const YAML::Node list = reader.child("seeds");
   if (!list.IsDefined() || !list.IsSequence() || list.size() == 0) {
@@ -165,16 +179,7 @@
   settings.configurationLag = readDuration(reader, "configuration_lag_ms", base::milliseconds(1),
                                            settings.configurationLag);
   settings.enginesCheckFences = reader.flag("engines_check_fences", false);
-  settings.dutyPlatform = readEndpoint(reader, "duty_platform", false);
-  settings.dutyCallsPerSecond =
-      reader.number("duty_calls_per_s", settings.dutyCallsPerSecond, kFewestCalls, kMostCalls);
-  settings.capacity = readCapacityMode(reader, settings);
-  settings.usageWindow = readDuration(reader, "usage_window_s", base::seconds(1), {});
-  settings.usageDelay =
-      readDuration(reader, "usage_delay_s", base::seconds(1), settings.usageDelay);
-  if (settings.usageWindow > base::Duration{0} && settings.dutyPlatform.host.empty()) {
-    reader.problem("usage_window_s", "reports of usage need a duty_platform");
-  }
+  readDutySettings(reader, settings);
   settings.concurrentLoads = static_cast<std::uint32_t>(
       reader.integer("concurrent_weight_loads", settings.concurrentLoads, 1, kMostMachines));
   settings.limits = readProcessLimits(reader);
