--- a/test/jobs/engine_affinity_test.cpp
+++ b/test/jobs/engine_affinity_test.cpp
@@ -250,6 +250,15 @@
   cr_assert_eq(takers(affinity, "e", 6, kNow).size(), 6U);
 }
 
+Test(engine_affinity, engine_that_is_gone_is_forgotten) {
+  jobs::EngineAffinity affinity;
+  affinity.setGateways("a", gateways(6));
+  affinity.onPlanned("a", {{"e", 1}, {"f", 1}}, kNow);
+  affinity.forget("e");
+  cr_assert_eq(takers(affinity, "e", 6, kNow).size(), 6U, "nothing is known");
+  cr_assert_eq(takers(affinity, "f", 6, kNow).size(), 2U);
+}
+
 Test(engine_affinity, few_engines_change_their_gateways_when_one_goes) {
   jobs::EngineAffinity affinity;
   std::map<std::string, std::uint32_t> items;
@@ -290,7 +299,7 @@
   cr_assert_lt(engines[2], 220);
 }
 
-// 1,000 items, two models, 15 engines, six gateways of which any took any engine's items before.
+// 1,000 items, two models, 15 engines, six gateways.
 Test(engine_affinity, fewer_connections_and_no_long_wait) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     ZoneRun before(withoutAffinity(), seed);
@@ -311,8 +320,8 @@
   }
 }
 
-// Found with one gateway for each engine: a frozen one held up all items of its engines until it
-// was known to be silent.
+// With one gateway for each engine a frozen one would hold up all items of its engines until it is
+// known to be silent.
 Test(engine_affinity, frozen_gateway_holds_up_no_item) {
   // Right before items come, and as long as it still counts as one that runs items.
   const base::TimePoint at = kNow + base::seconds(10) - base::milliseconds(5);
--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -139,6 +139,20 @@
   cr_assert_gt(ledger.role->workChanges(), submitted);
 }
 
+// A ledger that starts again knows the jobs' ages only from then on.
+Test(job_role, open_work_is_told_in_the_order_of_submission_after_a_restart) {
+  LoneLedger ledger;
+  for (const char* id : {"z", "a"}) {
+    jobs::SubmitJob submit = submission("a");
+    submit.job.id = id;
+    (void)ledger.ask(submit);
+  }
+  ledger.restart();
+  const jobs::OpenWorks works = *ledger.role->openWork(ledger.now);
+  cr_assert_eq(works.at("").size(), 2U);
+  cr_assert_eq(works.at("").front().job, "z");
+}
+
 Test(job_role, new_leader_asks_for_paces_and_places_by_them) {
   LoneLedger ledger;
   jobs::LeaseItems call;
@@ -264,6 +278,17 @@
   cr_assert_str_eq(order.c_str(), "zzzyyyyxxxx");
 }
 
+// It was as old as the forgotten one when no other job had come between, and was forgotten at once.
+Test(job_role, job_that_was_forgotten_may_be_submitted_again) {
+  LoneLedger ledger;
+  (void)ledger.ask(submission("a"));
+  ledger.run(jobs::JobRoleSettings{}.retention + base::seconds(1));
+  cr_assert_null(ledger.role->state().find("j"));
+  (void)ledger.ask(submission("a"));
+  ledger.run(base::seconds(1));
+  cr_assert_not_null(ledger.role->state().find("j"));
+}
+
 Test(job_role, groups_that_come_again_are_known_after_a_restart) {
   LoneLedger ledger;
   for (const char* id : {"z", "a"}) {
