Operators read what waits and why: GET /v1/work, tackpickctl work

Cause: who waits, and for what, was known at the leaders only, behind const accessors; an operator saw gauges and logs.

Change: ReadWork to the ledgers' leader answers jobs (least slack first), tenants, engines (slowest first) and gateways (slow ones, then by places), at most 200 rows of each with totals. ReadWeights to the controllers' leader answers versions by model. Any controller asks both at once for GET /v1/work; a group without an answer is null, 503 when neither answers, and event 3007 names the one that is missing. `tackpickctl work [PART...]` prints tables or JSON (`--json` is now short for `--output json` everywhere); exit code 3 when a part asked for is missing. Each job tells its minimum version and the places ready for it, so that the reason stands in its row.

The weights told to operators counted engines of any version as ready where no step is known (always with one model a service); they count those of the published version now. The gauges of ready and loading places follow. No decision reads them.

Names of jobs may hold any bytes: invalid UTF-8 is replaced in the JSON, where the library would throw.

--- a/apps/tackpickctl/commands.h
+++ b/apps/tackpickctl/commands.h
@@ -48,5 +48,6 @@
 int quarantine(const Invocation& invocation);
 int release(const Invocation& invocation);
 int capacity(const Invocation& invocation);
+int work(const Invocation& invocation);
 
 }  // namespace tackpick::ctl
--- a/apps/tackpickctl/main.cpp
+++ b/apps/tackpickctl/main.cpp
@@ -26,6 +26,7 @@
       {"members", ctl::members}, {"token", ctl::token},
       {"status", ctl::status},   {"quarantine", ctl::quarantine},
       {"release", ctl::release}, {"capacity", ctl::capacity},
+      {"work", ctl::work},
   };
   return kCommands;
 }
@@ -75,7 +76,7 @@
       cxxopts::value<std::string>()->default_value("caller"))("dry-run", "change nothing")(
       "undo", "drain: end the drain")("prune", "apply, diff: remove what is not declared")(
       "o,output", "table or json", cxxopts::value<std::string>()->default_value("table"))(
-      "help", "show this text");
+      "json", "the same as --output json")("help", "show this text");
   parser.parse_positional({"command", "arguments"});
   const auto parsed = parser.parse(argc, argv);
   const auto name = parsed["command"].as<std::string>();
@@ -102,7 +103,7 @@
   invocation.dryRun = parsed.count("dry-run") > 0;
   invocation.undo = parsed.count("undo") > 0;
   invocation.prune = parsed.count("prune") > 0;
-  invocation.json = parsed["output"].as<std::string>() == "json";
+  invocation.json = parsed.count("json") > 0 || parsed["output"].as<std::string>() == "json";
   if (invocation.address.urls.empty()) {
     std::cerr << "name the controllers with --controllers or TACKPICK_CONTROLLERS\n";
     return ctl::kUsage;
--- a/src/directory/call_name.cpp
+++ b/src/directory/call_name.cpp
@@ -32,6 +32,8 @@
   return {"read_capacity", {}, false};
 }
 
+CallName nameOfTyped(const ReadWeights& /*request*/) { return {"read_weights", {}, false}; }
+
 CallName nameOfTyped(const quarantine::ReportCrashes& /*request*/) {
   return {"report_crashes", {}, false};
 }
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -16,6 +16,7 @@
 #include "base/time.h"
 #include "consensus/raft_types.h"
 #include "directory/configuration.h"
+#include "directory/weights_sight.h"
 #include "duties/capacity_messages.h"
 #include "duties/usage_messages.h"
 #include "jobs/open_work.h"
@@ -208,11 +209,20 @@
   }
 };
 
+/// An operator asks where the weights of all models stand.
+struct ReadWeights {
+  std::uint8_t reserved = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(reserved);
+  }
+};
+
 using DirectoryRequest =
     std::variant<ReplaceConfiguration, ReadConfiguration, InstanceBeat, InstanceLeaves,
                  PublishVersion, Watch, RetireNode, ReadRetirement, TellUsage, RelayBeats,
                  quarantine::ReportCrashes, quarantine::AskTrial, quarantine::ReadQuarantine,
-                 quarantine::ReleaseRequest, TellOpenWork, duties::ReadCapacity>;
+                 quarantine::ReleaseRequest, TellOpenWork, duties::ReadCapacity, ReadWeights>;
 
 // Answers.
 
@@ -281,10 +291,12 @@
   base::Bytes packedView = {};
   std::vector<quarantine::HoldSight> holds = {};     ///< answers ReadQuarantine
   std::vector<duties::CapacitySight> capacity = {};  ///< answers ReadCapacity
+  /// Answers ReadWeights; nothing while a new leader has not begun to decide.
+  std::optional<WeightsSight> weights = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(status, text, view, packedView, holds, capacity);
+    archive(status, text, view, packedView, holds, capacity, weights);
   }
 };
 
--- a/src/directory/directory_requests.cpp
+++ b/src/directory/directory_requests.cpp
@@ -150,6 +150,15 @@
   replyWith(caller, answer);
 }
 
+void DirectoryRole::onRequest(const Caller& caller, const ReadWeights& /*request*/,
+                              base::TimePoint /*now*/) {
+  DirectoryReply answer;
+  if (const WeightsSight* sight = weights()) {
+    answer.weights = *sight;
+  }
+  replyWith(caller, answer);
+}
+
 void DirectoryRole::completeRetirements(const consensus::Membership& ledgers, base::TimePoint now) {
   for (const auto& [name, retirement] : state_.retirements()) {
     if (retirement != Retirement::kRunning) {
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -128,6 +128,7 @@
   void onRequest(const Caller& caller, const TellOpenWork& request, base::TimePoint now);
   void onRequest(const Caller& caller, const RelayBeats& request, base::TimePoint now);
   void onRequest(const Caller& caller, const duties::ReadCapacity& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const ReadWeights& request, base::TimePoint now);
   void onRequest(const Caller& caller, const quarantine::ReportCrashes& request,
                  base::TimePoint now);
   void onRequest(const Caller& caller, const quarantine::AskTrial& request, base::TimePoint now);
--- a/src/directory/version_orders.cpp
+++ b/src/directory/version_orders.cpp
@@ -277,8 +277,10 @@
       sight.placesNeeded = first.places;
       sight.expectedIn = first.expectedAt - now;
     }
-    sight.placesReady = placesFrom(model.placesReady, sight.neededVersion);
-    sight.placesLoading = placesFrom(model.placesLoading, sight.neededVersion);
+    // Where no step is known, engines get what is published.
+    const std::uint64_t wanted = sight.neededVersion == 0 ? model.published : sight.neededVersion;
+    sight.placesReady = placesFrom(model.placesReady, wanted);
+    sight.placesLoading = placesFrom(model.placesLoading, wanted);
   }
 }
 
--- a/src/directory/version_orders.h
+++ b/src/directory/version_orders.h
@@ -19,6 +19,7 @@
 #include "directory/load_budget.h"
 #include "directory/load_policy.h"
 #include "directory/step_forecast.h"
+#include "directory/weights_sight.h"
 #include "jobs/open_work.h"
 
 namespace tackpick::directory {
@@ -83,24 +84,6 @@
 
 [[nodiscard]] std::string_view toString(OrderOutcome outcome);
 
-/// Where the weights of one model stand.
-struct ModelWeightsSight {
-  std::uint64_t published = 0;
-  /// Oldest version that its most urgent step needs; zero: its steps are unknown.
-  std::uint64_t neededVersion = 0;
-  std::uint32_t placesReady = 0;    ///< of engines that hold that version or newer
-  std::uint32_t placesLoading = 0;  ///< of engines that load it
-  std::uint32_t placesNeeded = 0;
-  std::optional<base::Duration> expectedIn;  ///< below zero: it is open, or late
-};
-
-/// Where the weights of all models stand, as of the last turn.
-struct WeightsSight {
-  std::map<std::string, ModelWeightsSight> models;
-  std::size_t loading = 0;  ///< engines
-  std::size_t budget = 0;   ///< ... that may load at once
-};
-
 /// The leading controller's. Deterministic; owned by one thread. Each engine gets the versions of
 /// the model that it follows (EngineHomes), so that a version costs as few loads as it can.
 class VersionOrders {
--- a/src/edge/dialect.h
+++ b/src/edge/dialect.h
@@ -59,7 +59,10 @@
 // Calls at a controller.
 
 struct UnknownCall {};
-using ControlCall = std::variant<directory::DirectoryRequest, MalformedCall, UnknownCall>;
+/// What waits and why: asked of the leaders of both groups.
+struct ReadWorkCall {};
+using ControlCall =
+    std::variant<directory::DirectoryRequest, MalformedCall, UnknownCall, ReadWorkCall>;
 
 class Dialect {
  public:
--- /dev/null
+++ b/src/edge/work_call.cpp
@@ -0,0 +1,125 @@
+#include "edge/work_call.h"
+
+#include <asio.hpp>
+#include <string>
+#include <string_view>
+
+#include "edge/unanswered.h"
+#include "runtime/json.h"
+
+namespace tackpick::edge {
+namespace {
+
+using runtime::Json;
+
+constexpr std::string_view kPath = "/v1/work";
+
+Json secondsOrNull(const std::optional<base::Duration>& time) {
+  return time ? Json(base::toSeconds(*time)) : Json(nullptr);
+}
+
+Json toJson(const jobs::JobSight& job) {
+  const bool isDue = job.slack != base::Duration::max();
+  return {{"job", job.job},
+          {"tenant", job.tenant},
+          {"model", job.model},
+          {"minimum_version", job.minimumVersion},
+          {"places_ready", job.placesReady},
+          {"priority", job.priority},
+          {"waiting", job.waiting},
+          {"running", job.running},
+          {"slack_s", secondsOrNull(isDue ? std::optional(job.slack) : std::nullopt)},
+          {"age_s", base::toSeconds(job.age)}};
+}
+
+Json toJson(const jobs::EngineSight& engine) {
+  return {{"engine", engine.id},
+          {"zone", engine.zone},
+          {"pace_ms", engine.paceMs > 0 ? Json(engine.paceMs) : Json(nullptr)},
+          {"work_time_percent", engine.workTimePercent},
+          {"sample_age_s", secondsOrNull(engine.sampleAge)},
+          {"items", engine.items}};
+}
+
+Json toJson(const jobs::GatewayReport& gateway) {
+  const asio::ip::address_v4 address(base::nodeNumber(gateway.gateway));
+  return {{"gateway", address.to_string()}, {"zone", gateway.zone},
+          {"places", gateway.places},       {"held", gateway.held},
+          {"active", gateway.active},       {"slow_s", secondsOrNull(gateway.slowFor)}};
+}
+
+template <typename Row>
+Json listOf(const std::vector<Row>& rows) {
+  Json list = Json::array();
+  for (const Row& row : rows) {
+    list.push_back(toJson(row));
+  }
+  return list;
+}
+
+Json tenantsJson(const std::map<std::string, jobs::TenantSight>& tenants) {
+  Json list = Json::array();
+  for (const auto& [name, tenant] : tenants) {
+    list.push_back({{"tenant", name},
+                    {"waiting", tenant.waiting},
+                    {"running", tenant.running},
+                    {"share", tenant.share}});
+  }
+  return list;
+}
+
+Json toJson(const jobs::WorkReport& report) {
+  return {{"jobs", listOf(report.jobs)},
+          {"total_jobs", report.totalJobs},
+          {"tenants", tenantsJson(report.tenants)},
+          {"engines", listOf(report.engines)},
+          {"total_engines", report.totalEngines},
+          {"gateways", listOf(report.gateways)},
+          {"total_gateways", report.totalGateways}};
+}
+
+Json toJson(const directory::WeightsSight& weights) {
+  Json models = Json::array();
+  for (const auto& [name, model] : weights.models) {
+    models.push_back({{"model", name},
+                      {"published", model.published},
+                      {"needed", model.neededVersion},
+                      {"places_needed", model.placesNeeded},
+                      {"places_ready", model.placesReady},
+                      {"places_loading", model.placesLoading},
+                      {"expected_in_s", secondsOrNull(model.expectedIn)}});
+  }
+  return {{"models", models}, {"loading", weights.loading}, {"load_budget", weights.budget}};
+}
+
+/// Names may hold any bytes that a caller's headers may hold.
+std::string dumped(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::optional<ControlCall> workCall(const http::RawRequest& request) {
+  if (request.path() != kPath) {
+    return std::nullopt;
+  }
+  if (request.method != "GET") {
+    return UnknownCall{};
+  }
+  return ReadWorkCall{};
+}
+
+Answer workAnswer(const WorkAnswers& answers) {
+  if (!answers.ledgers && !answers.controllers) {
+    return unansweredControlCall();
+  }
+  const Json body = {
+      {"ledgers", answers.ledgers ? toJson(*answers.ledgers) : Json(nullptr)},
+      {"controllers", answers.controllers ? toJson(*answers.controllers) : Json(nullptr)}};
+  Answer answer;
+  answer.body = dumped(body);
+  answer.headers.add("Content-Type", "application/json");
+  return answer;
+}
+
+}  // namespace tackpick::edge
--- /dev/null
+++ b/src/edge/work_call.h
@@ -0,0 +1,25 @@
+/// \file
+/// The operators' call about what waits and why. It is the product's own and the same on every
+/// site: `GET /v1/work`.
+#pragma once
+
+#include <optional>
+
+#include "directory/weights_sight.h"
+#include "edge/dialect.h"
+#include "jobs/work_report.h"
+
+namespace tackpick::edge {
+
+/// What the two leaders answered; nothing where one did not in time.
+struct WorkAnswers {
+  std::optional<jobs::WorkReport> ledgers;
+  std::optional<directory::WeightsSight> controllers;
+};
+
+/// Nothing when the request is no such call.
+[[nodiscard]] std::optional<ControlCall> workCall(const http::RawRequest& request);
+/// 503 when neither leader answered; else a part without an answer is null.
+[[nodiscard]] Answer workAnswer(const WorkAnswers& answers);
+
+}  // namespace tackpick::edge
--- a/src/jobs/call_name.cpp
+++ b/src/jobs/call_name.cpp
@@ -11,6 +11,7 @@
 CallName nameOfTyped(const CommitResults& /*request*/) { return {"commit", {}}; }
 CallName nameOfTyped(const FetchResults& request) { return {"fetch_results", request.id}; }
 CallName nameOfTyped(const SaveProgress& /*request*/) { return {"save_progress", {}}; }
+CallName nameOfTyped(const ReadWork& /*request*/) { return {"read_work", {}}; }
 
 }  // namespace
 
--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -210,6 +210,17 @@
   }
 }
 
+std::uint32_t EnginePlacement::placesReady(const std::string& model,
+                                           std::uint64_t minimumVersion) const {
+  std::uint32_t places = 0;
+  for (const auto& [id, engine] : m_engines) {
+    if (engine.told.takesItems && engine.told.holds(model, minimumVersion)) {
+      places += engine.told.slots;
+    }
+  }
+  return places;
+}
+
 std::vector<EngineSight> EnginePlacement::sight(base::TimePoint now) const {
   std::vector<EngineSight> sights;
   sights.reserve(m_engines.size());
--- a/src/jobs/engine_placement.h
+++ b/src/jobs/engine_placement.h
@@ -19,20 +19,10 @@
 #include "jobs/pace_book.h"
 #include "jobs/pace_classes.h"
 #include "jobs/placement_engine.h"
+#include "jobs/work_sight.h"
 
 namespace tackpick::jobs {
 
-/// What placing goes by at one engine.
-struct EngineSight {
-  std::string id;
-  std::string zone;
-  double paceMs = 0;                    ///< expected; zero: unknown
-  std::uint32_t workTimePercent = 100;  ///< at this moment, of what is usual
-  /// Since the last sample; nothing: the pace is what is typical of the zone.
-  std::optional<base::Duration> sampleAge;
-  std::uint32_t items = 0;
-};
-
 /// Deterministic. Items are counted at the engine where their gateway runs them, or where they were
 /// placed when it has not said so yet. The engines that may run items of one model and minimum
 /// version are kept in heaps by their cost, one for each class of paces, so that placing an item
@@ -73,6 +63,10 @@
 
   /// The item was not leased after all.
   void takeBack(const std::string& engine);
+  /// Places at engines that take items and hold these weights or newer, engines in reserve
+  /// included.
+  [[nodiscard]] std::uint32_t placesReady(const std::string& model,
+                                          std::uint64_t minimumVersion) const;
   /// All engines, by id.
   [[nodiscard]] std::vector<EngineSight> sight(base::TimePoint now) const;
 
--- a/src/jobs/item_leases_plan.cpp
+++ b/src/jobs/item_leases_plan.cpp
@@ -210,6 +210,7 @@
 WorkSight ItemLeases::sight(const JobState& state, base::TimePoint now) const {
   std::vector<std::pair<consensus::LogIndex, JobSight>> jobs;
   WorkSight sight;
+  std::map<std::pair<std::string, std::uint64_t>, std::uint32_t> placesReady;
   for (const auto& [id, job] : state.jobs()) {
     if (job.settled()) {
       continue;
@@ -217,6 +218,12 @@
     const JobSubmission& submission = job.submission;
     const auto open = static_cast<std::uint32_t>(submission.items.size() - job.results.size());
     JobSight seen{id, submission.tenant, submission.model};
+    seen.minimumVersion = submission.minimumVersion;
+    const auto [places, isNew] = placesReady.try_emplace({seen.model, seen.minimumVersion}, 0);
+    if (isNew) {
+      places->second = placement_.placesReady(seen.model, seen.minimumVersion);
+    }
+    seen.placesReady = places->second;
     seen.priority = m_priorities.of(submission.tenant, submission.priority);
     seen.running = std::min(open, runningItems(id));
     seen.waiting = open - seen.running;
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -19,6 +19,7 @@
 #include "jobs/engine_room.h"
 #include "jobs/gateway_capacity.h"
 #include "jobs/pace_report.h"
+#include "jobs/work_report.h"
 
 namespace tackpick::jobs {
 
@@ -260,8 +261,17 @@
   }
 };
 
+/// An operator asks what waits and why.
+struct ReadWork {
+  std::uint8_t reserved = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(reserved);
+  }
+};
+
 using JobRequest = std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults,
-                                SaveProgress, FetchResults>;
+                                SaveProgress, FetchResults, ReadWork>;
 
 /// Says on whose behalf a caller's request is made.
 void setTenant(JobRequest& request, const std::string& tenant);
@@ -325,11 +335,12 @@
   std::map<std::string, std::uint32_t> itemsByEngine;
   /// LeaseItems: this leader has not heard paces of the gateway; its next call should tell them.
   bool wantsPaces = false;
+  std::optional<WorkReport> work;  ///< ReadWork
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(status, total, results, elsewhere, body, leased, revoked, standby, sharers,
-            itemsByEngine, wantsPaces);
+            itemsByEngine, wantsPaces, work);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -177,6 +177,13 @@
   proposeFor(caller, request, now);
 }
 
+void JobRole::onRequest(const Caller& caller, const ReadWork& /*request*/, base::TimePoint now) {
+  JobReply reply;
+  reply.work = makeWorkReport(leases_.sight(state_, now), leases_.placement().sight(now),
+                              leases_.gateways(), now);
+  replyWith(caller, reply);
+}
+
 void JobRole::onRequest(const Caller& caller, const FetchResults& request,
                         base::TimePoint /*now*/) {
   JobReply reply;
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -106,6 +106,7 @@
   void onRequest(const Caller& caller, const LeaseItems& request, base::TimePoint now);
   void onRequest(const Caller& caller, const CommitResults& request, base::TimePoint now);
   void onRequest(const Caller& caller, const SaveProgress& request, base::TimePoint now);
+  void onRequest(const Caller& caller, const ReadWork& request, base::TimePoint now);
   /// Also on replicas that do not lead.
   void onRequest(const Caller& caller, const FetchResults& request, base::TimePoint now);
 
--- /dev/null
+++ b/src/jobs/work_report.cpp
@@ -0,0 +1,55 @@
+#include "jobs/work_report.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tackpick::jobs {
+namespace {
+
+/// Keeps the first rows by `before`; returns how many there were.
+template <typename Row, typename Before>
+std::uint64_t keepFirst(std::vector<Row>& rows, Before before) {
+  const std::uint64_t total = rows.size();
+  std::stable_sort(rows.begin(), rows.end(), before);
+  rows.resize(std::min(rows.size(), kMostReportRows));
+  return total;
+}
+
+std::vector<GatewayReport> reportsOf(const std::vector<GatewaySight>& gateways,
+                                     base::TimePoint now) {
+  std::vector<GatewayReport> reports;
+  reports.reserve(gateways.size());
+  for (const GatewaySight& sight : gateways) {
+    GatewayReport report{sight.gateway, sight.zone, sight.places, sight.held, sight.active, {}};
+    if (sight.slowSince) {
+      report.slowFor = now - *sight.slowSince;
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+}  // namespace
+
+WorkReport makeWorkReport(WorkSight work, std::vector<EngineSight> engines,
+                          const std::vector<GatewaySight>& gateways, base::TimePoint now) {
+  WorkReport report;
+  report.jobs = std::move(work.jobs);
+  report.totalJobs = keepFirst(report.jobs, [](const JobSight& left, const JobSight& right) {
+    return left.slack < right.slack;
+  });
+  report.tenants = std::move(work.tenants);
+  report.engines = std::move(engines);
+  report.totalEngines = keepFirst(
+      report.engines,
+      [](const EngineSight& left, const EngineSight& right) { return left.paceMs > right.paceMs; });
+  report.gateways = reportsOf(gateways, now);
+  report.totalGateways =
+      keepFirst(report.gateways, [](const GatewayReport& left, const GatewayReport& right) {
+        return std::pair(left.slowFor.has_value(), left.places) >
+               std::pair(right.slowFor.has_value(), right.places);
+      });
+  return report;
+}
+
+}  // namespace tackpick::jobs
--- a/src/node/control_front.cpp
+++ b/src/node/control_front.cpp
@@ -6,8 +6,10 @@
 #include "edge/capacity_call.h"
 #include "edge/quarantine_call.h"
 #include "edge/unanswered.h"
+#include "edge/work_call.h"
 #include "http/status.h"
 #include "node/node.h"
+#include "node/work_reader.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
@@ -18,6 +20,7 @@
 constexpr std::size_t kBodyBytes = 40U << 20U;
 /// Callers try another controller after about a second.
 constexpr base::Duration kCallDeadline = base::milliseconds(1500);
+constexpr std::string_view kReadWork = "read_work";
 
 http::ExchangeLimits limits() {
   http::ExchangeLimits limits;
@@ -25,6 +28,17 @@
   return limits;
 }
 
+void logUnanswered(std::string_view call, std::string_view subject, int status,
+                   base::Duration took) {
+  telemetry::logEvent(telemetry::EventId::kCallUnanswered,
+                      telemetry::Detail()
+                          .add("call", call)
+                          .add("subject", subject)
+                          .add("status", static_cast<std::uint64_t>(status))
+                          .add("took_ms", took)
+                          .text());
+}
+
 }  // namespace
 
 ControlFront::ControlFront(Node& node)
@@ -42,6 +56,9 @@
   if (!own) {
     own = edge::capacityCall(request);
   }
+  if (!own) {
+    own = edge::workCall(request);
+  }
   edge::ControlCall call = own ? *own : node_.dialect().controlCall(request);
   if (std::holds_alternative<edge::UnknownCall>(call)) {
     exchange->respond(kNotFound, {}, {});
@@ -52,6 +69,10 @@
     exchange->respond(kBadRequest, {}, malformed->why);
     return;
   }
+  if (std::holds_alternative<edge::ReadWorkCall>(call)) {
+    answerWork(exchange);
+    return;
+  }
   const auto directoryCall =
       std::make_shared<directory::DirectoryRequest>(std::get<directory::DirectoryRequest>(call));
   const auto* beat = std::get_if<directory::InstanceBeat>(directoryCall.get());
@@ -80,6 +101,27 @@
   }
 }
 
+void ControlFront::answerWork(const std::shared_ptr<http::Exchange>& exchange) {
+  readWork(node_, kCallDeadline,
+           [this, exchange, begun = node_.now()](const edge::WorkAnswers& answers) {
+             const edge::Answer answer = edge::workAnswer(answers);
+             exchange->respond(answer.status, answer.headers, answer.body);
+             onWorkRead(answers, answer.status, node_.now() - begun);
+           });
+}
+
+void ControlFront::onWorkRead(const edge::WorkAnswers& answers, int status, base::Duration took) {
+  node_.metrics().count(telemetry::CounterId::kControlCalls,
+                        std::string(kReadWork) + "_" + std::to_string(status));
+  node_.metrics().observe(telemetry::HistogramId::kControlCallTime, took);
+  if (!answers.ledgers) {
+    logUnanswered(kReadWork, "ledgers", status, took);
+  }
+  if (!answers.controllers) {
+    logUnanswered(kReadWork, "controllers", status, took);
+  }
+}
+
 bool ControlFront::answerHeartbeat(const directory::InstanceBeat& beat,
                                    const std::shared_ptr<http::Exchange>& exchange) {
   using Verdict = directory::BeatRelay::Verdict;
@@ -135,7 +177,7 @@
   detail.add("call", name.call).add("subject", name.subject);
   detail.add("status", static_cast<std::uint64_t>(status)).add("took_ms", took);
   if (reply == nullptr) {
-    telemetry::logEvent(telemetry::EventId::kCallUnanswered, detail.text());
+    logUnanswered(name.call, name.subject, status, took);
   } else if (name.changes) {
     const bool accepted = status == kOk;
     telemetry::logEvent(
--- a/src/node/control_front.h
+++ b/src/node/control_front.h
@@ -7,6 +7,7 @@
 #include "directory/beat_relay.h"
 #include "directory/directory_messages.h"
 #include "edge/dialect.h"
+#include "edge/work_call.h"
 #include "http/exchange_server.h"
 #include "telemetry/log_limiter.h"
 
@@ -29,6 +30,9 @@
   void onReply(const directory::DirectoryRequest& request, const directory::DirectoryReply* reply,
                int status, base::Duration took);
 
+  /// Answers what waits and why, from the leaders of both groups.
+  void answerWork(const std::shared_ptr<http::Exchange>& exchange);
+  void onWorkRead(const edge::WorkAnswers& answers, int status, base::Duration took);
   /// False when the leader must decide.
   bool answerHeartbeat(const directory::InstanceBeat& beat,
                        const std::shared_ptr<http::Exchange>& exchange);
--- a/test/directory/directory_role_test.cpp
+++ b/test/directory/directory_role_test.cpp
@@ -510,3 +510,22 @@
   controller.run(base::milliseconds(50));
   cr_assert(controller.view().heldRequests.empty());
 }
+
+Test(directory_role, operators_see_how_many_places_hold_the_newest_weights) {
+  LoneController controller;
+  controller.run(base::seconds(3));
+  controller.ask(directory::ReplaceConfiguration{configuration()});
+  controller.ask(engineBeat(1, 1));
+  controller.run(base::seconds(1));
+  controller.ask(directory::PublishVersion{"m", 2});
+  controller.run(base::milliseconds(100));
+  controller.answers.clear();
+  controller.ask(directory::ReadWeights{});
+  controller.run(base::milliseconds(50));
+  cr_assert_eq(controller.answers.size(), 1U);
+  const auto reply = base::decode<directory::DirectoryReply>(controller.answers[0].payload);
+  cr_assert(reply && reply->weights.has_value());
+  cr_assert_eq(reply->weights->models.at("m").published, 2U);
+  cr_assert_eq(reply->weights->models.at("m").placesReady, 0U, "the only engine holds the older");
+  cr_assert_geq(reply->weights->budget, 1U);
+}
--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -290,3 +290,23 @@
   cr_assert_eq(leased[2].key.job, "a");
   cr_assert_eq(leased[2].item.id, "i", "the earlier job had it too");
 }
+
+Test(job_role, operators_see_the_version_that_a_job_waits_for) {
+  LoneLedger ledger;
+  ledger.role->setEngines({{"e", 4, {{"m", 6}}}});
+  jobs::SubmitJob submit = submission("a");
+  submit.job.model = "m";
+  submit.job.minimumVersion = 7;
+  (void)ledger.ask(submit);
+  const jobs::JobReply waiting = ledger.ask(jobs::ReadWork{});
+  cr_assert(waiting.work.has_value());
+  cr_assert_eq(waiting.work->totalJobs, 1U);
+  cr_assert_eq(waiting.work->jobs[0].waiting, 1U);
+  cr_assert_eq(waiting.work->jobs[0].minimumVersion, 7U);
+  cr_assert_eq(waiting.work->jobs[0].placesReady, 0U);
+  cr_assert_eq(waiting.work->tenants.at("a").waiting, 1U);
+  cr_assert_eq(waiting.work->totalEngines, 1U);
+
+  ledger.role->setEngines({{"e", 4, {{"m", 7}}}});
+  cr_assert_eq(ledger.ask(jobs::ReadWork{}).work->jobs[0].placesReady, 4U);
+}
--- /dev/null
+++ b/test/jobs/work_report_test.cpp
@@ -0,0 +1,92 @@
+/// What operators are told of open work: order and bounds.
+#include "jobs/work_report.h"
+
+#include <criterion/criterion.h>
+
+#include "jobs/engine_placement.h"
+
+namespace base = tackpick::base;
+namespace jobs = tackpick::jobs;
+
+namespace {
+
+constexpr base::TimePoint kNow{base::seconds(100)};
+
+jobs::JobSight job(const std::string& id, base::Duration slack) {
+  jobs::JobSight made;
+  made.job = id;
+  made.slack = slack;
+  return made;
+}
+
+jobs::EngineSight engine(const std::string& id, double paceMs) {
+  return {id, "a", paceMs, 100, {}, 0};
+}
+
+jobs::GatewaySight gateway(std::uint32_t number, std::uint32_t places, bool slow) {
+  jobs::GatewaySight made{base::makeNodeId(number, 1), "a", places, 0, true, {}};
+  if (slow) {
+    made.slowSince = kNow - base::seconds(2);
+  }
+  return made;
+}
+
+}  // namespace
+
+Test(work_report, what_needs_attention_comes_first) {
+  jobs::WorkSight work;
+  work.jobs = {job("unknown", base::Duration::max()), job("soon", base::seconds(1)),
+               job("late", -base::seconds(1)), job("as soon", base::seconds(1))};
+  const jobs::WorkReport report = jobs::makeWorkReport(
+      work, {engine("unknown", 0), engine("fast", 4), engine("slow", 9)},
+      {gateway(1, 6, false), gateway(2, 24, false), gateway(3, 2, true)}, kNow);
+  cr_assert_eq(report.jobs[0].job, "late");
+  cr_assert_eq(report.jobs[1].job, "soon", "of equals the one that was submitted first");
+  cr_assert_eq(report.jobs[2].job, "as soon");
+  cr_assert_eq(report.jobs[3].job, "unknown");
+  cr_assert_eq(report.engines[0].id, "slow");
+  cr_assert_eq(report.engines[2].id, "unknown");
+  cr_assert_eq(base::nodeNumber(report.gateways[0].gateway), 3U);
+  cr_assert(*report.gateways[0].slowFor == base::seconds(2));
+  cr_assert_eq(base::nodeNumber(report.gateways[1].gateway), 2U);
+}
+
+Test(work_report, size_does_not_grow_with_the_cluster) {
+  constexpr std::uint32_t kMany = 1000;
+  jobs::WorkSight work;
+  std::vector<jobs::EngineSight> engines;
+  std::vector<jobs::GatewaySight> gateways;
+  for (std::uint32_t i = 0; i < kMany; ++i) {
+    work.jobs.push_back(job(std::to_string(i), base::seconds(kMany - i)));
+    engines.push_back(engine(std::to_string(i), i));
+    gateways.push_back(gateway(i + 1, i, false));
+  }
+  const jobs::WorkReport report = jobs::makeWorkReport(work, engines, gateways, kNow);
+  cr_assert_eq(report.jobs.size(), jobs::kMostReportRows);
+  cr_assert_eq(report.jobs[0].job, "999");
+  cr_assert_eq(report.engines.size(), jobs::kMostReportRows);
+  cr_assert_eq(report.gateways.size(), jobs::kMostReportRows);
+  cr_assert_eq(report.totalJobs, kMany);
+  cr_assert_eq(report.totalEngines, kMany);
+  cr_assert_eq(report.totalGateways, kMany);
+
+  const auto decoded = base::decode<jobs::WorkReport>(base::encode(report));
+  cr_assert(decoded.has_value());
+  cr_assert_eq(decoded->jobs[0].job, "999");
+  cr_assert_eq(decoded->totalGateways, kMany);
+}
+
+Test(work_report, ready_places_are_those_of_engines_that_hold_the_weights_and_take_items) {
+  jobs::EnginePlacement placement;
+  jobs::PlacementEngine older{"older", 4, {{"m", 1}}};
+  jobs::PlacementEngine newer{"newer", 8, {{"m", 2}}};
+  jobs::PlacementEngine reserve{"reserve", 2, {{"m", 2}}};
+  reserve.reserve = true;
+  jobs::PlacementEngine loading{"loading", 16, {{"m", 3}}};
+  loading.takesItems = false;
+  placement.setEngines({older, newer, reserve, loading});
+  cr_assert_eq(placement.placesReady("m", 1), 14U);
+  cr_assert_eq(placement.placesReady("m", 2), 10U);
+  cr_assert_eq(placement.placesReady("m", 3), 0U);
+  cr_assert_eq(placement.placesReady("other", 0), 0U);
+}
