Demand of a model without open jobs is forgotten

What is open is told for models with open jobs only, and EnginesWanted looked at those that are named: the peak of a model whose trainer had gone stayed, and with it up to half of its share of the engines. A model that is not named counts as without open items.

--- a/src/directory/engines_wanted.cpp
+++ b/src/directory/engines_wanted.cpp
@@ -6,16 +6,25 @@
 
 void EnginesWanted::note(const OpenItems& items, base::TimePoint now) {
   for (const auto& [model, open] : items) {
-    Peak& peak = m_peaks[model];
-    if (open >= peak.items) {
-      peak = {open, 0, now};
-      continue;
-    }
-    peak.since = std::max(peak.since, open);
-    if (now - peak.at > m_settings.memory) {
-      peak = {peak.since, open, now};
+    noteModel(m_peaks[model], open, now);
+  }
+  for (auto& [model, peak] : m_peaks) {
+    if (!items.contains(model)) {
+      noteModel(peak, 0, now);
     }
   }
+  std::erase_if(m_peaks, [](const auto& entry) { return entry.second.items == 0; });
+}
+
+void EnginesWanted::noteModel(Peak& peak, std::uint32_t open, base::TimePoint now) const {
+  if (open >= peak.items) {
+    peak = {open, 0, now};
+    return;
+  }
+  peak.since = std::max(peak.since, open);
+  if (now - peak.at > m_settings.memory) {
+    peak = {peak.since, open, now};
+  }
 }
 
 std::uint32_t EnginesWanted::openItems(const std::string& model) const {
--- a/src/directory/engines_wanted.h
+++ b/src/directory/engines_wanted.h
@@ -34,6 +34,7 @@
  public:
   explicit EnginesWanted(EnginesWantedSettings settings) : m_settings(settings) {}
 
+  /// All that is open: a model that is not named has nothing.
   void note(const OpenItems& items, base::TimePoint now);
   /// Open items of `model` at the peak; zero when none are known.
   [[nodiscard]] std::uint32_t openItems(const std::string& model) const;
@@ -47,6 +48,8 @@
     base::TimePoint at{};
   };
 
+  void noteModel(Peak& peak, std::uint32_t open, base::TimePoint now) const;
+
   const EnginesWantedSettings m_settings;
   std::map<std::string, Peak> m_peaks;  ///< by model
 };
