--- a/src/directory/engine_homes.cpp
+++ b/src/directory/engine_homes.cpp
@@ -154,7 +154,7 @@
     items += m_wanted.openItems(model);
   }
   // Work done alone would starve a model that lost its engines: without them it does no work, and
-  // without work it gets no engines. One such day lost eleven seconds of each of its steps.
+  // without work it gets no engines.
   constexpr double kLeastOfItems = 0.5;
   std::map<std::string, double> asked;
   for (const std::string& model : service.models) {
--- a/src/directory/engines_wanted.h
+++ b/src/directory/engines_wanted.h
@@ -27,8 +27,7 @@
 };
 
 /// Every engine that follows a model costs an order and a load for each version, and is news to
-/// every node. 9,625 engines before six trainers with 1,248 items a step would get some 58,000
-/// orders in six versions (worked out); those that the items need got 2,051 (measured).
+/// every node: in a large fleet only those that the items need should.
 /// Demand counts at once when it rises, and is forgotten slowly. Deterministic.
 class EnginesWanted {
  public:
