--- a/src/directory/engines_wanted.h
+++ b/src/directory/engines_wanted.h
@@ -27,13 +27,13 @@
 };
 
 /// Every engine that follows a model costs an order and a load for each version, and is news to
-/// every node. 9,625 engines before six trainers with 1,248 items a step would get some 58,000
-/// orders in six versions (worked out); those that the items need got 2,051 (measured).
+/// every node: in a large fleet only those that the items need should.
 /// Demand counts at once when it rises, and is forgotten slowly. Deterministic.
 class EnginesWanted {
  public:
   explicit EnginesWanted(EnginesWantedSettings settings) : m_settings(settings) {}
 
+  /// All that is open: a model that is not named has nothing.
   void note(const OpenItems& items, base::TimePoint now);
   /// Open items of `model` at the peak; zero when none are known.
   [[nodiscard]] std::uint32_t openItems(const std::string& model) const;
@@ -47,6 +47,8 @@
     base::TimePoint at{};
   };
 
+  void noteModel(Peak& peak, std::uint32_t open, base::TimePoint now) const;
+
   const EnginesWantedSettings m_settings;
   std::map<std::string, Peak> m_peaks;  ///< by model
 };
