--- a/apps/tackpickctl/work_table.cpp
+++ b/apps/tackpickctl/work_table.cpp
@@ -142,7 +142,7 @@
   const Part& part = partOf(name);
   const Json told = groupAnswer(answer, part);
   if (told.is_null()) {
-    return told;
+    return nullptr;
   }
   const Json rows = told.value(name, Json::array());
   Json shown = {{"rows", rows}, {"total", totalOf(told, part, rows.size())}};
