review: case 1, a retirement is told as completed while the machine still is a voter

Cause: DirectoryRole::completeRetirements() looks the machine up by name among the nodes that have sent a watch to this leader. Right after a change of leader the retiring machine may be missing there, so it counts as no member and the retirement as completed. The stand-ins start processes from one lasting thread now: the signal that ends them with the script came when the starting thread ended. Nothing is mended.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import queue
 import random
 import re
 import shutil
@@ -39,6 +40,34 @@
     ctypes.CDLL(None).prctl(set_parent_death_signal, signal.SIGKILL)
 
 
+class Launcher:
+    """Starts processes from one thread that lives as long as this script: the signal of
+    end_with_parent() comes when the thread ends that started the process."""
+
+    def __init__(self):
+        self.orders = queue.Queue()
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        while True:
+            arguments, done = self.orders.get()
+            try:
+                done.put((subprocess.Popen(preexec_fn=end_with_parent, **arguments), None))
+            except OSError as error:
+                done.put((None, error))
+
+    def start(self, **arguments):
+        done = queue.Queue()
+        self.orders.put((arguments, done))
+        process, error = done.get()
+        if error is not None:
+            raise error
+        return process
+
+
+LAUNCHER = Launcher()
+
+
 class CannotRun(Exception):
     """The case could not be played; the script ends with 2."""
 
@@ -189,9 +218,8 @@
                        if name in os.environ}
         environment["TACKPICK_CONFIG"] = settings
         log = open(os.path.join(self.folder, "log"), "ab")
-        self.process = subprocess.Popen([program] + words[1:], cwd=ROOT, env=environment,
-                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                        preexec_fn=end_with_parent)
+        self.process = LAUNCHER.start(args=[program] + words[1:], cwd=ROOT, env=environment,
+                                      stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         log.close()
         self.starts += 1
 
@@ -659,10 +687,10 @@
             "items": entries}
 
 
-def run_case(folder, play):
+def run_case(folder, play, name="record.txt"):
     """Plays a case and ends the process: 1 broken, 0 held, 2 could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(os.path.join(folder, name))
     record("TROUBLE=%d" % trouble)
     code = 2
 
