--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -93,9 +93,17 @@
 
 
 def read_deploy():
-    import tomllib
-    with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-        return tomllib.load(file)
+    """Returns the roles of the deploy file with their commands and templates."""
+    roles = {}
+    with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
+        for line in file:
+            section = re.match(r"\[roles\.(\w+)\]", line)
+            setting = re.match(r'(run|template) *= *"(.*)"', line)
+            if section:
+                role = roles.setdefault(section.group(1), {})
+            elif setting and roles:
+                role[setting.group(1)] = setting.group(2)
+    return {"roles": roles}
 
 
 def lookup(name, stack):
