--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,6 +12,7 @@
 NEW = "/drafts/"
 JOB = "7c41e09b52d6a3f8"
 ITEMS = 120
+SLOTS = 16
 FREEZE_S = 3.2
 
 
@@ -27,10 +28,10 @@
 
 def judge(cluster, farm, record, trouble):
     for _ in range(9):
-        farm.add("engines", "m0", slots=16)
+        farm.add("engines", "m0", slots=SLOTS)
     cluster.start()
     farm.start()
-    services = [h.engine_service("engines", "m0")]
+    services = [h.engine_service("engines", "m0", SLOTS)]
     routes = [h.route("rollouts", HOST, OLD, "engines")]
     cluster.wait_until_formed(h.configuration(1, routes, services))
     time.sleep(4)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -193,6 +193,19 @@
             continue
 
 
+def claim_subnet():
+    """Returns a bound socket and a loopback subnet that no other run of these scripts uses."""
+    metrics_port = 9464  # fixed by the template of the deploy file
+    while True:
+        subnet = "127.%d" % random.randint(20, 250)
+        claim = socket.socket()
+        try:
+            claim.bind((subnet + ".8.8", metrics_port))
+            return claim, subnet
+        except OSError:
+            claim.close()
+
+
 # ---- machines -------------------------------------------------------------------------------
 
 
@@ -277,7 +290,7 @@
         for role, entry in self.deploy["roles"].items():
             with open(os.path.join(ROOT, entry["template"]), encoding="utf-8") as file:
                 self.templates[role] = file.read()
-        self.subnet = "127.%d" % random.randint(20, 250)
+        self.claim, self.subnet = claim_subnet()
         taken = set()
         probe = self.subnet + ".1.1"
         self.internal = free_port(probe, taken)
@@ -674,10 +687,10 @@
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 
 
-def engine_service(name, model):
+def engine_service(name, model, slots=8):
     return {"name": name, "healthPath": "/health", "connectionLimit": 170, "protocol": "h1",
             "transportSecurity": False,
-            "engine": {"slots": 8, "cacheCapacityTokens": 52385, "cacheTokenBytes": 163840,
+            "engine": {"slots": slots, "cacheCapacityTokens": 52385, "cacheTokenBytes": 163840,
                        "linkBandwidthMbps": 4400000.0, "models": [{"name": model}]}}
 
 
