Event loop: log the exception of a handler and exit with code 1

Cause: an exception that a handler threw left the event loop and was reported as "E1004 settings_refused unknown error" with exit code 2, the code for rejected settings. Change: runEventLoop() catches it, logs E1008 with its message, and the process exits with code 1, as documented for failures at run time. Declared and self-formed clusters use it. Tests: event_loop (2), telemetry (3) pass.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,6 +11,7 @@
 #include "node/open_jobs_sender.h"
 #include "node/platform_client.h"
 #include "node/tick_interval.h"
+#include "runtime/event_loop.h"
 #include "runtime/node_identity.h"
 #include "storage/posix_file_system.h"
 #include "telemetry/log.h"
@@ -276,9 +277,9 @@
                                          .text());
   waitForSignal();
   tick();
-  context_.run();
+  const bool completed = runtime::runEventLoop(context_);
   logEvent(EventId::kProcessStopped, "");
-  return failed_ ? 1 : 0;
+  return completed && !failed_ ? 0 : 1;
 }
 
 void Node::waitForSignal() {
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -7,6 +7,7 @@
 #include "roles/role_set.h"
 #include "runtime/caller_api.h"
 #include "runtime/control_api.h"
+#include "runtime/event_loop.h"
 #include "runtime/metrics.h"
 #include "runtime/node_identity.h"
 #include "telemetry/log.h"
@@ -176,9 +177,9 @@
     }
   });
   tick();
-  context_.run();
+  const bool completed = runEventLoop(context_);
   logEvent(EventId::kProcessStopped, "");
-  return m_replicaFailed ? 1 : 0;
+  return completed && !m_replicaFailed ? 0 : 1;
 }
 
 void Daemon::tick() {
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -18,6 +18,7 @@
   kSettingsChanged = 1005,
   kSlowTurn = 1006,
   kDiskUnavailable = 1007,
+  kHandlerFailed = 1008,
   kBecameLeader = 2001,
   kLostLeadership = 2002,
   kReplicaFailed = 2003,
