Items: reject text of engines and scorers that is not UTF-8

Cause: an event of an engine entered the replicated result as it came. Json::dump() throws for a string that is not UTF-8, in a handler of the event loop, which ends the process; the result is final, so every later read does the same. A scorer's signature, a saved text and an instance's name reached dump() the same way. Change: a stream with such an event is malformed: the attempt fails and the item continues at another engine after its last valid event. Such a score is requested again, such a saved text generated anew. Responses are serialized by dumpJson(), which replaces invalid bytes, so that what an earlier build stored can be read. Why it works: only valid UTF-8 enters the state, and serializing cannot throw for what is there.

--- a/src/edge/capacity_call.cpp
+++ b/src/edge/capacity_call.cpp
@@ -43,7 +43,7 @@
     pools.push_back(toJson(summary));
   }
   Response response;
-  response.body = Json{{"pools", pools}}.dump();
+  response.body = runtime::dumpJson({{"pools", pools}});
   response.headers.add("Content-Type", "application/json");
   return response;
 }
--- a/src/edge/quarantine_call.cpp
+++ b/src/edge/quarantine_call.cpp
@@ -54,7 +54,7 @@
     for (const quarantine::HoldSummary& hold : reply.holds) {
       holds.push_back(toJson(hold));
     }
-    response.body = Json{{"held", holds}}.dump();
+    response.body = runtime::dumpJson({{"held", holds}});
   } else if (!std::holds_alternative<quarantine::ReleaseRequest>(request)) {
     return std::nullopt;
   } else if (reply.status == directory::DirectoryStatus::kNotFound) {
--- a/src/edge/work_call.cpp
+++ b/src/edge/work_call.cpp
@@ -89,11 +89,6 @@
   return {{"models", models}, {"loading", weights.loading}, {"load_budget", weights.maxLoads}};
 }
 
-/// Serializes JSON. Names may contain invalid UTF-8, which is replaced.
-std::string dumpJson(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 }  // namespace
 
 std::optional<ControlCall> workCall(const http::RawRequest& request) {
@@ -114,7 +109,7 @@
       {"ledgers", responses.ledgers ? toJson(*responses.ledgers) : Json(nullptr)},
       {"controllers", responses.controllers ? toJson(*responses.controllers) : Json(nullptr)}};
   Response response;
-  response.body = dumpJson(body);
+  response.body = runtime::dumpJson(body);
   response.headers.add("Content-Type", "application/json");
   return response;
 }
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "base/utf8.h"
+
 namespace tackpick::jobs {
 namespace {
 
@@ -25,9 +27,13 @@
   if (end == std::string::npos) {
     return std::nullopt;
   }
+  std::string_view remaining = std::string_view(buffer_).substr(0, end);
+  m_malformed = m_malformed || !base::isValidUtf8(remaining);
+  if (m_malformed) {
+    return std::nullopt;
+  }
   StreamEvent event;
   bool first = true;
-  std::string_view remaining = std::string_view(buffer_).substr(0, end);
   while (!remaining.empty()) {
     const std::string_view line = remaining.substr(0, remaining.find('\n'));
     remaining.remove_prefix(std::min(remaining.size(), line.size() + 1));
@@ -59,7 +65,7 @@
     return;
   }
   auto text = leased_.progress->text.decompressedText();
-  if (!text) {
+  if (!text || !base::isValidUtf8(*text)) {
     leased_.progress.reset();  // the saved text is damaged; a new one is started
     m_restarted = true;
     return;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -19,21 +19,25 @@
   std::optional<std::uint64_t> version;  ///< set if the weights changed with this event
 };
 
-/// Parses server-sent events. Besides `id` and `data` it reads one project-specific field with the
-/// version of the weights.
+/// Parses server-sent events, which are UTF-8. Besides `id` and `data` it reads one
+/// project-specific field with the version of the weights.
 class StreamEventParser {
  public:
   explicit StreamEventParser(std::string versionField) : version_field_(std::move(versionField)) {}
 
   /// Adds received bytes.
   void feed(std::string_view bytes) { buffer_ += bytes; }
+  /// Returns the next complete event; std::nullopt if there is none or the stream is malformed.
   [[nodiscard]] std::optional<StreamEvent> next();
+  /// Whether an event was not UTF-8. The stream cannot be used from that event on.
+  [[nodiscard]] bool isMalformed() const { return m_malformed; }
   /// Whether an incomplete event is buffered.
   [[nodiscard]] bool hasPartialEvent() const { return !buffer_.empty(); }
 
  private:
   std::string version_field_;
   std::string buffer_;
+  bool m_malformed = false;
 };
 
 /// Collects the text of one item. If a run breaks, the next run continues after the last complete
--- a/src/jobs/scoring_attempts.cpp
+++ b/src/jobs/scoring_attempts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/utf8.h"
 #include "http/status.h"
 
 namespace tackpick::jobs {
@@ -17,7 +18,7 @@
   using namespace http::status;
   const bool success =
       response.complete && response.status >= kOk && response.status < kFirstRedirect;
-  if (success && !response.signature.empty()) {
+  if (success && !response.signature.empty() && base::isValidUtf8(response.signature)) {
     return ScoringAction::kScored;
   }
   const bool failed = response.complete && !response.notExecuted && response.status == kServerError;
--- a/src/jobs/scoring_attempts.h
+++ b/src/jobs/scoring_attempts.h
@@ -19,7 +19,7 @@
 };
 
 enum class ScoringAction : std::uint8_t {
-  kScored,   ///< the signature of the response is the score
+  kScored,   ///< the signature of the response is the score; it is valid UTF-8
   kRetry,    ///< retry at another server
   kGivenUp,  ///< the scorer failed too often: the item may be given up
 };
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -360,6 +360,7 @@
     }
     recordEventInterval(item, item.lastByteAt);
   }
+  item.discardResponse = item.parser.isMalformed();
 }
 
 void ItemRunner::onEnd(const jobs::ItemKey& key, const http::UpstreamResult& end) {
@@ -440,6 +441,7 @@
                             .add("status", static_cast<std::uint64_t>(item.status))
                             .add("events", item.run.lastEvent().value_or(0))
                             .add("after_ms", now - item.sentAt)
+                            .add("malformed", std::uint64_t{item.parser.isMalformed()})
                             .text());
   }
   retryLater(item, delay);
--- a/src/node/item_runner_moves.cpp
+++ b/src/node/item_runner_moves.cpp
@@ -24,6 +24,9 @@
 /// Time without received data after which a new attempt counts as queued at its engine.
 constexpr base::Duration kMaxQueueTime = base::milliseconds(500);
 constexpr std::uint32_t kMaxRebalanceMoves = 3;
+/// Time before an item is retried whose engine sent a malformed event. The item may have caused it,
+/// in which case it happens at every engine.
+constexpr base::Duration kMalformedRetryDelay = base::milliseconds(100);
 
 }  // namespace
 
@@ -39,9 +42,11 @@
       if (restarted) {
         onConnectionLost(*item);
       }
+      const bool malformed = item->parser.isMalformed();
+      const bool engineFailed = malformed || !item->discardResponse;
       onAttemptFailed(key, *item,
-                      item->discardResponse ? AttemptOutcome::kCancelled : AttemptOutcome::kFailed,
-                      {});
+                      engineFailed ? AttemptOutcome::kFailed : AttemptOutcome::kCancelled,
+                      malformed ? kMalformedRetryDelay : base::Duration{0});
     }
   }
 }
--- a/src/runtime/api_responses.cpp
+++ b/src/runtime/api_responses.cpp
@@ -11,12 +11,11 @@
 
 std::string errorBody(const std::string& reason, const std::string& message, Verdict verdict,
                       base::Duration retryAfter) {
-  return Json{{"error",
-               {{"reason", reason},
-                {"message", message},
-                {"verdict", std::string(base::toString(verdict))},
-                {"retry_after_ms", retryAfter.count() / 1000}}}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+  return dumpJson({{"error",
+                    {{"reason", reason},
+                     {"message", message},
+                     {"verdict", std::string(base::toString(verdict))},
+                     {"retry_after_ms", retryAfter.count() / 1000}}}});
 }
 
 void respondError(http::Responder& responder, int status, const std::string& reason,
--- a/src/runtime/control_api.cpp
+++ b/src/runtime/control_api.cpp
@@ -16,9 +16,7 @@
 constexpr int kMisdirected = 421;
 
 void respondControlError(http::Responder& responder, int status, const std::string& message) {
-  responder.respond(
-      status, jsonHeaders(),
-      Json{{"error", {{"message", message}}}}.dump(-1, ' ', false, Json::error_handler_t::replace));
+  responder.respond(status, jsonHeaders(), dumpJson({{"error", {{"message", message}}}}));
 }
 
 Json replicaJson(const consensus::Replica& replica) {
--- a/src/runtime/json.cpp
+++ b/src/runtime/json.cpp
@@ -21,6 +21,11 @@
   return parsed;
 }
 
+std::string dumpJson(const Json& json) {
+  constexpr int kCompact = -1;
+  return json.dump(kCompact, ' ', false, Json::error_handler_t::replace);
+}
+
 JsonReader::JsonReader(const Json& object) : object_(object) {
   if (!object_.is_object()) {
     addError("expected a JSON object");
--- a/src/runtime/json.h
+++ b/src/runtime/json.h
@@ -15,6 +15,10 @@
 /// Parses a JSON text. Fails on invalid UTF-8 and deep nesting.
 [[nodiscard]] base::Result<Json> parseJson(const std::string& text);
 
+/// Serializes JSON. Invalid UTF-8 is replaced by U+FFFD: strings may hold bytes that other systems
+/// sent, and Json::dump() throws for them by default.
+[[nodiscard]] std::string dumpJson(const Json& json);
+
 /// Reads typed fields of an object and stores the first error, which names the field. Invalid
 /// values are replaced by the fallback.
 class JsonReader {
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -121,7 +121,8 @@
       {Id::kItemsReleased, "items_released", kInfo,
        "a gateway that is shutting down released its unfinished items", ""},
       {Id::kAttemptFailed, "item_attempt_failed", kInfo,
-       "an attempt at an item ended before its text was complete; the item is retried or continued",
+       "an attempt at an item ended before its text was complete; the item is retried or "
+       "continued; reports whether the engine sent a malformed event",
        ""},
       {Id::kScoringCallFailed, "scoring_call_failed", kInfo,
        "a call to the scorer of an item returned no score; the call is retried, or the item ends "
--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -302,6 +302,26 @@
   cr_assert_eq(waitForBatch(cluster, "two", 2).size(), 2U);
 }
 
+// Guards against one wrong byte of an engine that ends every gateway at which the batch is read.
+Test(cluster, event_that_is_not_utf8_is_generated_again) {
+  Cluster cluster;
+  cr_assert_eq(
+      cluster.callController("POST", "/Configuration.Replace", batchConfiguration(2)).status, kOk);
+  waitUntil([&] { return cluster.readinessStatus() == kOk; }, "the gateway is ready");
+  FakeEngine engine("i-1");
+  engine.corruptNextEvent();
+  cr_assert_eq(
+      cluster.callController("POST", "/Instances.Heartbeat/i-1", engine.heartbeat(1)).status, kOk);
+  waitUntil(
+      [&] { return cluster.callGateway("POST", "/b/x", batch(3), "one").status == kAccepted; },
+      "a batch is accepted");
+  waitUntil([&] { return engine.hasSentCorruptEvent(); }, "a wrong byte was sent");
+  for (const Json& result : waitForBatch(cluster, "one", 3)) {
+    cr_assert_eq(result["message"].get<std::string>(), "ab0\nab1\nab2\nab3\nab4");
+  }
+  cr_assert_eq(cluster.countLogLines("127.0.3.1", "process_started"), 1U, "the gateway runs on");
+}
+
 // Guards against applying a drain of the old incarnation to the new incarnation.
 Test(cluster, engine_restarted_during_drain_gets_work) {
   constexpr std::uint64_t kFirstStartTime = 1'000'000;
--- a/test/integration/fake_engine.cpp
+++ b/test/integration/fake_engine.cpp
@@ -186,7 +186,7 @@
   stream->exchange->finish();
 }
 
-void FakeEngine::writeEvent(Stream& stream) const {
+void FakeEngine::writeEvent(Stream& stream) {
   std::string text;
   const std::uint64_t version = versionOf(stream.model);
   if (version != stream.reportedVersion) {
@@ -194,7 +194,13 @@
     stream.reportedVersion = version;
   }
   const std::string event = std::to_string(stream.nextEvent);
-  stream.exchange->write(text + "id: " + event + "\ndata: " + stream.body + event + "\n\n");
+  std::string data = stream.body + event;
+  if (m_corruptNextEvent.exchange(false)) {
+    constexpr char kContinuationByte = '\xb1';
+    data.front() = kContinuationByte;
+    m_sentCorruptEvent = true;
+  }
+  stream.exchange->write(text + "id: " + event + "\ndata: " + data + "\n\n");
   stream.started = true;
   ++stream.nextEvent;
 }
--- a/test/integration/fake_engine.h
+++ b/test/integration/fake_engine.h
@@ -43,6 +43,10 @@
 
   /// Makes each stream stop after its first event and stay open.
   void stallStreams() { m_stallStreams = true; }
+  /// Makes the next event be sent with a byte that is not UTF-8.
+  void corruptNextEvent() { m_corruptNextEvent = true; }
+  /// Whether the event of corruptNextEvent() was sent.
+  [[nodiscard]] bool hasSentCorruptEvent() const { return m_sentCorruptEvent; }
   /// Makes the engine crash on a request whose path starts with `pathPrefix`: it closes all
   /// connections and accepts no new ones.
   void crashOn(const std::string& pathPrefix);
@@ -74,7 +78,7 @@
   void run(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange);
   /// Writes the remaining events, one per event interval or all at once if the interval is zero.
   void writeEvents(const std::shared_ptr<Stream>& stream);
-  void writeEvent(Stream& stream) const;
+  void writeEvent(Stream& stream);
   [[nodiscard]] std::uint64_t versionOf(const std::string& model) const;
   [[nodiscard]] runtime::Json modelsJson() const;
   /// Runs `callback` on the engine's thread after `delay`.
@@ -83,6 +87,8 @@
   const std::string m_id;
   const FakeEngineOptions m_options;
   std::atomic<bool> m_stallStreams = false;
+  std::atomic<bool> m_corruptNextEvent = false;
+  std::atomic<bool> m_sentCorruptEvent = false;
   std::atomic<bool> m_crashed = false;
   std::atomic<std::size_t> m_loadCommandCount = 0;
   bool m_loading = false;  ///< used on the engine's thread only
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -601,3 +601,24 @@
   cr_assert_not(run.isExpired(base::seconds(40)));
   cr_assert(run.isExpired(base::seconds(41)));
 }
+
+// Guards against a result with bytes that are not text, which no caller can read.
+Test(stream_event_parser, event_that_is_not_utf8_ends_the_stream) {
+  jobs::StreamEventParser parser("weight-versions");
+  parser.feed("id: 1\ndata: caf\xc3\xa9\n\nid: 2\ndata: baf0\xb1\n\nid: 3\ndata: c\n\n");
+  cr_assert_eq(parser.next().value().data, "caf\xc3\xa9");
+  cr_assert_not(parser.isMalformed());
+  cr_assert_not(parser.next().has_value());
+  cr_assert(parser.isMalformed());
+  parser.feed("id: 4\ndata: d\n\n");
+  cr_assert_not(parser.next().has_value(), "later events do not follow the last valid one");
+}
+
+// Guards against continuing a saved text that no caller can read.
+Test(item_run, saved_text_that_is_not_utf8_is_replaced) {
+  jobs::LeasedItem leased = leasedItem();
+  leased.progress = jobs::PartialText{{1, 4}, base::CompressedText("a\xb1"), {2}};
+  jobs::ItemRun run(leased);
+  cr_assert_not(run.lastEvent().has_value());
+  cr_assert_eq(run.textBytes(), 0U);
+}
--- a/test/jobs/scoring_test.cpp
+++ b/test/jobs/scoring_test.cpp
@@ -186,6 +186,13 @@
   cr_assert(attempts.onResponse(response(200, "s")) == Action::kScored);
 }
 
+// Guards against storing a score that cannot be part of a JSON response.
+Test(scoring_attempts, score_that_is_not_utf8_is_requested_again) {
+  jobs::ScoringAttempts attempts(1);
+  cr_assert(attempts.onResponse(response(200, "s\xb1")) == jobs::ScoringAction::kRetry);
+  cr_assert(attempts.onResponse(response(200, "s")) == jobs::ScoringAction::kScored);
+}
+
 Test(scoring_attempts, only_complete_failure_responses_count) {
   using Action = jobs::ScoringAction;
   jobs::ScoringAttempts attempts(2);
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "configuration_json.h"
 #include "directory/incarnation.h"
+#include "edge/quarantine_call.h"
 #include "instance_json.h"
 #include "platform_adapter.h"
 
@@ -187,6 +188,29 @@
   cr_assert_eq(page["results"][1]["state"].get<std::string>(), "terminated");
 }
 
+// Guards against a stored text or score that is not UTF-8 and ends each gateway that reads the
+// batch.
+Test(platform_json, results_that_are_not_utf8_are_readable) {
+  jobs::JobReply reply;
+  reply.total = 1;
+  reply.results.push_back(
+      {"i", {0, jobs::ItemState::kCompleted, base::CompressedText("a\xb1"), {6}, "s\xff"}});
+  const Json page = Json::parse(platform::resultsJson(0, reply).value());
+  cr_assert_eq(page["results"][0]["message"].get<std::string>(), "a\xef\xbf\xbd");
+  cr_assert_eq(page["results"][0]["score"].get<std::string>(), "s\xef\xbf\xbd");
+}
+
+// Guards against an instance name that is not UTF-8 and ends the controller that lists it.
+Test(platform_adapter, quarantine_with_name_that_is_not_utf8_is_listed) {
+  directory::DirectoryReply reply;
+  tackpick::quarantine::HoldSummary hold;
+  hold.instances = {"i-\xb1"};
+  reply.holds.push_back(hold);
+  const auto response = edge::quarantineResponse(tackpick::quarantine::ReadQuarantine{}, reply);
+  cr_assert(response.has_value());
+  cr_assert_eq(Json::parse(response->body)["held"].size(), 1U);
+}
+
 Test(platform_adapter, gateway_calls_are_parsed) {
   const platform::PlatformAdapter apiAdapter;
   const auto configuration = platform::parseConfiguration(kConfiguration);
