Leases: give items only to gateways with the configuration of their job

Cause: a gateway ended an item for good because its route was absent from a table of any age. Leases come from the ledgers, configurations from the controllers, and nothing ordered the two. Evidence: all items were given up by the gateway that had been frozen, with attempts=0 and lease_age_ms=1, 0.6 ms before its configuration_in_force version=2. Change: a job records the configuration version under which it was accepted, a lease request that of its gateway; the ledgers lease an item only if the latter is not older, also items that need only a score. Gateways of other zones run the items of a zone whose gateways are all outdated. The tests of ZoneAffinity ask the same through minConfigurationVersion(), which replaces mayRun(). Why it works: versions only increase, so a gateway that may lease an item and does not know its route has seen it removed. No clock is involved, so freezes of any length are covered.

--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -278,14 +278,17 @@
   leaseScoringOnly(gateway, state, now, leased);
   LeaseRequest request = makeLeaseRequest(gateway, std::move(requestedSlots), now);
   for (auto& [zone, jobs] : plan_.zones()) {
-    // Items for other gateways keep their position, so that every gateway is offered the same plan.
-    if (!zone.empty() && !affinity_.mayRun(gateway, zone, now)) {
-      continue;
-    }
+    const std::uint64_t minVersion =
+        zone.empty() ? 0 : affinity_.minConfigurationVersion(gateway, zone, now);
     // Engine affinity is not used with a single model, because then all engines are alike.
     request.affinityOnly = m_models.size() > 1 && zone == request.zone;
     for (auto& [position, planned] : jobs) {
-      leasePlanned(request, planned, state, leased);
+      // Items for other gateways keep their position, so that every gateway is offered the same
+      // plan.
+      if (planned.configurationVersion >= minVersion &&
+          planned.configurationVersion <= request.configurationVersion) {
+        leasePlanned(request, planned, state, leased);
+      }
     }
   }
   return leased;
@@ -293,7 +296,12 @@
 
 void ItemLeases::leaseScoringOnly(base::NodeId gateway, const JobState& state, base::TimePoint now,
                                   std::vector<GrantedItem>& leased) {
+  const std::uint64_t configurationVersion = affinity_.configurationVersionOf(gateway);
   for (QueuedJob& queued : queue_.jobs()) {
+    const Job* job = state.find(queued.id);
+    if (job != nullptr && job->submission.configurationVersion > configurationVersion) {
+      continue;
+    }
     while (!queued.scoringOnly.empty()) {
       const ItemKey key{queued.id, queued.scoringOnly.front()};
       queued.scoringOnly.pop_front();
@@ -311,6 +319,7 @@
   LeaseRequest request;
   request.gateway = gateway;
   request.zone = affinity_.zoneOf(gateway);
+  request.configurationVersion = affinity_.configurationVersionOf(gateway);
   request.now = now;
   request.freeSlots = std::move(requestedSlots);
   const auto gatewayLeases = leases_by_gateway_.find(gateway);
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -76,9 +76,11 @@
   /// Requeues the items that are leased to `gateway` and not in `held`.
   void release(base::NodeId gateway, const std::vector<HeldItem>& held, const JobState& state);
   /// Records a gateway's lease request. `acceptsItems`: false if it wants no more items.
+  /// `configurationVersion`: version that the gateway applies.
   void onLeaseRequest(base::NodeId gateway, const std::string& zone, bool acceptsItems,
-                      base::TimePoint now, const GatewayCapacity& capacity = {}) {
-    affinity_.recordRequest(gateway, zone, acceptsItems, now);
+                      base::TimePoint now, const GatewayCapacity& capacity = {},
+                      std::uint64_t configurationVersion = 0) {
+    affinity_.recordRequest(gateway, zone, acceptsItems, configurationVersion, now);
     m_gatewaySelector.recordRequest(gateway, zone, acceptsItems, now, capacity);
   }
   /// Returns the selector of the gateways that run items.
@@ -86,8 +88,10 @@
   /// Returns the gateways that request items, with the number of their leased items.
   [[nodiscard]] std::vector<GatewaySummary> gateways() const;
   /// Leases items that should run at engines in the zone of `gateway`, as many as fit into
-  /// `requestedSlots`, and items with complete text that need only a score. The caller must check
-  /// with the gateway selector that the gateway is active.
+  /// `requestedSlots`, and items with complete text that need only a score. Leases no item of a job
+  /// that was accepted under a newer configuration than the gateway applies: the gateway could not
+  /// tell a route that it has not received from one that was removed. The caller must check with
+  /// the gateway selector that the gateway is active.
   [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, FreeSlots requestedSlots,
                                                const JobState& state, base::TimePoint now);
   /// Returns the number of leased items by the engine on which they run or were placed.
@@ -149,6 +153,7 @@
     base::NodeId gateway;
     std::string zone;
     base::TimePoint now{};
+    std::uint64_t configurationVersion = 0;  ///< version that the gateway applies
     FreeSlots freeSlots;
     std::size_t remainingItems = 0;  ///< maximum number of items that it may still lease
     bool affinityOnly = false;  ///< lease only items of engines for which the gateway is eligible
--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -69,12 +69,15 @@
   base::Duration resultDeadline{0};
   bool singleVersion = false;
   std::uint32_t priority = 0;  ///< priority of its route; 0 is the highest
+  /// Version of the configuration under which it was accepted. A gateway with an older one may not
+  /// know its routes.
+  std::uint64_t configurationVersion = 0;
   std::vector<Item> items;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, tenant, host, model, minimumVersion, requiredGroups, attempts, queueTimeout,
-            resultDeadline, singleVersion, priority, items);
+            resultDeadline, singleVersion, priority, configurationVersion, items);
   }
 };
 
@@ -223,12 +226,13 @@
   std::vector<HeldItem> held;
   std::map<std::string, EventIntervalReport> eventIntervals;  ///< by machine of the engine
   FreeSlots freeSlots;                                        ///< slots for further items
-  bool draining = false;          ///< all leases not listed in `held` are released
-  std::string zone;               ///< zone of the gateway
-  GatewayCapacity capacity = {};  ///< capacity of the gateway
+  bool draining = false;                   ///< all leases not listed in `held` are released
+  std::string zone;                        ///< zone of the gateway
+  GatewayCapacity capacity = {};           ///< capacity of the gateway
+  std::uint64_t configurationVersion = 0;  ///< version that the gateway applies
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(held, eventIntervals, freeSlots, draining, zone, capacity);
+    archive(held, eventIntervals, freeSlots, draining, zone, capacity, configurationVersion);
   }
 };
 
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -100,7 +100,7 @@
     leases_.release(caller.node, request.held, state_);
   }
   leases_.onLeaseRequest(caller.node, request.zone, !request.freeSlots.empty(), now,
-                         request.capacity);
+                         request.capacity, request.configurationVersion);
   reply.standby = !leases_.gatewaySelector().isActive(caller.node, request.zone, now);
   reply.activeGateways = leases_.gatewaySelector().activeCount(now);
   if (!reply.standby) {
--- a/src/jobs/lease_plan.h
+++ b/src/jobs/lease_plan.h
@@ -21,6 +21,7 @@
 struct PlannedJob {
   std::string model;
   std::uint64_t minimumVersion = 0;
+  std::uint64_t configurationVersion = 0;  ///< JobSubmission::configurationVersion
   std::deque<PlannedItem> items;
 };
 
@@ -37,6 +38,7 @@
     PlannedJob& planned = m_zones[zone][position];
     planned.model = job.submission.model;
     planned.minimumVersion = job.submission.minimumVersion;
+    planned.configurationVersion = job.submission.configurationVersion;
     planned.items.push_back(std::move(item));
   }
   [[nodiscard]] std::map<std::string, ZoneJobs>& zones() { return m_zones; }
--- a/src/jobs/zone_affinity.cpp
+++ b/src/jobs/zone_affinity.cpp
@@ -12,12 +12,8 @@
 }  // namespace
 
 void ZoneAffinity::recordRequest(base::NodeId gateway, const std::string& zone, bool acceptsItems,
-                                 base::TimePoint now) {
-  if (acceptsItems) {
-    m_gateways[gateway] = {zone, now};
-  } else {
-    m_gateways.erase(gateway);
-  }
+                                 std::uint64_t configurationVersion, base::TimePoint now) {
+  m_gateways[gateway] = {zone, acceptsItems, configurationVersion, now};
 }
 
 void ZoneAffinity::remove(std::uint32_t gatewayNumber) {
@@ -27,18 +23,29 @@
 
 std::string ZoneAffinity::zoneOf(base::NodeId gateway) const {
   const auto known = m_gateways.find(gateway);
-  return known == m_gateways.end() ? std::string() : known->second.zone;
+  return known == m_gateways.end() || !known->second.acceptsItems ? std::string()
+                                                                  : known->second.zone;
 }
 
-bool ZoneAffinity::mayRun(base::NodeId gateway, const std::string& zone,
-                          base::TimePoint now) const {
-  const auto own = m_gateways.find(gateway);
-  if (own == m_gateways.end() || own->second.zone == zone) {
-    return true;
+std::uint64_t ZoneAffinity::configurationVersionOf(base::NodeId gateway) const {
+  const auto known = m_gateways.find(gateway);
+  return known == m_gateways.end() ? 0 : known->second.configurationVersion;
+}
+
+std::uint64_t ZoneAffinity::minConfigurationVersion(base::NodeId gateway, const std::string& zone,
+                                                    base::TimePoint now) const {
+  const std::string ownZone = zoneOf(gateway);
+  if (ownZone.empty() || ownZone == zone) {
+    return 0;
+  }
+  std::uint64_t minVersion = 0;
+  for (const auto& [node, entry] : m_gateways) {
+    const bool requestsItems = entry.acceptsItems && now - entry.lastRequestAt < kRequestTimeout;
+    if (requestsItems && entry.zone == zone) {
+      minVersion = std::max(minVersion, entry.configurationVersion + 1);
+    }
   }
-  return std::none_of(m_gateways.begin(), m_gateways.end(), [&](const auto& entry) {
-    return entry.second.zone == zone && now - entry.second.lastRequestAt < kRequestTimeout;
-  });
+  return minVersion;
 }
 
 }  // namespace tackpick::jobs
--- a/src/node/gateway_server.cpp
+++ b/src/node/gateway_server.cpp
@@ -177,6 +177,7 @@
                                   const std::shared_ptr<http::Exchange>& exchange) {
   jobs::setTenant(request, tenant);
   if (auto* submission = std::get_if<jobs::SubmitJob>(&request)) {
+    submission->job.configurationVersion = configuration_->version;
     for (jobs::Item& item : submission->job.items) {
       std::erase_if(item.headers, [&](const auto& field) { return isTenantHeader(field.first); });
     }
--- a/src/node/item_runner.cpp
+++ b/src/node/item_runner.cpp
@@ -126,6 +126,7 @@
   request.draining = m_leasesReleased;
   request.zone = node_.settings().zone;
   request.capacity = capacity();
+  request.configurationVersion = node_.clusterMember().configuration().version;
   for (const auto& [key, item] : m_items) {
     request.held.push_back({key, item->exchange.valid() ? item->instance : item->nextInstance});
   }
@@ -242,6 +243,8 @@
 
 void ItemRunner::startAttempt(const jobs::ItemKey& key, ActiveItem& item, base::TimePoint now) {
   const jobs::LeasedItem& leased = item.run.leased();
+  // Items are leased only to gateways that apply the configuration under which their job was
+  // accepted, so an unknown route is one that was removed since.
   const directory::Route* route = routes_.find(leased.host, leased.item.path);
   if (route == nullptr || item.run.isExpired(now - item.leasedAt)) {
     finishItem(key, item, jobs::ItemState::kTerminated);
--- a/test/integration/cluster_test.cpp
+++ b/test/integration/cluster_test.cpp
@@ -260,6 +260,66 @@
             "the change is in force: a request without a key is rejected with 401");
 }
 
+// Guards against an outdated gateway that gives up the items of a route which it has not received.
+Test(cluster, gateway_without_the_route_leaves_items_to_other_gateways) {
+  constexpr int kItems = 4;
+  /// Either gateway may be the first to request the items of a batch.
+  constexpr int kBatches = 10;
+  constexpr const char* kOutdatedGateway = "127.0.3.2";
+  tackpick::test::ClusterLayout layout;
+  layout.gateways = 2;
+  Cluster cluster(layout);
+  Json configuration = batchConfiguration(2);
+  cr_assert_eq(cluster.callController("POST", "/Configuration.Replace", configuration).status, kOk);
+  const auto isInForce = [&](const std::string& gateway, int version) {
+    const std::string line = "configuration_in_force version=" + std::to_string(version);
+    return cluster.countLogLines(gateway, line) == 1;
+  };
+  const FakeEngine engine("i-1");
+  cr_assert_eq(
+      cluster.callController("POST", "/Instances.Heartbeat/i-1", engine.heartbeat(1)).status, kOk);
+  const auto runBatch = [&](const std::string& prefix, const std::string& id) {
+    Json submission = Json::parse(batch(kItems));
+    for (Json& item : submission["items"]) {
+      item["path"] = prefix + "run";
+    }
+    waitUntil(
+        [&] {
+          return cluster.callGateway("POST", prefix + "x", submission.dump(), id).status ==
+                 kAccepted;
+        },
+        "a batch is accepted");
+    return waitForBatch(cluster, id, kItems);
+  };
+  int warmUps = 0;
+  waitUntil(
+      [&] {
+        (void)runBatch("/b/", "warm-up" + std::to_string(warmUps++));
+        return cluster.countLogLines(kOutdatedGateway, "items_leased") > 0;
+      },
+      "both gateways run items");
+  cluster.machine(kOutdatedGateway).process->signal(SIGSTOP);
+  // Its pending watch expires, so that no controller sends it the next configuration.
+  std::this_thread::sleep_for(kBeyondMaxConfigurationLag);
+  configuration["version"] = 3;
+  Json route = configuration["routes"][0];
+  route["name"] = "added";
+  route["pathPrefix"] = "/added/";
+  configuration["routes"].push_back(route);
+  cr_assert_eq(cluster.callController("POST", "/Configuration.Replace", configuration).status, kOk);
+  waitUntil([&] { return isInForce("127.0.3.1", 3); }, "the route is in force at one gateway");
+  // Without controllers, the outdated gateway does not receive the route.
+  for (const std::string& address : cluster.addresses("127.0.1.")) {
+    cluster.machine(address).process->kill();
+  }
+  cluster.machine(kOutdatedGateway).process->signal(SIGCONT);
+  for (int i = 0; i < kBatches; ++i) {
+    for (const Json& result : runBatch("/added/", "batch" + std::to_string(i))) {
+      cr_assert_eq(result["state"].get<std::string>(), "completed");
+    }
+  }
+}
+
 // Guards against items that hang when an engine restarts under the same name while its old
 // connections stay open, and against late messages of the old incarnation.
 Test(cluster, items_resume_after_engine_restart) {
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -247,6 +247,48 @@
   cr_assert_eq(foreign.size(), 2U, "no gateway of the other zone requests items any more");
 }
 
+// Guards against a gateway that gives up items of a route which it has not received yet, and
+// against items that wait for such a gateway because it is in the zone of their engine.
+Test(item_leases, items_run_only_at_gateways_with_the_configuration_of_their_job) {
+  LeaseFixture fixture;
+  jobs::JobSubmission job = submission("new", 2);
+  job.configurationVersion = 7;
+  apply(fixture.state, jobs::SubmitJob{job});
+  fixture.leases.addJob("new", *fixture.state.find("new"), fixture.now);
+  fixture.leases.setEngines({{"far", 6, {{"", 1}}, "b"}});
+  fixture.leases.onLeaseRequest(kGateway, "a", true, fixture.now, {}, 7);
+  fixture.leases.onLeaseRequest(kOtherGateway, "b", true, fixture.now, {}, 6);
+  const auto outdated =
+      fixture.leases.lease(kOtherGateway, slotsFor({{"", 9}}), fixture.state, fixture.now);
+  cr_assert_eq(outdated.size(), 4U);
+  for (const jobs::GrantedItem& granted : outdated) {
+    cr_assert_eq(granted.key.job, "j");
+  }
+  const auto current =
+      fixture.leases.lease(kGateway, slotsFor({{"", 9}}), fixture.state, fixture.now);
+  cr_assert_eq(current.size(), 2U);
+  for (const jobs::GrantedItem& granted : current) {
+    cr_assert_eq(granted.key.job, "new");
+  }
+}
+
+// Guards against the same for items that need only a score.
+Test(item_leases, scoring_waits_for_a_gateway_with_the_configuration_of_the_job) {
+  jobs::JobState state;
+  jobs::JobSubmission job = submission("j", 1);
+  job.configurationVersion = 7;
+  apply(state, jobs::SubmitJob{job});
+  apply(state, jobs::SaveProgress{
+                   {{"j", {{0, std::nullopt, {{1, 4}, base::CompressedText("t"), {1}, true}}}}}});
+  jobs::ItemLeases leases(base::seconds(2));
+  leases.reset(1, kNow, base::Duration{0});
+  leases.addJob("j", *state.find("j"), kNow);
+  leases.onLeaseRequest(kOtherGateway, "a", false, kNow, {}, 6);
+  cr_assert(leases.lease(kOtherGateway, {}, state, kNow).empty());
+  leases.onLeaseRequest(kGateway, "a", false, kNow, {}, 7);
+  cr_assert_eq(leases.lease(kGateway, {}, state, kNow).size(), 1U);
+}
+
 Test(item_leases, small_gateway_holds_no_more_than_its_size_allows) {
   jobs::JobState state;
   apply(state, jobs::SubmitJob{submission("j", 200)});
@@ -278,15 +320,16 @@
 Test(zone_affinity, gateways_that_are_lost_or_take_nothing_do_not_count) {
   jobs::ZoneAffinity affinity;
   const base::TimePoint now{base::seconds(1)};
-  cr_assert(affinity.mayRun(kGateway, "b", now), "unknown gateways may run items of any zone");
-  affinity.recordRequest(kGateway, "a", true, now);
-  affinity.recordRequest(kOtherGateway, "b", true, now);
-  cr_assert_not(affinity.mayRun(kGateway, "b", now));
-  affinity.recordRequest(kOtherGateway, "b", false, now);
-  cr_assert(affinity.mayRun(kGateway, "b", now));
-  affinity.recordRequest(kOtherGateway, "b", true, now);
+  const auto mayRun = [&] { return affinity.minConfigurationVersion(kGateway, "b", now) == 0; };
+  cr_assert(mayRun(), "unknown gateways may run items of any zone");
+  affinity.recordRequest(kGateway, "a", true, 0, now);
+  affinity.recordRequest(kOtherGateway, "b", true, 0, now);
+  cr_assert_not(mayRun());
+  affinity.recordRequest(kOtherGateway, "b", false, 0, now);
+  cr_assert(mayRun());
+  affinity.recordRequest(kOtherGateway, "b", true, 0, now);
   affinity.remove(base::nodeNumber(kOtherGateway));
-  cr_assert(affinity.mayRun(kGateway, "b", now));
+  cr_assert(mayRun());
 }
 
 Test(engine_placement, fast_engines_fill_before_slow_ones) {
