Comments: restore reasons and figures that the rewording removed

Cause: the rewording dropped the number or the fault behind some constants and design choices. Measured: nothing; no line of code differs.

--- a/src/cluster/cluster_member.h
+++ b/src/cluster/cluster_member.h
@@ -37,8 +37,8 @@
 
   using ViewHandler = std::function<void(const directory::DirectoryView& update)>;
   /// Sets the handler of received views, full or incremental. Instances are not kept here, since
-  /// merging large incremental views for each update is expensive. Handlers keep the instances they
-  /// need.
+  /// merging the changes of 10,000 instances takes 20 ms of a core for each update, and a small
+  /// gateway has an eighth of a core. Handlers keep the instances they need.
   void onView(ViewHandler handler) { on_view_ = std::move(handler); }
   using ConfigurationHandler = std::function<void(const directory::Configuration& newest)>;
   /// Sets the handler of newer configurations. It is called before the handler of the view.
@@ -88,7 +88,8 @@
   /// Requests a full view with the next watch, for handlers that have not received the instances.
   void requestFullView() { view_.revision = 0; }
   /// Returns the most recently seen voter of the ledgers' group in this node's zone, an invalid id
-  /// if none is reachable. Reads must go to a voter, since other ledgers hold no batches.
+  /// if none is reachable. Reads must go to a voter, since other ledgers hold no batches: of 80
+  /// ledgers, five are voters.
   [[nodiscard]] base::NodeId zoneLedger() const;
   /// Returns the latest configuration, which has version 0 until one is received.
   [[nodiscard]] const directory::Configuration& configuration() const { return configuration_; }
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -21,7 +21,8 @@
   /// the last snapshot. The log is also kept in memory.
   std::size_t compactionBytes = 12U << 20U;
   /// Minimum size of the last snapshot for which a leader transfers leadership before it compacts
-  /// the log, because encoding a large snapshot blocks the replica.
+  /// the log, because encoding a snapshot blocks the replica for about 2 ms of CPU time per
+  /// megabyte.
   std::size_t leadershipTransferBytes = 64U << 20U;
 
   /// Deliberate faults for tests.
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -15,7 +15,8 @@
 /// Limits of ControlState. They affect the replicated state, so they must be equal on all replicas.
 struct ControlLimits {
   /// Minimum number of request ids that are kept to recognize resent commands; the oldest are
-  /// removed first.
+  /// removed first. Commands are resent within minutes; this is more than two days of 17,000
+  /// changes.
   std::size_t retainedRequestIds = 40'000;
   std::size_t retainedHistoryEntries = 4'000;
   /// Minimum number of tombstones that are kept. Receivers with an older revision get the full
--- a/src/directory/directory_messages.h
+++ b/src/directory/directory_messages.h
@@ -290,7 +290,8 @@
   std::string text;  ///< a document, an address or an error message
   std::optional<DirectoryView> view;
   /// Replaces `view`: the same content, encoded and compressed. Nodes that hold the same revision
-  /// share one encoded view.
+  /// share one encoded view: a full view of 3,000 instances has 1 MB, and after a change of leader
+  /// all nodes request one.
   base::Bytes compressedView = {};
   std::vector<quarantine::HoldSummary> holds = {};  ///< reply to ReadQuarantine
   std::vector<duties::PoolSummary> capacity = {};   ///< reply to ReadCapacity
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -16,9 +16,10 @@
 /// Interval of maintenance: load commands, group repair, expiry of instances.
 constexpr base::Duration kMaintenanceInterval = base::milliseconds(50);
 /// Minimum interval of maintenance per registered instance, which limits its share of the CPU time
-/// in large clusters.
+/// in large clusters to a fortieth: it takes under half a microsecond per instance.
 constexpr base::Duration kMaintenanceIntervalPerInstance = base::microseconds(20);
-/// Maximum number of instances in one RecordVersions or RecordAssignments command.
+/// Maximum number of instances in one RecordVersions or RecordAssignments command. Such a command
+/// has about 150 KB if each instance has six models.
 constexpr std::size_t kMaxInstancesPerEntry = 1000;
 
 }  // namespace
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -9,7 +9,8 @@
 namespace tackpick::directory {
 namespace {
 
-/// Maximum number of deregistered instances that are remembered to reject late heartbeats.
+/// Maximum number of deregistered instances that are remembered to reject late heartbeats, which
+/// are late by seconds at most.
 constexpr std::size_t kMaxDeregistered = 10'000;
 
 }  // namespace
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -133,7 +133,8 @@
 
   Data data_;
   /// Index of data_.instances, which makes the cost of a registration independent of the number of
-  /// instances.
+  /// instances. Comparing all addresses took each controller 11.8 s of CPU time for the
+  /// registration of 10,000 instances; the index takes 0.08 s.
   std::map<Address, std::string> m_idsByAddress;
   consensus::LogIndex m_applyingIndex = 0;  ///< index of the command being applied
   std::set<std::string> m_deregistered;
--- a/src/directory/directory_views.cpp
+++ b/src/directory/directory_views.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 /// Interval at which the view is updated and watches are answered, and its minimum per registered
-/// instance, which limits the CPU time of comparisons in large clusters.
+/// instance, which limits the CPU time of comparisons in large clusters to a twentieth: a
+/// comparison takes half a microsecond per instance.
 constexpr base::Duration kViewInterval = base::milliseconds(5);
 constexpr base::Duration kViewIntervalPerInstance = base::microseconds(10);
 
--- a/src/directory/model_ranking.cpp
+++ b/src/directory/model_ranking.cpp
@@ -14,7 +14,8 @@
 }
 
 /// Bounds on deferral, so that continuous work does not keep an engine from loading: it loads when
-/// it is this many versions behind or the newest version has been published for this long.
+/// it is this many versions behind or the newest version has been published for this long. Steps
+/// that are in time need no older versions.
 constexpr std::uint64_t kMaxStaleness = 3;
 constexpr base::Duration kMaxDeferral = base::seconds(10);
 
--- a/src/directory/view_history.cpp
+++ b/src/directory/view_history.cpp
@@ -6,7 +6,8 @@
 namespace {
 
 /// Minimum number of tombstones that are kept; more are kept if there are more instances. Nodes
-/// whose revision is older than the kept tombstones get a full view.
+/// whose revision is older than the kept tombstones get a full view; replacing half of a large
+/// cluster must not make all nodes need one.
 constexpr std::size_t kMinTombstones = 4096;
 
 bool isUnchanged(const InstanceView& recorded, const InstanceViewRef& now) {
--- a/src/directory/view_history.h
+++ b/src/directory/view_history.h
@@ -26,7 +26,8 @@
 
 /// Keeps the view of the leading controller and the revision at which each instance last changed.
 /// Heartbeats alone change nothing. The cost of an incremental view depends only on the number of
-/// changes. Deterministic.
+/// changes. A comparison takes a step per instance and copies only changed ones: 5 ms for 10,000
+/// instances with six models, 26 ms if all were copied. Deterministic.
 class ViewHistory {
  public:
   /// Call when this controller becomes leader. New revisions are above `revision`.
--- a/src/directory/watch_queue.cpp
+++ b/src/directory/watch_queue.cpp
@@ -11,6 +11,8 @@
 constexpr base::Duration kVoterTimeout = base::milliseconds(2500);
 
 /// Removes non-voting ledgers, which gateways do not call, to keep views small in large clusters.
+/// With 1,000 machines, 75 of 80 ledgers do not vote; a view with them has 951 bytes compressed,
+/// 201 without.
 void removeNonVoters(DirectoryView& view) {
   const bool isVoterReachable =
       std::any_of(view.ledgers.begin(), view.ledgers.end(), [&](const LedgerSummary& summary) {
--- a/src/directory/watch_queue.h
+++ b/src/directory/watch_queue.h
@@ -17,13 +17,15 @@
 
 /// Settings of WatchQueue.
 struct WatchQueueSettings {
-  /// Minimum interval between broadcasts of changes to gateways, per watching node.
+  /// Minimum interval between broadcasts of changes to gateways, per watching node. One reply costs
+  /// the leader 20 to 40 microseconds; with 300 nodes there are eight broadcasts per second.
   base::Duration intervalPerNode = base::microseconds(400);
-  /// Upper bound of the broadcast interval. Must be short enough for nodes to notice draining
-  /// engines in time.
+  /// Upper bound of the broadcast interval, reached with 2,500 nodes. Must be short enough for
+  /// nodes to notice draining engines in time, which is 2 s or more.
   base::Duration maxInterval = base::milliseconds(1000);
   /// Maximum rate of full views. Every node requests one after a change of leader; sending all at
-  /// once would exhaust the leader's memory and network bandwidth.
+  /// once would exhaust the leader's memory and network bandwidth: with 10,000 instances a view has
+  /// an estimated 0.3 MB, 300 MB for 1,000 nodes. This rate is a third of a link of 1 Gbit/s.
   std::size_t fullViewBytesPerSecond = 40U << 20U;
 };
 
--- a/src/forwarding/instance_table.h
+++ b/src/forwarding/instance_table.h
@@ -33,7 +33,8 @@
   base::Duration loadingBackoff = base::milliseconds(200);
   /// For a service with more than `subsetThreshold` instances, a gateway prefers a subset of
   /// `subsetSize` instances while they are at most half full. This bounds the number of
-  /// connections.
+  /// connections: 800 gateways that choose among 375 servers open one for nearly every request, and
+  /// keeping them open costs each server 800 connections.
   std::size_t subsetThreshold = 24;
   std::size_t subsetSize = 3;
 };
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -38,8 +38,8 @@
   std::size_t openExchanges = 0;
   std::set<std::shared_ptr<ServerConnection>> connections;
   UnreadResponses unread;
-  /// Shared by all connections to save memory. Connections only read when data has arrived and
-  /// copy it out at once.
+  /// Shared by all connections: a buffer for each would take 48 MB with 3,000 connections.
+  /// Connections only read when data has arrived and copy it out at once.
   std::array<char, kServerReadBytes> readBuffer{};
 };
 
--- a/src/jobs/engine_placement.cpp
+++ b/src/jobs/engine_placement.cpp
@@ -7,7 +7,8 @@
 namespace tackpick::jobs {
 namespace {
 
-/// Minimum time between two updates of the expected event intervals of all engines.
+/// Minimum time between two updates of the expected event intervals of all engines. They change
+/// over seconds, and there may be 10,000 engines.
 constexpr base::Duration kEventIntervalRefresh = base::milliseconds(100);
 /// Ratio of the event intervals of neighbouring tiers. Prompt processing makes equal engines
 /// appear to differ by less than this ratio, so that they share a tier and are filled evenly.
--- a/src/jobs/gateway_capacity.cpp
+++ b/src/jobs/gateway_capacity.cpp
@@ -13,7 +13,8 @@
 constexpr double kMemoryShare = 0.25;
 constexpr double kDescriptorShare = 0.25;
 
-/// CPU time of the requests and of about 20 events per second of an item.
+/// CPU time of the requests and of about 20 events per second of an item: half a millisecond for an
+/// item that runs for half a second, and a tenth of a millisecond per event.
 constexpr double kCoresPerSlot = 0.003;
 /// About 20 events of 2 KB per second, received and sent on to the ledgers.
 constexpr double kMbpsPerSlot = 0.64;
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -32,7 +32,8 @@
   /// Time after a change of leader before items are leased, in which gateways report the items they
   /// hold.
   base::Duration leaseGrace = base::milliseconds(350);
-  /// Minimum time between two plans of the queued items; bounds the CPU time of planning.
+  /// Minimum time between two plans of the queued items; bounds the CPU time of planning. A plan
+  /// costs about as much as ten replies to gateways, each of which calls every 80 ms or less often.
   base::Duration planInterval = base::milliseconds(5);
   SchedulerPolicy schedulerPolicy = SchedulerPolicy::kAutomatic;
   /// Maximum size of the results in one reply, in bytes; a reply contains at least one.
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -192,6 +192,7 @@
 }
 
 // The snapshot is not compressed: it consists mostly of texts that are already compressed.
+// Compressing them again takes five times as long as the rest and saves 3 percent.
 base::Bytes JobState::takeSnapshot() const { return base::encodePresized(jobs_); }
 
 void JobState::loadSnapshot(const base::Bytes& snapshot) {
--- a/src/jobs/run_decisions.h
+++ b/src/jobs/run_decisions.h
@@ -36,7 +36,7 @@
 }
 
 /// Whether a run should move to another engine with free slots because its engine has preempted it
-/// or failed.
+/// or failed. The limit of 700 ms is 14 usual event intervals.
 [[nodiscard]] inline bool isStalled(const RunState& run) {
   constexpr base::Duration kStallLimit = base::milliseconds(700);
   constexpr std::uint32_t kMaxMoves = 3;
@@ -46,7 +46,7 @@
 /// Maximum number of moves of a run to faster engines.
 inline constexpr std::uint32_t kMaxMovesToFaster = 4;
 /// Minimum speedup of a move. A batch that has just started processes prompts between its events
-/// and temporarily appears slower.
+/// and appears up to 1.5 times slower for a second.
 inline constexpr double kMinMoveSpeedup = 1.7;
 
 /// Returns a conservative estimate of the remaining events of a text with `events` events, of which
--- a/src/quarantine/quarantine_policy.h
+++ b/src/quarantine/quarantine_policy.h
@@ -39,7 +39,7 @@
 /// Time for which crashes of requests that are not held are kept.
 inline constexpr base::Duration kCrashRetention = std::chrono::minutes(10);
 /// Maximum number of held requests, and of requests with recorded crashes per process; the oldest
-/// are evicted.
+/// are evicted. At an estimated 100 bytes each, they take 100 KB.
 inline constexpr std::size_t kMaxRequests = 1024;
 
 }  // namespace tackpick::quarantine
--- a/src/quarantine/request_fingerprint.h
+++ b/src/quarantine/request_fingerprint.h
@@ -40,7 +40,8 @@
 };
 
 /// Returns the fingerprint of a request. `key` must be the same in all processes of a cluster.
-/// Hashes the entire body, so it is called only if a request is suspected or held.
+/// Hashes the entire body, an estimated 2 microseconds per KB, so it is called only if a request is
+/// suspected or held.
 [[nodiscard]] RequestFingerprint fingerprintOf(const RequestIdentity& request,
                                                std::string_view key);
 
