--- a/test/integration/fake_engine.cpp
+++ b/test/integration/fake_engine.cpp
@@ -7,6 +7,20 @@
 using namespace http::status;
 using runtime::Json;
 
+namespace {
+
+/// Maximum size of the part of a request's body that each event repeats.
+constexpr std::size_t kMaxEchoBytes = 1024;
+
+http::ExchangeLimits limits() {
+  http::ExchangeLimits limits;
+  limits.maxBodyBytes = std::size_t{64} << 20U;
+  limits.maxRequestBytes = std::size_t{1} << 30U;
+  return limits;
+}
+
+}  // namespace
+
 struct FakeEngine::Stream {
   std::shared_ptr<http::Exchange> exchange;
   std::string body;
@@ -21,7 +35,7 @@
       m_options(std::move(options)),
       m_versions(m_options.versions),
       m_server(
-          m_context, "127.0.0.1", 0, {},
+          m_context, "127.0.0.1", 0, limits(),
           [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
             handleRequest(request, exchange);
           }),
@@ -167,7 +181,7 @@
   }
   const auto stream = std::make_shared<Stream>();
   stream->exchange = exchange;
-  stream->body = request.body;
+  stream->body = request.body.substr(0, kMaxEchoBytes);
   stream->model = request.headers.value("Model");
   stream->reportedVersion = versionOf(stream->model);
   if (request.headers.has("Last-Event-Id")) {
--- a/test/integration/process.cpp
+++ b/test/integration/process.cpp
@@ -12,7 +12,9 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string_view>
 #include <thread>
 
@@ -87,6 +89,12 @@
   return 0;
 }
 
+std::size_t Process::openDescriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator begin("/proc/" + std::to_string(m_pid) + "/fd", error);
+  return static_cast<std::size_t>(std::distance(begin, std::filesystem::directory_iterator()));
+}
+
 void Process::kill() {
   signal(SIGKILL);
   signal(SIGCONT);
--- a/test/integration/process.h
+++ b/test/integration/process.h
@@ -30,6 +30,8 @@
   [[nodiscard]] bool hasExited();
   /// Returns the peak of the process's resident memory.
   [[nodiscard]] std::size_t peakKilobytes() const;
+  /// Returns the number of open file descriptors.
+  [[nodiscard]] std::size_t openDescriptors() const;
 
  private:
   pid_t m_pid = 0;
--- a/test/integration/test_cluster.cpp
+++ b/test/integration/test_cluster.cpp
@@ -81,6 +81,11 @@
     text += "duty_platform: 127.0.0.1:" + std::to_string(m_layout.platformPort) +
             "\nusage_window_s: 1\nusage_delay_s: 4\nplatform_duties: [usage, scaling]\n";
   }
+  const auto resources = m_layout.resources.find(machine.role);
+  if (resources != m_layout.resources.end()) {
+    text += "memory_mb: " + std::to_string(resources->second.memoryMb) +
+            "\nfile_descriptors: " + std::to_string(resources->second.fileDescriptors) + "\n";
+  }
   if (machine.role == "gateway") {
     text += "traffic: " + endpoint(m_httpPort) + "\nreadiness: " + endpoint(m_readinessPort) + "\n";
   } else {
--- a/test/integration/test_cluster.h
+++ b/test/integration/test_cluster.h
@@ -13,6 +13,12 @@
 
 namespace tackpick::test {
 
+/// Resources that the settings of a machine declare. Zero: not declared.
+struct DeclaredResources {
+  std::uint32_t memoryMb = 0;
+  std::uint32_t fileDescriptors = 0;
+};
+
 /// Initial size and settings of a cluster.
 struct ClusterLayout {
   int controllers = 3;
@@ -20,6 +26,7 @@
   int gateways = 1;
   int toleratedLosses = 1;         ///< simultaneous machine losses that a group tolerates
   std::uint16_t platformPort = 0;  ///< port of the fake hosting platform; zero: none
+  std::map<std::string, DeclaredResources> resources = {};  ///< by role
 };
 
 /// A machine of the cluster; `process` is null until the first start.
@@ -58,6 +65,11 @@
   [[nodiscard]] std::string gatewayUrl(const std::string& address, const std::string& path) const {
     return controlUrl(address, path);
   }
+  /// Ports on which the machines listen.
+  [[nodiscard]] std::uint16_t httpPort() const { return m_httpPort; }
+  [[nodiscard]] std::uint16_t internalPort() const { return m_internalPort; }
+  [[nodiscard]] std::uint16_t readinessPort() const { return m_readinessPort; }
+  [[nodiscard]] std::uint16_t metricsPort() const { return m_metricsPort; }
   /// Calls the controllers in turn until one responds with a status other than 503.
   HttpResponse callController(const std::string& method, const std::string& path,
                               const runtime::Json& body);
