JSON: bound depth and number of values while a body is parsed

Callers saw a gateway take 1.3 GB for one body of 16 MiB of open brackets, and a controller 2.5 GB for one of 32 MiB.

Cause: the whole text became a tree of values before anything was checked. platform/ parsed without a limit; runtime::parseJson() noted the depth and went on parsing. A value can take a hundred times its text. Change: JsonBuilder builds the tree from parser events and stops the parser at 16 levels or 250,000 values. Every reader of requests uses it, in both kinds of cluster.

--- a/src/jobs/job_messages.h
+++ b/src/jobs/job_messages.h
@@ -54,6 +54,9 @@
   }
 };
 
+/// Returns the memory that an item takes.
+[[nodiscard]] std::size_t memoryOf(const Item& item);
+
 /// A job as submitted by its caller.
 struct JobSubmission {
   std::string id;
@@ -81,6 +84,9 @@
   }
 };
 
+/// Returns the memory that the items of a job take.
+[[nodiscard]] std::size_t memoryOfItems(const JobSubmission& job);
+
 enum class ItemState : std::uint8_t { kCompleted, kTerminated };
 
 /// End of a saved text: the lease under which it was last extended, and its last event.
@@ -283,6 +289,9 @@
 using JobRequest = std::variant<SubmitJob, ReadJob, ReadItem, EndJob, LeaseItems, CommitResults,
                                 SaveProgress, FetchResults, GetWorkReport>;
 
+/// Returns the request without the contents of a submission's items.
+[[nodiscard]] JobRequest outlineOf(const JobRequest& request);
+
 /// Sets the tenant on whose behalf the request is made.
 void setTenant(JobRequest& request, const std::string& tenant);
 
@@ -291,7 +300,8 @@
 enum class JobStatus : std::uint8_t {
   kDone,
   kNotFound,
-  kNotOwner,  ///< the id of the submission is used by another tenant
+  kNotOwner,    ///< the id of the submission is used by another tenant
+  kOverloaded,  ///< the submission was not accepted, since open jobs take too much memory
 };
 
 struct ReadResult {
@@ -349,6 +359,9 @@
   /// them.
   bool wantsEventIntervals = false;
   std::optional<WorkReport> work;  ///< GetWorkReport
+  /// Whether another copy of the request may arrive later and have another outcome. Set by the
+  /// process that receives the reply, not sent.
+  bool mayBeRepeated = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/runtime/control_api.cpp
+++ b/src/runtime/control_api.cpp
@@ -162,8 +162,12 @@
 }
 
 void ControlApi::drain(const http::Request& request, const ResponderPtr& responder) {
-  const Json body = Json::parse(request.body, nullptr, false);
+  std::string errorMessage;
+  const Json body = parseBody(request, errorMessage);
   JsonReader reader(body);
+  if (!errorMessage.empty()) {
+    reader.addError(errorMessage);
+  }
   control::DrainEngine drain;
   drain.engine = {static_cast<std::uint64_t>(reader.getInteger("engine", 0, 1, kMaxInt64))};
   drain.drained = reader.getBool("drained", true);
@@ -175,8 +179,12 @@
 }
 
 void ControlApi::putCredential(const http::Request& request, const ResponderPtr& responder) {
-  const Json body = Json::parse(request.body, nullptr, false);
+  std::string errorMessage;
+  const Json body = parseBody(request, errorMessage);
   JsonReader reader(body);
+  if (!errorMessage.empty()) {
+    reader.addError(errorMessage);
+  }
   control::PutCredential put;
   put.record.tokenHash = reader.getRequiredString("token_hash");
   put.record.tenant = {reader.getString("tenant")};
@@ -200,8 +208,12 @@
 }
 
 void ControlApi::changeMembership(const http::Request& request, const ResponderPtr& responder) {
-  const Json body = Json::parse(request.body, nullptr, false);
+  std::string errorMessage;
+  const Json body = parseBody(request, errorMessage);
   JsonReader reader(body);
+  if (!errorMessage.empty()) {
+    reader.addError(errorMessage);
+  }
   const std::string node = reader.getRequiredString("node");
   const bool remove = reader.getBool("remove", false);
   constexpr std::size_t kMaxDigits = 19;
--- a/src/runtime/json.cpp
+++ b/src/runtime/json.cpp
@@ -1,24 +1,32 @@
 #include "runtime/json.h"
 
+#include <utility>
+
+#include "runtime/json_builder.h"
+
 namespace tackpick::runtime {
 
-base::Result<Json> parseJson(const std::string& text) {
-  constexpr int kMaxDepth = 16;
-  bool tooDeep = false;
-  const auto limitDepth = [&](int depth, Json::parse_event_t event, Json& /*parsed*/) {
-    const bool opens =
-        event == Json::parse_event_t::object_start || event == Json::parse_event_t::array_start;
-    tooDeep = tooDeep || (opens && depth > kMaxDepth);
-    return !tooDeep;
-  };
-  Json parsed = Json::parse(text, limitDepth, false);
-  if (tooDeep) {
-    return base::fail(base::ErrorCode::kInvalidInput, "the JSON is nested too deeply");
-  }
-  if (parsed.is_discarded()) {
-    return base::fail(base::ErrorCode::kInvalidInput, "the body is not valid JSON");
+namespace {
+
+base::Result<Json> parseWith(JsonBuilder& builder, const std::string& text) {
+  if (!Json::sax_parse(text, &builder)) {
+    return base::fail(base::ErrorCode::kInvalidInput, builder.error());
   }
-  return parsed;
+  return std::move(builder.root());
+}
+
+}  // namespace
+
+base::Result<Json> parseJson(const std::string& text, const JsonLimits& limits) {
+  JsonBuilder builder(limits);
+  return parseWith(builder, text);
+}
+
+base::Result<Json> parseJsonElements(const std::string& text, const std::string& key,
+                                     const JsonElementHandler& handler, const JsonLimits& limits) {
+  JsonBuilder builder(limits);
+  builder.streamElements(key, handler);
+  return parseWith(builder, text);
 }
 
 std::string dumpJson(const Json& json) {
--- a/src/runtime/json.h
+++ b/src/runtime/json.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -12,8 +13,24 @@
 
 using Json = nlohmann::json;
 
-/// Parses a JSON text. Fails on invalid UTF-8 and deep nesting.
-[[nodiscard]] base::Result<Json> parseJson(const std::string& text);
+/// Limits of a parsed text. A value can take a hundred times the memory of its text.
+struct JsonLimits {
+  std::size_t maxDepth = 16;
+  std::size_t maxValues = 250'000;  ///< values and keys
+};
+
+/// Parses a JSON text. Fails on invalid UTF-8 and when a limit is exceeded.
+[[nodiscard]] base::Result<Json> parseJson(const std::string& text, const JsonLimits& limits = {});
+
+/// Receives one element of an array.
+using JsonElementHandler = std::function<void(Json element)>;
+
+/// Parses a JSON text and passes the elements of the root's array `key` to `handler` as soon as
+/// they are parsed. The returned root has an empty array instead. The limit of values applies to
+/// each element separately.
+[[nodiscard]] base::Result<Json> parseJsonElements(const std::string& text, const std::string& key,
+                                                   const JsonElementHandler& handler,
+                                                   const JsonLimits& limits = {});
 
 /// Serializes JSON. Invalid UTF-8 is replaced by U+FFFD: strings may hold bytes that other systems
 /// sent, and Json::dump() throws for them by default.
--- a/src/runtime/trainer_api.cpp
+++ b/src/runtime/trainer_api.cpp
@@ -155,8 +155,12 @@
 
 void TrainerApi::acknowledge(const http::Request& request, const base::BatchId& batch,
                              const ResponderPtr& responder) {
-  const Json body = Json::parse(request.body, nullptr, false);
+  std::string errorMessage;
+  const Json body = parseBody(request, errorMessage);
   JsonReader reader(body);
+  if (!errorMessage.empty()) {
+    reader.addError(errorMessage);
+  }
   ledger::AcknowledgeSamples command;
   command.batch = batch;
   command.cursor = static_cast<std::uint32_t>(reader.getInteger("cursor", 0, 0, kMaxUint32));
@@ -169,8 +173,12 @@
 
 void TrainerApi::raiseMinVersion(const http::Request& request, const base::BatchId& batch,
                                  const ResponderPtr& responder) {
-  const Json body = Json::parse(request.body, nullptr, false);
+  std::string errorMessage;
+  const Json body = parseBody(request, errorMessage);
   JsonReader reader(body);
+  if (!errorMessage.empty()) {
+    reader.addError(errorMessage);
+  }
   ledger::RaiseMinimumVersion command;
   command.batch = batch;
   command.minimumVersion = {
@@ -206,8 +214,12 @@
 }
 
 void TrainerApi::publishWeights(const http::Request& request, const ResponderPtr& responder) {
-  const Json body = Json::parse(request.body, nullptr, false);
+  std::string errorMessage;
+  const Json body = parseBody(request, errorMessage);
   JsonReader reader(body);
+  if (!errorMessage.empty()) {
+    reader.addError(errorMessage);
+  }
   control::PublishWeights command;
   command.model = reader.getRequiredString("model");
   command.version = {static_cast<std::uint64_t>(reader.getInteger("version", 0, 1, kMaxInt64))};
