HTTP server: limits over all connections, from the machine's resources

Callers saw processes end for lack of memory while many clients held bodies, and no answers at all while many held connections.

Cause: maxBodyBytes and the header limit bound one connection, nothing bounds all of them. Bodies grew by doubling. An accept() without a free descriptor failed and was called again at once. A rejected client that still sent was reset and could lose the response. Assigning `{}` to a string keeps its memory. Change: a server has a pool for handled requests and long bodies, from which a long body with a length is reserved before it is read, and one for unfinished heads and short bodies. Without room, long bodies that stall or are too slow to arrive in time are given up first (408), else the request is rejected as not run (503). Too many unfinished bytes or connections close the connection that has been silent for longest, never one whose request is handled. Requests count until their exchange is gone. accept() pauses after a failure. The rest of a rejected request is read for 2 s. Idle connections keep no input buffer. Gauges, a counter by reason and event 5003 tell. The limits are derived from the declared memory and descriptors; 256 MB and 4,096 where none are declared. Evidence: the tests of bodies, chunks, heads and connections in gateway_crowds and controller_crowds failed before; exchange_server_limits has one for each limit.

--- a/src/http/exchange_server.h
+++ b/src/http/exchange_server.h
@@ -3,6 +3,7 @@
 /// detect immediately that the client has disconnected. Its limits can be changed at run time.
 #pragma once
 
+#include <array>
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
@@ -47,6 +48,9 @@
   virtual void onDrained(std::function<void()> callback) = 0;
   /// Returns the number of bytes queued on the connection and not yet written to the socket.
   [[nodiscard]] virtual std::size_t unsentBytes() const = 0;
+  /// Reserves memory for what the handler makes of the request, until the exchange is destroyed.
+  /// Returns false if the server has no more; the request should then be rejected.
+  [[nodiscard]] virtual bool reserveMemory(std::size_t bytes) = 0;
 };
 
 using ExchangeHandler = std::function<void(RawRequest request, std::shared_ptr<Exchange> exchange)>;
@@ -67,8 +71,43 @@
   /// have been stalled for longest are aborted.
   std::size_t maxTotalUnsentBytes = 32U << 20U;
   /// Minimum time for which a connection must be stalled before it may be aborted to enforce
-  /// maxTotalUnsentBytes.
+  /// maxTotalUnsentBytes or maxRequestBytes.
   base::Duration minStallTime = base::seconds(1);
+  /// Memory of all requests that are being handled and of all long bodies. A quarter of it is left
+  /// to short requests.
+  std::size_t maxRequestBytes = 96U << 20U;
+  /// Memory of all heads, short bodies and bytes read ahead that do not form a complete request
+  /// yet. Above it, the connections that have been silent for longest are closed.
+  std::size_t maxUnfinishedBytes = 16U << 20U;
+  /// Maximum number of connections. Above it, the connection without a request that has been silent
+  /// for longest is closed, or the new one if there is none.
+  std::size_t maxConnections = 1536;
+  /// Maximum time and size for reading the rest of a rejected request, so that the client receives
+  /// the response instead of a reset.
+  base::Duration maxDiscardTime = base::seconds(2);
+  std::size_t maxDiscardBytes = 64U << 20U;
+};
+
+/// Why a server rejected a request or closed a connection to stay within its limits.
+enum class ShedReason : std::uint8_t {
+  kNoMemory,      ///< request rejected: too much memory is in use
+  kSlowBody,      ///< unfinished long body given up for another request
+  kSilent,        ///< unfinished request given up: too many unfinished bytes
+  kConnections,   ///< connection without a request closed for a new one
+  kNoConnection,  ///< new connection closed: all connections have requests
+  kNoDescriptor,  ///< connection not accepted: the process has no free descriptor
+};
+inline constexpr std::size_t kShedReasons = 6;
+
+/// Returns the name of the reason in metrics and logs.
+[[nodiscard]] std::string_view toString(ShedReason reason);
+
+/// What a server holds for clients, and what it has rejected or closed since the start.
+struct ServerLoad {
+  std::size_t requestBytes = 0;     ///< see ExchangeLimits::maxRequestBytes
+  std::size_t unfinishedBytes = 0;  ///< see ExchangeLimits::maxUnfinishedBytes
+  std::size_t connections = 0;
+  std::array<std::uint64_t, kShedReasons> shed{};  ///< by ShedReason
 };
 
 /// Response data that clients have not read.
@@ -97,6 +136,9 @@
   [[nodiscard]] std::size_t openExchanges() const;
   [[nodiscard]] std::size_t openConnections() const;
   [[nodiscard]] UnreadResponses unreadResponses() const;
+  [[nodiscard]] ServerLoad load() const;
+  /// Whether a response of `bytes` bytes can be queued within the limit for unsent bytes.
+  [[nodiscard]] bool hasRoomForResponse(std::size_t bytes) const;
   /// Closes the listening socket and every connection.
   void stop();
 
--- a/src/http/header_collector.h
+++ b/src/http/header_collector.h
@@ -23,16 +23,21 @@
     m_inValue = true;
     value_.append(at, length);
   }
+  /// Returns the memory of the collected headers.
+  [[nodiscard]] std::size_t memoryBytes() const { return m_memoryBytes; }
   /// Returns the collected headers and clears the collector. Called at the end of the headers.
   [[nodiscard]] HeaderList take() {
     if (m_inValue) {
       flush();
     }
+    m_memoryBytes = 0;
     return std::exchange(headers_, {});
   }
 
  private:
   void flush() {
+    // The list of fields grows by doubling.
+    m_memoryBytes += 2 * sizeof(HeaderField) + name_.size() + value_.size();
     headers_.add(std::exchange(name_, {}), std::exchange(value_, {}));
     m_inValue = false;
   }
@@ -40,6 +45,7 @@
   HeaderList headers_;
   std::string name_;
   std::string value_;
+  std::size_t m_memoryBytes = 0;
   bool m_inValue = false;
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -151,7 +151,7 @@
 
  private:
   static ExchangeLimits limits(const ServerSettings& settings) {
-    ExchangeLimits limits;
+    ExchangeLimits limits = settings.limits;
     limits.maxHeaderBytes = settings.maxRequestHeaderBytes;
     limits.maxBodyBytes = settings.maxRequestBodyBytes;
     limits.headerTimeout = base::seconds(settings.readTimeoutSeconds);
@@ -171,6 +171,8 @@
 
 std::uint16_t Server::port() const { return implementation_->server().port(); }
 
+ServerLoad Server::load() const { return implementation_->server().load(); }
+
 void Server::stop() { implementation_->server().stop(); }
 
 }  // namespace tackpick::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include "http/exchange_server.h"
+
 namespace tackpick::http {
 
 /// A request with decoded query and lower-case header names.
@@ -56,6 +58,8 @@
   std::uint16_t port = 0;          ///< 0: assigned by the operating system
   std::size_t maxRequestBodyBytes = 8U << 20U;
   std::size_t maxRequestHeaderBytes = 8U << 10U;
+  /// Limits over all connections; the members below replace those of each connection.
+  ExchangeLimits limits = {};
   int readTimeoutSeconds = 20;   ///< separately for the headers and the body of a request
   int writeTimeoutSeconds = 20;  ///< see ExchangeLimits::writeTimeout
 };
@@ -72,6 +76,7 @@
   Server& operator=(const Server&) = delete;
 
   [[nodiscard]] std::uint16_t port() const;
+  [[nodiscard]] ServerLoad load() const;
   void stop();
 
  private:
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -2,16 +2,18 @@
 
 #include <algorithm>
 
+#include "base/release_memory.h"
 #include "http/status.h"
 
 namespace tackpick::http {
 namespace {
 
-/// Maximum number of bytes read ahead while a request is handled.
-constexpr std::size_t kReadAheadBytes = 64U << 10U;
 using namespace status;
 
 constexpr int kMinFinalStatus = 200;
+/// Value of Retry-After when there is no memory for a request. A long body that makes no progress
+/// can be given up within this time.
+constexpr const char* kRetryAfterSeconds = "1";
 
 base::TimePoint monotonicNow() { return base::MonotonicTimeSource().now(); }
 
@@ -52,8 +54,9 @@
 
 class ConnectionExchange final : public Exchange {
  public:
-  ConnectionExchange(std::shared_ptr<ServerConnection> connection, std::uint64_t number)
-      : connection_(std::move(connection)), number_(number) {}
+  ConnectionExchange(std::shared_ptr<ServerConnection> connection, std::uint64_t number,
+                     MemoryReservation memory)
+      : connection_(std::move(connection)), number_(number), m_memory(std::move(memory)) {}
   ConnectionExchange(const ConnectionExchange&) = delete;
   ConnectionExchange& operator=(const ConnectionExchange&) = delete;
   ~ConnectionExchange() override {
@@ -98,174 +101,61 @@
     }
   }
   [[nodiscard]] std::size_t unsentBytes() const override { return connection_->unsentBytes(); }
+  [[nodiscard]] bool reserveMemory(std::size_t bytes) override {
+    return m_memory.tryResize(m_memory.bytes() + bytes);
+  }
 
  private:
   [[nodiscard]] bool isActive() const { return connection_->isCurrent(number_); }
 
   std::shared_ptr<ServerConnection> connection_;
   std::uint64_t number_;
+  MemoryReservation m_memory;  ///< of the request and what is made of it
 };
 
 }  // namespace
 
-const http_parser_settings& ServerConnection::parserSettings() {
-  static const http_parser_settings kSettings = [] {
-    http_parser_settings settings;
-    http_parser_settings_init(&settings);
-    settings.on_url = [](http_parser* parser, const char* at, std::size_t length) {
-      ServerConnection& self = fromParser(parser);
-      self.request_.target.append(at, length);
-      return self.countHeaderBytes(length) ? 0 : -1;
-    };
-    settings.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
-      if ((parser->flags & F_TRAILING) != 0) {
-        return 0;
-      }
-      fromParser(parser).m_headerCollector.onName(at, length);
-      return fromParser(parser).countHeaderBytes(length) ? 0 : -1;
-    };
-    settings.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
-      if ((parser->flags & F_TRAILING) != 0) {
-        return 0;
-      }
-      fromParser(parser).m_headerCollector.onValue(at, length);
-      return fromParser(parser).countHeaderBytes(length) ? 0 : -1;
-    };
-    settings.on_headers_complete = [](http_parser* parser) {
-      return fromParser(parser).onHeadersComplete();
-    };
-    settings.on_body = [](http_parser* parser, const char* at, std::size_t length) {
-      ServerConnection& self = fromParser(parser);
-      if (self.request_.body.size() + length > self.m_serverState->limits.maxBodyBytes) {
-        self.m_rejectStatus = kPayloadTooLarge;
-        return -1;
-      }
-      self.request_.body.append(at, length);
-      return 0;
-    };
-    settings.on_message_complete = [](http_parser* parser) {
-      http_parser_pause(parser, 1);
-      return 0;
-    };
-    return settings;
-  }();
-  return kSettings;
-}
-
-bool ServerConnection::countHeaderBytes(std::size_t count) {
-  constexpr std::size_t kSeparatorBytes = 4;
-  m_headerBytes += count + kSeparatorBytes;
-  if (m_headerBytes > m_serverState->limits.maxHeaderBytes) {
-    m_rejectStatus = kHeaderFieldsTooLarge;
-    return false;
-  }
-  return true;
-}
-
-int ServerConnection::onHeadersComplete() {
-  request_.headers = m_headerCollector.take();
-  parser_.upgrade = 0;  // protocol upgrades are not supported
-  const bool lengthKnown = parser_.content_length != static_cast<std::uint64_t>(-1);
-  if (lengthKnown && parser_.content_length > m_serverState->limits.maxBodyBytes) {
-    m_rejectStatus = kPayloadTooLarge;
-    return -1;
-  }
-  if (request_.headers.has("expect")) {
-    enqueue("HTTP/1.1 100 Continue\r\n\r\n");
-  }
-  armTimer(m_serverState->limits.bodyTimeout);
-  return 0;
-}
-
-void ServerConnection::read() {
-  if (reading_ || closed_) {
-    return;
-  }
-  reading_ = true;
-  socket_.async_wait(asio::socket_base::wait_read,
-                     [self = shared_from_this()](const asio::error_code& error) {
-                       self->reading_ = false;
-                       if (error) {
-                         self->close();
-                         return;
-                       }
-                       self->onReadable();
-                     });
-}
-
-void ServerConnection::onReadable() {
-  if (closed_) {
-    return;
-  }
-  asio::error_code error;
-  const std::size_t count = socket_.read_some(asio::buffer(m_serverState->readBuffer), error);
-  if (error && error != asio::error::would_block) {
-    close();
-    return;
-  }
-  m_inputBuffer.append(m_serverState->readBuffer.data(), count);
-  parseInput();
-  // Reading continues while a request is handled, to detect that the client disconnects.
-  if (!closed_ && !close_after_write_ && m_inputBuffer.size() < kReadAheadBytes) {
-    read();
-  }
+std::shared_ptr<Exchange> ServerConnection::makeExchange() {
+  MemoryReservation memory =
+      std::exchange(m_requestMemory, MemoryReservation(m_serverState->requestMemory));
+  return std::make_shared<ConnectionExchange>(shared_from_this(), m_exchangeNumber,
+                                              std::move(memory));
 }
 
-void ServerConnection::parseInput() {
-  if (m_handlingRequest || closed_ || close_after_write_ || m_inputBuffer.empty()) {
-    return;
-  }
-  if (m_unsentBytes > m_serverState->limits.maxUnsentBytes) {
-    return;  // parsing resumes when the client has read the earlier responses
-  }
-  if (!m_requestStarted) {
-    m_requestStarted = true;
-    armTimer(m_serverState->limits.headerTimeout);
-  }
-  const std::size_t parsed =
-      http_parser_execute(&parser_, &parserSettings(), m_inputBuffer.data(), m_inputBuffer.size());
-  if (closed_) {
-    return;  // a parser callback queued data and exceeded the limit of unsent bytes
-  }
-  const http_errno error = HTTP_PARSER_ERRNO(&parser_);
-  if (error == HPE_PAUSED) {
-    http_parser_pause(&parser_, 0);
-    m_inputBuffer.erase(0, parsed);
-    dispatch();
-    return;
-  }
-  if (error != HPE_OK) {
-    reject(m_rejectStatus != 0 ? m_rejectStatus : kBadRequest);
-    return;
-  }
-  m_inputBuffer.erase(0, parsed);
-}
-
-void ServerConnection::dispatch() {
-  timer_.cancel();
-  m_handlingRequest = true;
-  m_requestStarted = false;
-  m_responseStarted = false;
-  ++m_exchangeNumber;
-  ++m_serverState->openExchanges;
-  request_.method = http_method_str(static_cast<http_method>(parser_.method));
-  request_.receivedAt = monotonicNow();
-  head_request_ = parser_.method == HTTP_HEAD;
-  http10_ = parser_.http_major == 1 && parser_.http_minor == 0;
-  keep_alive_ = http_should_keep_alive(&parser_) != 0;
-  http_parser_init(&parser_, HTTP_REQUEST);
+void ServerConnection::releaseRequest() {
+  stopReceivingBody();
+  base::releaseMemory(request_.body);
+  request_ = {};
+  m_headerCollector = {};
   m_headerBytes = 0;
-  RawRequest request = std::exchange(request_, {});
-  m_serverState->handler(std::move(request), std::make_shared<ConnectionExchange>(
-                                                 shared_from_this(), m_exchangeNumber));
+  m_headMemory = 0;
+  base::releaseMemory(m_inputBuffer);
+  m_requestMemory.resize(0);
 }
 
 void ServerConnection::reject(int status) {
-  std::string response = statusLine(status) + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  releaseRequest();
+  accountUnfinished();
+  std::string response = statusLine(status) + "Content-Length: 0\r\nConnection: close\r\n";
+  if (status == kUnavailable) {
+    response += std::string("Retry-After: ") + kRetryAfterSeconds + "\r\n";
+  }
+  response += "\r\n";
   close_after_write_ = true;
+  m_discardAfterWrite = true;
   enqueue(std::move(response));
 }
 
+void ServerConnection::shed() {
+  if (m_requestStarted && !close_after_write_) {
+    asio::error_code ignored;
+    const std::string response =
+        statusLine(kRequestTimeout) + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+    socket_.write_some(asio::buffer(response), ignored);
+  }
+  close();
+}
+
 bool ServerConnection::bodyAllowed(int status) const {
   return !head_request_ && status >= kMinFinalStatus && status != kNoContent &&
          status != kNotModified;
@@ -346,6 +236,7 @@
   --m_serverState->openExchanges;
   on_closed_ = nullptr;
   m_onDrained = nullptr;
+  touch();
   if (!keep_alive_ || m_serverState->draining) {
     close_after_write_ = true;
     if (!writing_) {
@@ -408,15 +299,15 @@
   }
   // Parses requests that were held back while too many bytes were unsent.
   parseInput();
-  if (m_inputBuffer.size() < kReadAheadBytes) {
-    read();
-  }
+  read();
 }
 
 void ServerConnection::writeNext() {
   if (m_outputQueue.empty()) {
     writing_ = false;
-    if (close_after_write_) {
+    if (m_discardAfterWrite) {
+      beginDiscarding();
+    } else if (close_after_write_) {
       close();
     } else {
       onDrained();
@@ -469,6 +360,9 @@
     return;
   }
   closed_ = true;
+  stopBeingSilent();
+  releaseRequest();
+  m_unfinishedMemory.resize(0);
   subtractUnsent(m_unsentBytes);
   m_onDrained = nullptr;
   asio::error_code ignored;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -9,7 +9,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +20,7 @@
 #include "base/timer.h"
 #include "http/exchange_server.h"
 #include "http/header_collector.h"
+#include "http/memory_pool.h"
 
 namespace tackpick::http {
 
@@ -28,8 +31,34 @@
 
 /// State shared by the connections of a server.
 struct ServerState {
-  ServerState(asio::io_context& io, ExchangeLimits initial, ExchangeHandler onRequest)
-      : context(io), limits(initial), handler(std::move(onRequest)) {}
+  ServerState(asio::io_context& io, const ExchangeLimits& initial, ExchangeHandler onRequest)
+      : context(io),
+        limits(initial),
+        handler(std::move(onRequest)),
+        requestMemory(std::make_shared<MemoryPool>(initial.maxRequestBytes)),
+        unfinishedMemory(std::make_shared<MemoryPool>(initial.maxUnfinishedBytes)) {}
+
+  void setLimits(const ExchangeLimits& newLimits) {
+    limits = newLimits;
+    requestMemory->setLimit(newLimits.maxRequestBytes);
+    unfinishedMemory->setLimit(newLimits.maxUnfinishedBytes);
+  }
+  void countShed(ShedReason reason) { ++shed[static_cast<std::size_t>(reason)]; }
+  /// Memory that long bodies leave to short requests.
+  [[nodiscard]] std::size_t spareForShortRequests() const {
+    constexpr std::size_t kDivisor = 4;
+    return limits.maxRequestBytes / kDivisor;
+  }
+  /// Maximum size of a body that can be received while nothing else uses memory.
+  [[nodiscard]] std::size_t maxLongBodyBytes() const;
+  /// Closes the connection without a complete request that has been silent for longest, or the one
+  /// that also holds unfinished bytes. Returns false if there is none.
+  bool closeSilent(ShedReason reason, bool withUnfinishedBytes = false);
+  /// Closes silent connections until the unfinished bytes are within their limit.
+  void enforceUnfinishedLimit();
+  /// Gives up the slowest of the long bodies that are too slow to arrive in time, other than that
+  /// of `exceptFor`. Returns false if there is none.
+  bool giveUpSlowestBody(const ServerConnection& exceptFor, base::TimePoint now);
 
   asio::io_context& context;
   ExchangeLimits limits;
@@ -38,6 +67,13 @@
   std::size_t openExchanges = 0;
   std::set<std::shared_ptr<ServerConnection>> connections;
   UnreadResponses unread;
+  std::shared_ptr<MemoryPool> requestMemory;
+  std::shared_ptr<MemoryPool> unfinishedMemory;
+  /// Connections without a complete request, in the order of their last activity.
+  std::list<ServerConnection*> silent;
+  /// Connections that receive a long body.
+  std::set<ServerConnection*> longBodies;
+  std::array<std::uint64_t, kShedReasons> shed{};
   /// Shared by all connections: a buffer for each would take 48 MB with 3,000 connections.
   /// Connections only read when data has arrived and copy it out at once.
   std::array<char, kServerReadBytes> readBuffer{};
@@ -49,7 +85,9 @@
   ServerConnection(std::shared_ptr<ServerState> state, asio::ip::tcp::socket socket)
       : m_serverState(std::move(state)),
         socket_(std::move(socket)),
-        timer_(m_serverState->context) {
+        timer_(m_serverState->context),
+        m_unfinishedMemory(m_serverState->unfinishedMemory),
+        m_requestMemory(m_serverState->requestMemory) {
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
   }
@@ -59,6 +97,7 @@
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
     armTimer(m_serverState->limits.idleTimeout);
+    touch();
     read();
   }
 
@@ -71,6 +110,16 @@
   void close();
   /// Resets the connection, so that the client detects that the response is incomplete.
   void resetConnection();
+  /// Closes the connection at once to free what it holds. A client whose request has begun is told
+  /// that it was not run.
+  void shed();
+  /// Rejects the request whose body is being received.
+  void giveUpBody();
+  /// Returns the rate in bytes per second at which a long body arrives if that is too slow for it
+  /// to arrive in time; std::nullopt otherwise.
+  [[nodiscard]] std::optional<double> insufficientRate(base::TimePoint now) const;
+  [[nodiscard]] bool isWriting() const { return writing_; }
+  [[nodiscard]] std::size_t unfinishedBytes() const { return m_unfinishedMemory.bytes(); }
 
   // Functions for ConnectionExchange.
 
@@ -97,12 +146,37 @@
   static const http_parser_settings& parserSettings();
 
   void read();
+  [[nodiscard]] bool mayRead() const;
   void onReadable();
+  void onInput(std::string_view data);
   void parseInput();
+  /// Parses `data` up to the end of a request. Returns the number of bytes parsed.
+  std::size_t parse(std::string_view data);
+  /// Whether input may be parsed now; otherwise it is kept.
+  [[nodiscard]] bool mayParse() const;
   void dispatch();
+  /// Creates the exchange of the current request, which takes over the request's memory.
+  [[nodiscard]] std::shared_ptr<Exchange> makeExchange();
   int onHeadersComplete();
+  /// Returns the result of an http_parser callback: zero, or -1 if the body is rejected.
+  int onBody(std::string_view data);
+  /// Makes room for a body of `size` bytes. Returns false if there is no memory for it.
+  bool growBody(std::size_t size);
+  /// Reserves memory for a long body; gives up slower ones if there is none.
+  bool reserveLongBody(std::size_t bytes);
+  void stopReceivingBody();
   bool countHeaderBytes(std::size_t count);
+  /// Updates the memory held for an unfinished request.
+  void accountUnfinished();
   void reject(int status);
+  /// Frees what has been received of a request that is not handled.
+  void releaseRequest();
+  /// Closes the sending side and reads what the client still sends, within limits.
+  void beginDiscarding();
+  void discardInput(std::size_t count);
+  /// Marks the connection as active just now, if it has no complete request.
+  void touch();
+  void stopBeingSilent();
   [[nodiscard]] bool bodyAllowed(int status) const;
   void appendConnectionHeader(std::string& out) const;
   void endExchange();
@@ -126,6 +200,18 @@
   RawRequest request_;
   HeaderCollector m_headerCollector;
   std::size_t m_headerBytes = 0;
+  std::size_t m_headMemory = 0;  ///< of the head, once it is complete
+  bool m_requestComplete = false;
+  /// Heads, short bodies and bytes read ahead; a long body is counted by m_requestMemory.
+  MemoryReservation m_unfinishedMemory;
+  MemoryReservation m_requestMemory;
+  bool m_receivingLongBody = false;
+  base::TimePoint m_bodyStartedAt{};
+  base::TimePoint m_bodyProgressAt{};
+  std::optional<std::list<ServerConnection*>::iterator> m_silentPosition;
+  bool m_discardAfterWrite = false;  ///< the request was rejected
+  bool m_discarding = false;
+  std::size_t m_discardedBytes = 0;
   bool m_requestStarted = false;
   int m_rejectStatus = 0;  ///< status set by a parser callback that rejected the request
 
--- a/src/node/metrics_server.cpp
+++ b/src/node/metrics_server.cpp
@@ -4,6 +4,7 @@
 
 #include "http/status.h"
 #include "node/node.h"
+#include "runtime/server_limits.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
@@ -19,7 +20,8 @@
 MetricsServer::MetricsServer(Node& node)
     : m_node(node),
       m_server(
-          node.context(), node.settings().metrics.host, node.settings().metrics.port, {},
+          node.context(), node.settings().metrics.host, node.settings().metrics.port,
+          runtime::probeServerLimits(node.settings().limits),
           [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
             onRequest(request, exchange);
           }) {}
@@ -32,6 +34,7 @@
   }
   updateMetrics();
   m_node.updateGauges();
+  m_loadReporter.report(m_server.load(), m_node.metrics(), m_node.now());
   http::HeaderList headers;
   headers.add("Content-Type", "text/plain; version=0.0.4");
   exchange->respond(http::status::kOk, headers, m_node.metrics().render());
--- a/src/node/metrics_server.h
+++ b/src/node/metrics_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "http/exchange_server.h"
+#include "node/server_load_reporter.h"
 
 namespace tackpick::node {
 
@@ -33,6 +34,7 @@
   Node& m_node;
   ReportedCounters m_reportedCounters;
   http::ExchangeServer m_server;
+  ServerLoadReporter m_loadReporter{"metrics"};
 };
 
 }  // namespace tackpick::node
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -10,6 +10,7 @@
 #include "runtime/event_loop.h"
 #include "runtime/metrics.h"
 #include "runtime/node_identity.h"
+#include "runtime/server_limits.h"
 #include "telemetry/log.h"
 #include "transport/shared_key.h"
 
@@ -161,6 +162,7 @@
   http::ServerSettings server;
   server.host = settings_.http.host;
   server.port = settings_.http.port;
+  server.limits = serverLimits({});
   server_ = std::make_unique<http::Server>(
       context_, server,
       [this](const http::Request& request, const std::shared_ptr<http::Responder>& responder) {
@@ -219,14 +221,14 @@
 void Daemon::runIteration() {
   m_iterationScheduled = false;
   if (controller_) {
-    const control::ControllerActions actions = controller_->finish(now());
+    control::ControllerActions actions = controller_->finish(now());
     for (const engine::OutgoingEngineCommand& outgoingCommand : actions.engineCommands) {
       const control::EngineRecord& record =
           controller_->state().engines().at(outgoingCommand.engine);
       m_engineClient->setAddress(outgoingCommand.engine, record.host, record.port);
       m_engineClient->sendLoadCommand(outgoingCommand.engine, outgoingCommand.command);
     }
-    sendAll(actions.messages);
+    sendAll(std::move(actions.messages));
   }
   for (const auto& ledger : ledgers_) {
     sendAll(ledger->finish(now()));
@@ -240,11 +242,11 @@
       m_engineClient->setAddress(id, entry.record.host, entry.record.port);
     }
   }
-  const gateway::GatewayActions actions = gateway_->takeActions();
+  gateway::GatewayActions actions = gateway_->takeActions();
   for (const gateway::Action& action : actions.actions) {
     execute(action);
   }
-  sendAll(actions.messages);
+  sendAll(std::move(actions.messages));
 }
 
 void Daemon::execute(const gateway::Action& action) {
@@ -291,9 +293,9 @@
   return events;
 }
 
-void Daemon::sendAll(const transport::Outbox& outbox) {
-  for (const transport::OutgoingMessage& outgoing : outbox) {
-    network_->send(outgoing.to, outgoing.message);
+void Daemon::sendAll(transport::Outbox outbox) {
+  for (transport::OutgoingMessage& outgoing : outbox) {
+    network_->send(outgoing.to, std::move(outgoing.message));
   }
 }
 
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -50,6 +50,7 @@
   }
   [[nodiscard]] base::NodeId self() const { return self_; }
   [[nodiscard]] const transport::PeerNetwork& network() const { return *network_; }
+  [[nodiscard]] http::ServerLoad serverLoad() const { return server_->load(); }
   /// Schedules an iteration, in which the roles sync and their actions are executed. Must be called
   /// after every event passed to a role.
   void scheduleIteration();
@@ -75,7 +76,7 @@
   void tick();
   void runIteration();
   void execute(const gateway::Action& action);
-  void sendAll(const transport::Outbox& outbox);
+  void sendAll(transport::Outbox outbox);
   void fetchMachineList();
   void logStateChanges();
   void finishShutdown();
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -60,10 +60,27 @@
                gateway.view().canServe(now) ? 1.0 : 0.0);
 }
 
+void writeServerMetrics(const http::ServerLoad& load, MetricsWriter& writer) {
+  writer.gauge("request_bytes", "memory of requests that are handled and of long bodies",
+               static_cast<double>(load.requestBytes));
+  writer.gauge("unfinished_request_bytes",
+               "memory of heads and short bodies that are not complete yet",
+               static_cast<double>(load.unfinishedBytes));
+  writer.gauge("client_connections", "open connections of clients",
+               static_cast<double>(load.connections));
+  for (std::size_t i = 0; i < load.shed.size(); ++i) {
+    const std::string reason(toString(static_cast<http::ShedReason>(i)));
+    writer.counter("clients_shed_" + reason + "_total",
+                   "requests rejected and connections closed to stay within the limits",
+                   static_cast<double>(load.shed[i]));
+  }
+}
+
 }  // namespace
 
 std::string renderMetrics(Daemon& daemon) {
   MetricsWriter writer;
+  writeServerMetrics(daemon.serverLoad(), writer);
   if (const gateway::Gateway* gateway = daemon.gateway()) {
     writeGatewayMetrics(*gateway, daemon.now(), writer);
   }
--- a/src/telemetry/event.cpp
+++ b/src/telemetry/event.cpp
@@ -166,6 +166,12 @@
        "logged at most once per second",
        "callers should read their responses or resend their requests; check "
        "tackpick_unread_answer_bytes"},
+      {Id::kClientsShed, "clients_shed", kWarning,
+       "requests were rejected or connections closed to stay within the memory or the descriptors "
+       "of the machine; reports the listener, a reason, its total since the start, and what the "
+       "listener holds; logged at most once per second for each listener",
+       "check tackpick_clients_shed_total and tackpick_request_bytes; if ordinary clients are "
+       "affected, add gateways or memory"},
   };
   return kCatalogue;
 }
--- a/src/telemetry/event.h
+++ b/src/telemetry/event.h
@@ -64,6 +64,7 @@
   kTrialBegun = 4022,
   kConnectionRefused = 5001,
   kSlowReaderCut = 5002,
+  kClientsShed = 5003,
 };
 
 enum class Severity : std::uint8_t { kInfo, kWarning, kError };
--- a/src/telemetry/metric.h
+++ b/src/telemetry/metric.h
@@ -33,6 +33,7 @@
   kConnectionsOpened,
   kForeignAnswers,
   kSlowReaders,  ///< by action
+  kClientsShed,  ///< by reason
   kInternalBytesSent,
   kInternalBytesReceived,
   kLogLinesDropped,
@@ -63,6 +64,9 @@
   kResultsWaiting,
   kOpenExchanges,
   kUnreadBytes,
+  kRequestBytes,       ///< by listener
+  kUnfinishedBytes,    ///< by listener
+  kClientConnections,  ///< by listener
   kTickLateness,
   kOpenJobs,
   kKeptJobs,
