Internal network: bound handshakes, large frames and send queues

Change: inbound connections that are not authenticated are limited, the oldest is closed; large frames share a limit and stay unread until there is room, 10 s at most each; the queues of all connections share a limit, and a connection with an empty queue always sends. Messages are freed as soon as they are encoded, and a frame gets its header in place.

--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -3,9 +3,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/compression.h"
+#include "base/release_memory.h"
 #include "transport/shared_key.h"
 
 namespace tackpick::transport {
@@ -18,6 +20,10 @@
 constexpr std::uint32_t kMaxHandshakeFrameBytes = 512;
 constexpr auto kHandshakeTimeout = std::chrono::milliseconds(600);
 constexpr int kTcpUserTimeoutMs = 1000;
+/// Size above which frames share the network's limit for received messages.
+constexpr std::uint32_t kLargeFrameBytes = 1U << 20U;
+/// Time in which a large frame must arrive, so that a peer that stops sending frees its room.
+constexpr auto kLargeFrameTimeout = std::chrono::seconds(10);
 
 struct Hello {
   std::string magic;
@@ -41,7 +47,8 @@
       socket_(std::move(socket)),
       handshake_timer_(network.context_),
       m_isOutbound(isOutbound),
-      expected_peer_(expectedPeer) {}
+      expected_peer_(expectedPeer),
+      m_largeFrameTimer(network.context_) {}
 
 void Connection::startHandshakeTimer() {
   handshake_timer_.expires_after(kHandshakeTimeout);
@@ -83,10 +90,41 @@
                        self->reject();
                        return;
                      }
-                     self->readPayload(length);
+                     if (length > kLargeFrameBytes) {
+                       self->m_largeFrameBytes = length;
+                       self->receiveLargeFrame();
+                     } else {
+                       self->readPayload(length);
+                     }
                    });
 }
 
+void Connection::receiveLargeFrame() {
+  if (closed_ || !network_.beginLargeFrame(shared_from_this(), m_largeFrameBytes)) {
+    return;
+  }
+  m_receivingLargeFrame = true;
+  m_largeFrameTimer.expires_after(kLargeFrameTimeout);
+  m_largeFrameTimer.async_wait([self = shared_from_this()](const asio::error_code& error) {
+    if (!error && self->m_receivingLargeFrame) {
+      self->close();
+    }
+  });
+  readPayload(m_largeFrameBytes);
+}
+
+void Connection::releasePayload() {
+  if (payload_.capacity() > kLargeFrameBytes) {
+    base::releaseMemory(payload_);
+  }
+  if (m_receivingLargeFrame) {
+    m_receivingLargeFrame = false;
+    m_largeFrameTimer.cancel();
+    network_.endLargeFrame(m_largeFrameBytes);
+  }
+  m_largeFrameBytes = 0;
+}
+
 void Connection::readPayload(std::uint32_t length) {
   payload_.resize(length);
   asio::async_read(socket_, asio::buffer(payload_),
@@ -98,6 +136,7 @@
                      self->network_.bytes_received_ += self->payload_.size() + kHeaderBytes;
                      self->onFrame();
                      if (!self->closed_) {
+                       self->releasePayload();
                        self->readHeader();
                      }
                    });
@@ -118,8 +157,10 @@
 }
 
 void Connection::onMessageFrame() {
-  const auto bytes = base::decompress(payload_, network_.settings_.maxFrameBytes);
+  auto bytes = base::decompress(payload_, network_.settings_.maxFrameBytes);
+  releasePayload();
   auto message = bytes ? base::decode<InternalMessage>(*bytes) : std::nullopt;
+  bytes = std::nullopt;
   if (!message) {
     reject();
     return;
@@ -175,6 +216,8 @@
   }
   closed_ = true;
   m_authenticated = false;
+  releasePayload();
+  removeQueued(queued_bytes_);
   asio::error_code ignored;
   handshake_timer_.cancel(ignored);
   socket_.close(ignored);
@@ -182,28 +225,36 @@
 }
 
 void Connection::send(const base::Bytes& message) {
-  if (queued_bytes_ + message.size() <= network_.settings_.maxQueuedBytes) {
+  const bool fits = network_.m_queuedBytes + message.size() <= network_.settings_.maxQueuedBytes;
+  if (fits || queued_bytes_ == 0) {
     enqueue(base::compress(message));
   }
 }
 
-void Connection::enqueue(const base::Bytes& payload) {
+void Connection::enqueue(base::Bytes payload) {
   if (closed_) {
     return;
   }
-  base::Bytes frame;
-  frame.reserve(kHeaderBytes + payload.size());
+  base::Bytes header;
   for (std::size_t i = 0; i < kHeaderBytes; ++i) {
-    frame.push_back(static_cast<char>((payload.size() >> (kBitsPerByte * i)) & 0xffU));
+    header.push_back(static_cast<char>((payload.size() >> (kBitsPerByte * i)) & 0xffU));
   }
-  frame += payload;
+  base::Bytes frame = std::move(payload);
+  frame.insert(0, header);
   queued_bytes_ += frame.size();
+  network_.m_queuedBytes += frame.size();
   queue_.push_back(std::move(frame));
   if (!writing_) {
     writeNext();
   }
 }
 
+void Connection::removeQueued(std::size_t bytes) {
+  const std::size_t counted = std::min(queued_bytes_, bytes);
+  queued_bytes_ -= counted;
+  network_.m_queuedBytes -= counted;
+}
+
 void Connection::writeNext() {
   if (queue_.empty() || closed_) {
     writing_ = false;
@@ -225,7 +276,7 @@
   asio::async_write(
       socket_, buffers,
       [self = shared_from_this(), batch, total](const asio::error_code& error, std::size_t) {
-        self->queued_bytes_ -= total;
+        self->removeQueued(total);
         self->network_.bytes_sent_ += total;
         if (error) {
           self->writing_ = false;
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -26,6 +26,8 @@
   void start();
   void send(const base::Bytes& message);
   void close();
+  /// Receives the large frame whose header was received, or waits again if there is no room for it.
+  void receiveLargeFrame();
   [[nodiscard]] bool isAuthenticated() const { return m_authenticated; }
   [[nodiscard]] bool isOutboundConnection() const { return m_isOutbound; }
   [[nodiscard]] base::NodeId peer() const { return peer_; }
@@ -37,13 +39,16 @@
 
   void readHeader();
   void readPayload(std::uint32_t length);
+  /// Releases the memory of the payload and the room that a large frame took.
+  void releasePayload();
   void onFrame();
   void onMessageFrame();
   void onHello();
   void onAuthTag();
   void reject();
-  void enqueue(const base::Bytes& payload);
+  void enqueue(base::Bytes payload);
   void writeNext();
+  void removeQueued(std::size_t bytes);
   [[nodiscard]] base::Bytes computeAuthTag(bool ofInitiator) const;
 
   PeerNetwork& network_;
@@ -59,6 +64,9 @@
   base::Bytes peer_hello_;
   std::array<unsigned char, 4> header_{};
   base::Bytes payload_;
+  std::uint32_t m_largeFrameBytes = 0;  ///< announced size; zero: the frame is not large
+  bool m_receivingLargeFrame = false;   ///< has room in the network's limit
+  base::Timer m_largeFrameTimer;
   std::deque<base::Bytes> queue_;
   std::size_t queued_bytes_ = 0;
   bool writing_ = false;
--- a/src/transport/peer_network.cpp
+++ b/src/transport/peer_network.cpp
@@ -19,7 +19,8 @@
     : context_(context),
       settings_(std::move(settings)),
       handler_(std::move(handler)),
-      acceptor_(context, toAsio(settings_.listen)) {
+      acceptor_(context, toAsio(settings_.listen)),
+      m_acceptRetryTimer(context) {
   accept();
 }
 
@@ -34,6 +35,7 @@
   stopped_ = true;
   asio::error_code ignored;
   acceptor_.close(ignored);
+  m_acceptRetryTimer.cancel();
   const auto connections = m_connections;
   for (const auto& [pointer, weak] : connections) {
     if (const auto connection = weak.lock()) {
@@ -47,16 +49,67 @@
     if (stopped_ || error == asio::error::operation_aborted) {
       return;
     }
-    if (!error) {
-      const auto connection =
-          std::make_shared<Connection>(*this, std::move(socket), false, base::NodeId{});
-      m_connections[connection.get()] = connection;
-      connection->start();
+    if (error) {
+      onAcceptFailed();
+      return;
     }
+    const auto connection =
+        std::make_shared<Connection>(*this, std::move(socket), false, base::NodeId{});
+    m_connections[connection.get()] = connection;
+    m_inboundHandshakes.push_back(connection);
+    connection->start();
+    closeExcessHandshakes();
     accept();
   });
 }
 
+void PeerNetwork::onAcceptFailed() {
+  constexpr auto kRetryInterval = std::chrono::milliseconds(20);
+  m_acceptRetryTimer.expires_after(kRetryInterval);
+  m_acceptRetryTimer.async_wait([this](const asio::error_code& error) {
+    if (!error && !stopped_) {
+      accept();
+    }
+  });
+}
+
+void PeerNetwork::closeExcessHandshakes() {
+  m_inboundHandshakes.remove_if([this](const std::weak_ptr<Connection>& weak) {
+    const auto connection = weak.lock();
+    return !connection || connection->isAuthenticated() ||
+           !m_connections.contains(connection.get());
+  });
+  while (m_inboundHandshakes.size() > settings_.maxInboundHandshakes) {
+    const auto oldest = m_inboundHandshakes.front().lock();
+    m_inboundHandshakes.pop_front();
+    ++m_rejectedConnections;
+    oldest->close();
+  }
+}
+
+bool PeerNetwork::beginLargeFrame(const std::shared_ptr<Connection>& connection,
+                                  std::size_t bytes) {
+  if (m_receivingBytes > 0 && m_receivingBytes + bytes > settings_.maxReceivingBytes) {
+    m_waitingReceivers.push_back(connection);
+    return false;
+  }
+  m_receivingBytes += bytes;
+  return true;
+}
+
+void PeerNetwork::endLargeFrame(std::size_t bytes) {
+  m_receivingBytes -= bytes;
+  // Posted because the connection that has finished may still be on the call stack.
+  asio::post(context_, [this] {
+    for (const auto& weak : std::exchange(m_waitingReceivers, {})) {
+      const auto connection = weak.lock();
+      if (connection && m_connections.contains(connection.get())) {
+        connection->receiveLargeFrame();
+      }
+    }
+  });
+}
+
 std::optional<Endpoint> PeerNetwork::addressOf(std::uint32_t number) const {
   const auto configured = settings_.peers.find(number);
   if (configured != settings_.peers.end()) {
@@ -130,9 +183,11 @@
   });
 }
 
-void PeerNetwork::send(base::NodeId to, const InternalMessage& message) {
+void PeerNetwork::send(base::NodeId to, InternalMessage message) {
   if (to == settings_.self) {
-    asio::post(context_, [this, message] { handler_(settings_.self, message); });
+    asio::post(context_, [this, message = std::move(message)]() mutable {
+      handler_(settings_.self, std::move(message));
+    });
     return;
   }
   const std::uint32_t number = base::nodeNumber(to);
@@ -142,7 +197,8 @@
   const bool configured = settings_.peers.contains(number);
   const auto inbound = m_inboundConnections.find(to);
   if (!configured && inbound != m_inboundConnections.end()) {
-    inbound->second->send(base::encode(message));
+    const base::Bytes encoded = base::encode(std::exchange(message, {}));
+    inbound->second->send(encoded);
     return;
   }
   if (!addressOf(number)) {
@@ -153,7 +209,7 @@
   if (!outbound.connection) {
     return;
   }
-  base::Bytes frame = base::encode(message);
+  base::Bytes frame = base::encode(std::exchange(message, {}));
   if (outbound.connection->isAuthenticated()) {
     outbound.connection->send(frame);
   } else if (outbound.pendingBytes + frame.size() <= settings_.maxPendingBytes) {
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -4,7 +4,9 @@
 
 #include <asio.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,11 +33,17 @@
   /// Port of nodes whose number is their IPv4 address; 0 if only the addresses in `peers` are used.
   std::uint16_t derivedPeerPort = 0;
   std::size_t maxFrameBytes = 64U << 20U;
-  /// Maximum size of the send queue of a connection. Further messages are dropped; all protocols
-  /// that use the network resend.
-  std::size_t maxQueuedBytes = 128U << 20U;
+  /// Maximum size of the send queues of all connections. Above it, messages are dropped unless the
+  /// queue of their connection is empty; all protocols that use the network resend.
+  std::size_t maxQueuedBytes = 64U << 20U;
+  /// Maximum size of all large frames that are being received. Further ones stay unread until there
+  /// is room; one is received whatever its size.
+  std::size_t maxReceivingBytes = 64U << 20U;
   /// Maximum size of the messages queued for a peer while the connection to it is established.
   std::size_t maxPendingBytes = 1U << 20U;
+  /// Maximum number of inbound connections that are not authenticated yet. Above it, the oldest of
+  /// them is closed.
+  std::size_t maxInboundHandshakes = 256;
   base::Duration minBackoff = base::milliseconds(50);
   base::Duration maxBackoff = base::milliseconds(200);
   /// Called with the number of a node when a connection to or from it is lost or cannot be
@@ -58,7 +66,8 @@
   PeerNetwork(const PeerNetwork&) = delete;
   PeerNetwork& operator=(const PeerNetwork&) = delete;
 
-  void send(base::NodeId to, const InternalMessage& message);
+  /// The message is freed as soon as it is encoded.
+  void send(base::NodeId to, InternalMessage message);
   [[nodiscard]] std::uint16_t port() const;
   void stop();
 
@@ -84,6 +93,14 @@
   void connect(std::uint32_t number);
   void onAuthenticated(const std::shared_ptr<Connection>& connection);
   void onClosed(const std::shared_ptr<Connection>& connection);
+  /// Accepts again after a pause: while there is no free descriptor, accept() fails at once.
+  void onAcceptFailed();
+  void closeExcessHandshakes();
+  /// Whether a large frame may be received now. Otherwise the connection waits until its
+  /// receiveLargeFrame() is called.
+  [[nodiscard]] bool beginLargeFrame(const std::shared_ptr<Connection>& connection,
+                                     std::size_t bytes);
+  void endLargeFrame(std::size_t bytes);
 
   asio::io_context& context_;
   const PeerNetworkSettings settings_;
@@ -92,6 +109,11 @@
   std::map<std::uint32_t, OutboundPeer> m_outboundPeers;  ///< by node number
   std::map<base::NodeId, std::shared_ptr<Connection>> m_inboundConnections;
   std::map<Connection*, std::weak_ptr<Connection>> m_connections;
+  std::list<std::weak_ptr<Connection>> m_inboundHandshakes;  ///< oldest first; some have ended
+  base::Timer m_acceptRetryTimer;
+  std::size_t m_queuedBytes = 0;  ///< of all connections
+  std::size_t m_receivingBytes = 0;
+  std::deque<std::weak_ptr<Connection>> m_waitingReceivers;  ///< each with a large frame to receive
   bool stopped_ = false;
   std::uint64_t bytes_sent_ = 0;
   std::uint64_t bytes_received_ = 0;
