Callers' requests: one copy of the body, one read buffer for all engines

Cause: a forwarded body stood in the request, in each attempt and once more in the bytes to write, and each connection to an engine had a read buffer of 32 KB, idle ones too. Change: attempts share the body and write it from where it is. Connections read into one shared buffer when data has arrived. The body of a response that is received completely counts as memory of its request; without room it is passed on while it arrives. An idle connection is closed for a new one above the limit of connections.

--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -26,6 +26,7 @@
   ++pool_->nextExchangeId.value;
   auto connection = request.newConnection ? nullptr : pool_->acquireIdle(request.address);
   if (!connection) {
+    pool_->makeRoomForConnection();
     connection = std::make_shared<UpstreamConnection>(pool_, request.address);
   }
   pool_->active[id] = connection;
--- a/src/http/upstream_client.h
+++ b/src/http/upstream_client.h
@@ -35,6 +35,8 @@
   std::string target = "/";
   HeaderList headers;  ///< includes Host, excludes the framing headers
   std::string body;
+  /// Sent instead of `body` unless null. Requests with the same body can share it.
+  std::shared_ptr<const std::string> sharedBody = {};
   /// Name of a header that the server copies from the request to the response. A response with a
   /// value other than `echoValue` belongs to another request and is ignored. If the name is empty,
   /// every response is accepted.
@@ -76,6 +78,8 @@
   /// Keep-Alive header if that is shorter.
   base::Duration idleTimeout = base::seconds(8);
   std::size_t maxIdlePerAddress = 32;
+  /// Number of connections above which an idle one is closed for each new one.
+  std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
   /// Time after which a connection fails whose peer does not acknowledge sent bytes. Applies even
   /// while this process is suspended, so it limits how late a request can arrive. Zero: the default
   /// of the operating system.
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <numeric>
 #include <optional>
 
 namespace tackpick::http {
@@ -28,7 +29,11 @@
 
 }  // namespace
 
-std::string serializeRequest(const UpstreamRequest& request) {
+const std::string& bodyOf(const UpstreamRequest& request) {
+  return request.sharedBody ? *request.sharedBody : request.body;
+}
+
+std::string serializeHead(const UpstreamRequest& request) {
   if (!isValidTarget(request.target)) {
     return {};
   }
@@ -42,11 +47,11 @@
     out += field.value;
     out += "\r\n";
   }
-  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-    out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  const std::size_t bodyBytes = bodyOf(request).size();
+  if (bodyBytes > 0 || request.method == "POST" || request.method == "PUT") {
+    out += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
   }
   out += "\r\n";
-  out += request.body;
   return out;
 }
 
@@ -82,6 +87,21 @@
   }
 }
 
+void UpstreamPool::makeRoomForConnection() {
+  const auto addIdle = [](std::size_t count, const auto& entry) {
+    return count + entry.second.size();
+  };
+  const std::size_t open = std::accumulate(idle.begin(), idle.end(), active.size(), addIdle);
+  const auto found = std::find_if(idle.begin(), idle.end(),
+                                  [](const auto& entry) { return !entry.second.empty(); });
+  if (open < settings.maxConnections || found == idle.end()) {
+    return;
+  }
+  const auto connection = found->second.front();
+  removeIdle(connection);
+  connection->close();
+}
+
 const http_parser_settings& UpstreamConnection::parserSettings() {
   static const http_parser_settings kSettings = [] {
     http_parser_settings settings;
@@ -161,6 +181,7 @@
 void UpstreamConnection::setSocketOptions() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   // The kernel delivers the bytes of a closed connection for as long as it can. With a linger time
   // of zero it discards them, even if this process is killed.
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -199,7 +220,7 @@
 
 void UpstreamConnection::send() {
   const bool permitted = !request_.maySend || request_.maySend();
-  if (permitted && !output_.empty()) {
+  if (permitted && !m_head.empty()) {
     startResponseTimer();
     write();
     return;
@@ -216,8 +237,10 @@
 
 void UpstreamConnection::write() {
   m_sentAt = base::BootClock::now();
+  const std::array<asio::const_buffer, 2> output = {asio::buffer(m_head),
+                                                    asio::buffer(bodyOf(request_))};
   asio::async_write(
-      socket_, asio::buffer(output_),
+      socket_, output,
       [self = shared_from_this(), id = id_](const asio::error_code& error, std::size_t) {
         if (self->closed_ || self->id_ != id) {
           return;
@@ -236,19 +259,33 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
-        self->reading_ = false;
-        if (self->closed_) {
-          return;
-        }
-        if (error) {
-          self->onReadError(error);
-        } else {
-          self->onBytes(count);
-        }
-      });
+  socket_.async_wait(asio::socket_base::wait_read,
+                     [self = shared_from_this()](const asio::error_code& error) {
+                       self->reading_ = false;
+                       if (self->closed_) {
+                         return;
+                       }
+                       if (error) {
+                         self->onReadError(error);
+                       } else {
+                         self->onReadable();
+                       }
+                     });
+}
+
+void UpstreamConnection::onReadable() {
+  if (m_paused) {
+    return;  // resume() reads
+  }
+  asio::error_code error;
+  const std::size_t count = socket_.read_some(asio::buffer(m_pool->readBuffer), error);
+  if (error == asio::error::would_block) {
+    read();
+  } else if (error) {
+    onReadError(error);
+  } else {
+    onBytes(count);
+  }
 }
 
 void UpstreamConnection::onReadError(const asio::error_code& error) {
@@ -285,8 +322,8 @@
   }
   std::size_t offset = 0;
   while (offset < count && !m_responseComplete && !closed_) {
-    const std::size_t parsed =
-        http_parser_execute(&parser_, &parserSettings(), buffer_.data() + offset, count - offset);
+    const std::size_t parsed = http_parser_execute(
+        &parser_, &parserSettings(), m_pool->readBuffer.data() + offset, count - offset);
     const http_errno error = HTTP_PARSER_ERRNO(&parser_);
     if (closed_) {
       return;
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -26,9 +26,11 @@
 /// Maximum size of the headers of a response. Longer headers are an error.
 inline constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
 
-/// Returns the HTTP/1.1 representation of `request` without header fields that cannot be sent.
-/// Empty if the target cannot be sent.
-[[nodiscard]] std::string serializeRequest(const UpstreamRequest& request);
+/// Returns the HTTP/1.1 representation of the head of `request` without header fields that cannot
+/// be sent. Empty if the target cannot be sent.
+[[nodiscard]] std::string serializeHead(const UpstreamRequest& request);
+/// Returns the body that is sent with `request`.
+[[nodiscard]] const std::string& bodyOf(const UpstreamRequest& request);
 
 class UpstreamConnection;
 
@@ -41,12 +43,16 @@
   std::shared_ptr<UpstreamConnection> acquireIdle(const Address& address);
   void releaseIdle(const std::shared_ptr<UpstreamConnection>& connection);
   void removeIdle(const std::shared_ptr<UpstreamConnection>& connection);
+  /// Closes an idle connection if there are too many connections to open another one.
+  void makeRoomForConnection();
 
   asio::io_context& context;
   const UpstreamClientSettings settings;
   std::map<ExchangeId, std::shared_ptr<UpstreamConnection>> active;
   std::map<Address, std::vector<std::shared_ptr<UpstreamConnection>>> idle;
   UpstreamCounters counters;
+  /// Shared by all connections, which read only when data has arrived and parse it at once.
+  std::array<char, kUpstreamReadBytes> readBuffer{};
   ExchangeId nextExchangeId{1};
   bool stopped = false;
 };
@@ -64,7 +70,7 @@
     id_ = id;
     request_ = std::move(request);
     events_ = std::move(events);
-    output_ = serializeRequest(request_);
+    m_head = serializeHead(request_);
     m_inExchange = true;
     m_paused = false;
     m_sentAt.reset();
@@ -126,6 +132,7 @@
   int onBody(std::string_view data);
   void write();
   void read();
+  void onReadable();
   void onBytes(std::size_t count);
   void onReadError(const asio::error_code& error);
   int onHeadersComplete();
@@ -149,8 +156,7 @@
   ExchangeId id_;
   UpstreamRequest request_;
   UpstreamEvents events_;
-  std::string output_;
-  std::array<char, kUpstreamReadBytes> buffer_{};
+  std::string m_head;  ///< serialized
   http_parser parser_{};
   HeaderCollector m_headerCollector;
   std::size_t m_headerBytes = 0;
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -48,6 +48,7 @@
         instances_(instances),
         usage_(usage),
         m_quarantineClient(quarantineClient),
+        m_body(std::make_shared<const std::string>(std::move(request.body))),
         request_(std::move(request)),
         exchange_(std::move(exchange)),
         route_(route),
@@ -82,6 +83,7 @@
     int status = 0;
     http::HeaderList headers;
     std::string body;
+    std::size_t reservedBytes = 0;             ///< memory reserved for `body`
     std::shared_ptr<http::StreamRelay> relay;  ///< set while the response is streamed to the caller
   };
 
@@ -106,7 +108,10 @@
   void armHedge();
   void onHead(std::uint64_t attemptId, int status, const http::HeaderList& headers);
   void onData(std::uint64_t attemptId, std::string_view data);
-  /// Handles a body that exceeds kMaxBufferedBytes.
+  /// Reserves memory to receive a body of `bytes` bytes completely. Returns false if it must be
+  /// passed on instead, because it exceeds kMaxBufferedBytes or there is no memory.
+  [[nodiscard]] bool reserveBody(Attempt& attempt, std::size_t bytes) const;
+  /// Handles a body that cannot be received completely first.
   void onLongBody(std::uint64_t attemptId, std::string_view data);
   /// Starts to stream the attempt's response to the caller.
   void startRelay(Attempt& attempt);
@@ -136,7 +141,8 @@
   forwarding::InstanceTable& instances_;
   UsageSender& usage_;
   QuarantineClient& m_quarantineClient;
-  const http::RawRequest request_;
+  const std::shared_ptr<const std::string> m_body;
+  const http::RawRequest request_;  ///< without its body
   std::shared_ptr<http::Exchange> exchange_;
   const directory::Route route_;
   const std::string host_;
@@ -158,8 +164,8 @@
 
 const quarantine::RequestFingerprint& ForwardedRequest::fingerprint() {
   if (!m_fingerprint) {
-    m_fingerprint = m_quarantineClient.fingerprint(
-        {request_.method, host_, request_.target, tenant_, request_.body});
+    m_fingerprint =
+        m_quarantineClient.fingerprint({request_.method, host_, request_.target, tenant_, *m_body});
   }
   return *m_fingerprint;
 }
@@ -241,7 +247,7 @@
   if (!tenant_.empty()) {
     upstream.headers.set(names.tenant, tenant_);
   }
-  upstream.body = request_.body;
+  upstream.sharedBody = m_body;
   upstream.echoHeader = names.requestId;
   upstream.echoValue = request_.headers.value(names.requestId);
   upstream.newConnection = !policy_.repeatable();
@@ -328,13 +334,27 @@
     if (relay->forwardData(data)) {
       node_.metrics().count(telemetry::CounterId::kSlowReaders, "held_back");
     }
-  } else if (found->second.body.size() + data.size() > kMaxBufferedBytes) {
+  } else if (!reserveBody(found->second, found->second.body.size() + data.size())) {
     onLongBody(attemptId, data);
   } else {
     found->second.body.append(data);
   }
 }
 
+bool ForwardedRequest::reserveBody(Attempt& attempt, std::size_t bytes) const {
+  constexpr std::size_t kStepBytes = 16U << 10U;
+  if (bytes > kMaxBufferedBytes) {
+    return false;
+  }
+  while (attempt.reservedBytes < bytes) {
+    if (!exchange_->reserveMemory(kStepBytes)) {
+      return false;
+    }
+    attempt.reservedBytes += kStepBytes;
+  }
+  return true;
+}
+
 void ForwardedRequest::onLongBody(std::uint64_t attemptId, std::string_view data) {
   Attempt& attempt = m_activeAttempts.at(attemptId);
   const bool rejected = attempt.status == kMisdirected ||
