Jobs: bound what submissions hold at gateways and ledgers

Callers saw ledgers of 192 MB take more than that under 20 jobs of 15 MB, and a job of 31 MB take 239 MB at a gateway of 160.

Cause: a job stood as text, items, a copy for the reply, an encoded call, a copy for each send, an encoded message and a compressed frame, and was sent again every 700 ms while the first copy was still on its way. Ledgers accepted jobs whatever they held. A ledger sent any number of item bodies in one iteration, and leased items to a gateway whatever their size. The requests of finished items were cleared but kept their memory. Change: a submission reserves its text again for what is made of it. Its text is freed once parsed, the reply keeps an outline, calls are resent after the time of their transfer. Replies and leases are bounded by size. Long messages that do not compress are not compressed. The same copies are avoided for configurations.

--- a/src/base/compression.cpp
+++ b/src/base/compression.cpp
@@ -43,17 +43,34 @@
   return output;
 }
 
+/// Whether compressing a long message is not worth its time, judged by a sample from its middle.
+bool isIncompressible(const Bytes& bytes) {
+  constexpr std::size_t kLongBytes = 1U << 20U;
+  constexpr std::size_t kSampleBytes = 64U << 10U;
+  constexpr std::size_t kMinSavedBytes = kSampleBytes / 32;
+  if (bytes.size() < kLongBytes) {
+    return false;
+  }
+  Bytes compressed(ZSTD_compressBound(kSampleBytes), 0);
+  const char* const sample = bytes.data() + bytes.size() / 2;
+  const std::size_t size =
+      ZSTD_compress2(sharedContext(), compressed.data(), compressed.size(), sample, kSampleBytes);
+  return ZSTD_isError(size) != 0 || size + kMinSavedBytes > kSampleBytes;
+}
+
 }  // namespace
 
 Bytes compress(const Bytes& bytes) {
-  if (bytes.size() < kMinBytes) {
+  if (bytes.size() < kMinBytes || isIncompressible(bytes)) {
     return markUncompressed(bytes);
   }
   Bytes compressed(1 + ZSTD_compressBound(bytes.size()), kCompressed);
   const std::size_t size = ZSTD_compress2(sharedContext(), compressed.data() + 1,
                                           compressed.size() - 1, bytes.data(), bytes.size());
   if (ZSTD_isError(size) != 0 || size >= bytes.size()) {
-    return markUncompressed(bytes);
+    compressed.front() = kUncompressed;
+    compressed.replace(1, Bytes::npos, bytes);
+    return compressed;
   }
   compressed.resize(1 + size);
   return compressed;
--- a/src/cluster/cluster_member.cpp
+++ b/src/cluster/cluster_member.cpp
@@ -204,8 +204,11 @@
                                 JobCallback callback) {
   client.call(
       transport::CommandKind::kLeaderCall, base::encode(request), now, outbox_,
-      [callback = std::move(callback)](const base::Bytes* result, base::TimePoint) {
-        const auto reply = result == nullptr ? std::nullopt : base::decode<jobs::JobReply>(*result);
+      [&client, callback = std::move(callback)](const base::Bytes* result, base::TimePoint) {
+        auto reply = result == nullptr ? std::nullopt : base::decode<jobs::JobReply>(*result);
+        if (reply) {
+          reply->mayBeRepeated = client.anotherCopyMayArrive();
+        }
         callback(reply ? &*reply : nullptr);
       },
       timeouts);
--- a/src/consensus/group_client.cpp
+++ b/src/consensus/group_client.cpp
@@ -16,6 +16,9 @@
   call.request.payload = std::move(payload);
   call.deadline = now + (timeouts ? timeouts->deadline : settings_.deadline);
   call.resendInterval = timeouts ? timeouts->resendInterval : settings_.resendInterval;
+  // A copy that is sent before the first one can have arrived only adds load.
+  call.resendInterval +=
+      base::seconds(1) * call.request.payload.size() / settings_.minBytesPerSecond;
   call.callback = std::move(callback);
   ++next_call_.value;
   send(call, now, outbox);
@@ -31,10 +34,12 @@
   if (response.status == CommandStatus::kOk) {
     m_failedAttempts = 0;
     const Callback callback = std::move(found->second.callback);
+    m_anotherCopyMayArrive = found->second.unansweredSends > 1;
     calls_.erase(found);
     callback(&response.payload, now);
     return;
   }
+  --found->second.unansweredSends;
   const bool sameLeader = leader_.valid() && response.leader == leader_;
   leader_ = response.leader;
   if (leader_.valid() && !sameLeader) {
@@ -109,6 +114,7 @@
   call.sentAt = now;
   call.sentTo = target();
   call.resendSoon = false;
+  ++call.unansweredSends;
   outbox.push_back({call.sentTo, call.request});
 }
 
--- a/src/consensus/group_client.h
+++ b/src/consensus/group_client.h
@@ -21,6 +21,8 @@
   /// Time after which a call ends without a result. Must exceed the maximum time until a change
   /// takes effect.
   base::Duration deadline = base::seconds(12);
+  /// Rate at which a call is at least transferred. Delays resending by the time that this takes.
+  std::size_t minBytesPerSecond = 8U << 20U;
 };
 
 /// Timeouts of one call, which override those of GroupClientSettings.
@@ -54,6 +56,8 @@
   void setReplicas(std::vector<base::NodeId> replicas,
                    std::vector<base::NodeId> fallbackReplicas = {});
   [[nodiscard]] base::GroupId group() const { return settings_.group; }
+  /// Whether another copy of the call whose callback is being called may still arrive at a replica.
+  [[nodiscard]] bool anotherCopyMayArrive() const { return m_anotherCopyMayArrive; }
   /// Returns the number of calls without a result.
   [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
 
@@ -65,6 +69,7 @@
     bool resendSoon = false;  ///< to be sent again after kRetryDelay
     base::TimePoint deadline{};
     base::Duration resendInterval{0};
+    std::size_t unansweredSends = 0;
     Callback callback;
   };
 
@@ -80,6 +85,7 @@
   std::size_t m_failedAttempts = 0;  ///< attempts since the last successful response
   std::vector<base::NodeId> m_fallbackReplicas;
   std::map<base::CallId, Call> calls_;
+  bool m_anotherCopyMayArrive = false;
 };
 
 }  // namespace tackpick::consensus
--- a/src/directory/directory_requests.cpp
+++ b/src/directory/directory_requests.cpp
@@ -10,7 +10,7 @@
 
 using transport::CommandStatus;
 
-void DirectoryRole::onRequest(const Caller& caller, const ReplaceConfiguration& request,
+void DirectoryRole::onRequest(const Caller& caller, ReplaceConfiguration& request,
                               base::TimePoint now) {
   std::string problem;
   const bool valid = base::recover(
@@ -30,7 +30,7 @@
     reply(caller, DirectoryStatus::kDone);
     return;
   }
-  proposeFor(caller, request, {}, now);
+  proposeFor(caller, std::move(request), {}, now);
 }
 
 void DirectoryRole::onRequest(const Caller& caller, const ReadConfiguration& /*request*/,
--- a/src/directory/directory_role.cpp
+++ b/src/directory/directory_role.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "base/release_memory.h"
 #include "base/sorted_cursor.h"
 #include "directory/incarnation.h"
 
@@ -43,10 +44,11 @@
   replica_.handle(from, message, now);
 }
 
-void DirectoryRole::handle(base::NodeId from, const transport::CommandRequest& message,
+void DirectoryRole::handle(base::NodeId from, transport::CommandRequest message,
                            base::TimePoint now) {
   const Caller caller{from, message.call};
-  const auto request = base::decode<DirectoryRequest>(message.payload);
+  auto request = base::decode<DirectoryRequest>(message.payload);
+  base::releaseMemory(message.payload);
   if (!request) {
     return;
   }
@@ -54,7 +56,7 @@
     service_.reject(caller, CommandStatus::kNotLeader);
     return;
   }
-  std::visit([&](const auto& typed) { onRequest(caller, typed, now); }, *request);
+  std::visit([&](auto& typed) { onRequest(caller, typed, now); }, *request);
 }
 
 void DirectoryRole::onLoadCommandOutcome(const LoadCommand& command, LoadCommandOutcome outcome,
--- a/src/directory/directory_role.h
+++ b/src/directory/directory_role.h
@@ -71,7 +71,7 @@
                 base::Random& random, const base::WallTimeSource& wall, base::TimePoint now);
 
   void handle(base::NodeId from, const transport::RaftEnvelope& message, base::TimePoint now);
-  void handle(base::NodeId from, const transport::CommandRequest& message, base::TimePoint now);
+  void handle(base::NodeId from, transport::CommandRequest message, base::TimePoint now);
   void onLoadCommandOutcome(const LoadCommand& command, LoadCommandOutcome outcome,
                             base::TimePoint now);
   void onUsageOutcome(const duties::UsageReport& report, duties::UsageReportOutcome outcome,
@@ -129,7 +129,7 @@
 
   [[nodiscard]] std::map<std::string, double> modelDemand(base::TimePoint now) const;
   [[nodiscard]] bool holdsLeaderLease(base::TimePoint now) const { return replica_.canRead(now); }
-  void onRequest(const Caller& caller, const ReplaceConfiguration& request, base::TimePoint now);
+  void onRequest(const Caller& caller, ReplaceConfiguration& request, base::TimePoint now);
   void onRequest(const Caller& caller, const ReadConfiguration& request, base::TimePoint now);
   void onRequest(const Caller& caller, const InstanceHeartbeat& request, base::TimePoint now);
   void onRequest(const Caller& caller, const DeregisterInstance& request, base::TimePoint now);
--- a/src/directory/directory_state.cpp
+++ b/src/directory/directory_state.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cereal/types/deque.hpp>
 #include <iterator>
+#include <utility>
 
 #include "directory/incarnation.h"
 
@@ -17,16 +18,16 @@
 
 base::Bytes DirectoryState::apply(consensus::LogIndex index, const base::Bytes& command) {
   m_applyingIndex = index;
-  const auto decoded = base::decode<DirectoryCommand>(command);
+  auto decoded = base::decode<DirectoryCommand>(command);
   if (decoded) {
-    std::visit([this](const auto& typed) { applyCommand(typed); }, *decoded);
+    std::visit([this](auto& typed) { applyCommand(typed); }, *decoded);
   }
   return {};
 }
 
-void DirectoryState::applyCommand(const ReplaceConfiguration& command) {
+void DirectoryState::applyCommand(ReplaceConfiguration& command) {
   if (command.configuration.version > data_.configuration.version) {
-    data_.configuration = command.configuration;
+    data_.configuration = std::move(command.configuration);
     ++data_.revision;
   }
 }
--- a/src/directory/directory_state.h
+++ b/src/directory/directory_state.h
@@ -96,7 +96,7 @@
     }
   };
 
-  void applyCommand(const ReplaceConfiguration& command);
+  void applyCommand(ReplaceConfiguration& command);
   void applyCommand(const RegisterInstance& command);
   void applyCommand(const RemoveInstance& command);
   void applyCommand(const ExpireInstances& command);
--- a/src/edge/timeout_responses.cpp
+++ b/src/edge/timeout_responses.cpp
@@ -9,6 +9,15 @@
   return {submission ? http::status::kGatewayTimeout : http::status::kUnavailable, {}, {}};
 }
 
+Response jobOverloadedResponse(const jobs::JobReply& reply) {
+  if (reply.mayBeRepeated) {
+    return {http::status::kGatewayTimeout, {}, {}};
+  }
+  Response response{http::status::kUnavailable, {}, {}};
+  response.headers.add("Retry-After", "1");
+  return response;
+}
+
 Response controlTimeoutResponse() { return {http::status::kUnavailable, {}, {}}; }
 
 }  // namespace tackpick::edge
--- a/src/jobs/gateway_capacity.cpp
+++ b/src/jobs/gateway_capacity.cpp
@@ -62,4 +62,12 @@
       std::clamp<double>(*minBound, kMinGatewaySlots, kMaxGatewaySlots));
 }
 
+std::size_t maxItemBytes(const GatewayCapacity& capacity) {
+  constexpr std::uint32_t kDefaultMemoryMb = 256;
+  constexpr unsigned kMegabyteShift = 20;
+  constexpr std::size_t kMemoryDivisor = 16;
+  const std::uint32_t memoryMb = capacity.memoryMb > 0 ? capacity.memoryMb : kDefaultMemoryMb;
+  return (static_cast<std::size_t>(memoryMb) << kMegabyteShift) / kMemoryDivisor;
+}
+
 }  // namespace tackpick::jobs
--- a/src/jobs/gateway_capacity.h
+++ b/src/jobs/gateway_capacity.h
@@ -2,6 +2,7 @@
 /// Number of engine slots that a gateway can serve.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -33,4 +34,7 @@
 /// all resources are unknown. Implausible values count as unknown.
 [[nodiscard]] std::optional<std::uint32_t> slotsFor(const GatewayCapacity& capacity);
 
+/// Returns the memory that the requests of the items of a gateway with `capacity` may take.
+[[nodiscard]] std::size_t maxItemBytes(const GatewayCapacity& capacity);
+
 }  // namespace tackpick::jobs
--- a/src/jobs/item_leases.cpp
+++ b/src/jobs/item_leases.cpp
@@ -269,7 +269,8 @@
 }
 
 std::vector<GrantedItem> ItemLeases::lease(base::NodeId gateway, FreeSlots requestedSlots,
-                                           const JobState& state, base::TimePoint now) {
+                                           const JobState& state, base::TimePoint now,
+                                           std::size_t maxBytes) {
   std::vector<GrantedItem> leased;
   if (now < m_leasingFrom) {
     return leased;
@@ -277,6 +278,8 @@
   plan(state, now);
   leaseScoringOnly(gateway, state, now, leased);
   LeaseRequest request = makeLeaseRequest(gateway, std::move(requestedSlots), now);
+  request.itemBytes = leasedBytes(gateway, state);
+  request.maxBytes = maxBytes;
   for (auto& [zone, jobs] : plan_.zones()) {
     const std::uint64_t minVersion =
         zone.empty() ? 0 : affinity_.minConfigurationVersion(gateway, zone, now);
@@ -331,6 +334,24 @@
   return request;
 }
 
+std::size_t ItemLeases::leasedBytes(base::NodeId gateway, const JobState& state) const {
+  std::size_t bytes = 0;
+  const auto found = leases_by_gateway_.find(gateway);
+  if (found != leases_by_gateway_.end()) {
+    for (const ItemKey& key : found->second) {
+      const Job* job = state.find(key.job);
+      bytes += job == nullptr ? 0 : memoryOf(job->submission.items[key.item]);
+    }
+  }
+  return bytes;
+}
+
+bool ItemLeases::fits(const LeaseRequest& request, std::size_t itemBytes) {
+  constexpr std::size_t kSmallDivisor = 8;
+  return request.itemBytes <= request.maxBytes / kSmallDivisor ||
+         request.itemBytes + itemBytes <= request.maxBytes;
+}
+
 std::vector<GatewaySummary> ItemLeases::gateways() const {
   std::vector<GatewaySummary> gateways = m_gatewaySelector.summaries();
   for (GatewaySummary& summary : gateways) {
@@ -358,6 +379,12 @@
       ++index;
       continue;
     }
+    const std::size_t itemBytes =
+        memoryOf(state.find(next->key.job)->submission.items[next->key.item]);
+    if (!fits(request, itemBytes)) {
+      ++index;
+      continue;
+    }
     if (request.remainingItems == 0 ||
         !request.freeSlots.take(planned.model, planned.minimumVersion)) {
       if (request.affinityOnly) {
@@ -366,6 +393,7 @@
       return;
     }
     --request.remainingItems;
+    request.itemBytes += itemBytes;
     m_engineAffinity.onItemLeased(request.gateway, next->engine, request.now);
     addLease(next->key, {request.gateway, request.now + lease_time_, next->engine});
     m_scheduler->onLeased(next->key.job);
--- a/src/jobs/item_leases.h
+++ b/src/jobs/item_leases.h
@@ -2,6 +2,7 @@
 /// Leases of items to gateways, kept in the memory of the ledgers' leader.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -91,9 +92,11 @@
   /// `requestedSlots`, and items with complete text that need only a score. Leases no item of a job
   /// that was accepted under a newer configuration than the gateway applies: the gateway could not
   /// tell a route that it has not received from one that was removed. The caller must check with
-  /// the gateway selector that the gateway is active.
-  [[nodiscard]] std::vector<GrantedItem> lease(base::NodeId gateway, FreeSlots requestedSlots,
-                                               const JobState& state, base::TimePoint now);
+  /// the gateway selector that the gateway is active. `maxBytes`: memory that the requests of the
+  /// gateway's items may take. A larger item is leased to a gateway whose other items are small.
+  [[nodiscard]] std::vector<GrantedItem> lease(
+      base::NodeId gateway, FreeSlots requestedSlots, const JobState& state, base::TimePoint now,
+      std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
   /// Returns the number of leased items by the engine on which they run or were placed.
   [[nodiscard]] const std::map<std::string, std::uint32_t>& itemsByEngine() const {
     return items_by_engine_;
@@ -156,9 +159,15 @@
     std::uint64_t configurationVersion = 0;  ///< version that the gateway applies
     FreeSlots freeSlots;
     std::size_t remainingItems = 0;  ///< maximum number of items that it may still lease
+    std::size_t itemBytes = 0;       ///< memory of the requests of its items
+    std::size_t maxBytes = 0;
     bool affinityOnly = false;  ///< lease only items of engines for which the gateway is eligible
   };
 
+  /// Returns the memory of the requests of the items that are leased to a gateway.
+  [[nodiscard]] std::size_t leasedBytes(base::NodeId gateway, const JobState& state) const;
+  /// Whether the gateway may lease an item whose request takes `itemBytes`.
+  [[nodiscard]] static bool fits(const LeaseRequest& request, std::size_t itemBytes);
   /// Expires leases of earlier processes at the gateway's address.
   void expireLeasesOfOldIncarnations(base::NodeId gateway, base::TimePoint now);
   /// Expires leases of items that the gateway does not hold: the gateway has released them, or the
--- a/src/jobs/job_role.cpp
+++ b/src/jobs/job_role.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "base/release_memory.h"
+
 namespace tackpick::jobs {
 
 using transport::CommandStatus;
@@ -37,10 +39,10 @@
   replica_.handle(from, message, now);
 }
 
-void JobRole::handle(base::NodeId from, const transport::CommandRequest& message,
-                     base::TimePoint now) {
+void JobRole::handle(base::NodeId from, transport::CommandRequest message, base::TimePoint now) {
   const Caller caller{from, message.call};
-  const auto request = base::decode<JobRequest>(message.payload);
+  auto request = base::decode<JobRequest>(message.payload);
+  base::releaseMemory(message.payload);
   if (!request) {
     return;
   }
@@ -49,17 +51,42 @@
     service_.reject(caller, CommandStatus::kNotLeader);
     return;
   }
-  std::visit([&](const auto& typed) { onRequest(caller, typed, now); }, *request);
+  std::visit([&](auto& typed) { onRequest(caller, typed, now); }, *request);
 }
 
-void JobRole::onRequest(const Caller& caller, const SubmitJob& request, base::TimePoint now) {
+void JobRole::onRequest(const Caller& caller, SubmitJob& request, base::TimePoint now) {
   if (const Job* known = state_.find(request.job.id)) {
     JobReply reply;
     reply.status = known->belongsTo(request.job.tenant) ? JobStatus::kDone : JobStatus::kNotOwner;
     replyWith(caller, reply);
     return;
   }
-  proposeFor(caller, request, now);
+  const std::string& id = request.job.id;
+  if (!m_proposedBytes.contains(id) && !fits(request.job)) {
+    JobReply reply;
+    reply.status = JobStatus::kOverloaded;
+    replyWith(caller, reply);
+    return;
+  }
+  m_proposedBytes[id] = memoryOfItems(request.job);
+  proposeFor(caller, std::move(request), now);
+}
+
+bool JobRole::mayReply(std::size_t bytes) {
+  if (m_iterationReplyBytes > 0 &&
+      m_iterationReplyBytes + bytes > settings_.maxIterationReplyBytes) {
+    return false;
+  }
+  m_iterationReplyBytes += bytes;
+  return true;
+}
+
+bool JobRole::fits(const JobSubmission& job) const {
+  std::size_t bytes = state_.itemBytes() + memoryOfItems(job);
+  for (const auto& [id, proposedBytes] : m_proposedBytes) {
+    bytes += proposedBytes;
+  }
+  return bytes <= settings_.maxItemBytes;
 }
 
 void JobRole::onRequest(const Caller& caller, const ReadJob& request, base::TimePoint now) {
@@ -74,6 +101,9 @@
     for (std::size_t i = 0; i < job->hasResult.size(); ++i) {
       const Item& item = job->submission.items[i];
       if (item.id == request.item && !job->hasResult[i]) {
+        if (!mayReply(item.body.size())) {
+          return;
+        }
         reply.status = JobStatus::kDone;
         reply.body = item.body;
       }
@@ -104,7 +134,8 @@
   reply.standby = !leases_.gatewaySelector().isActive(caller.node, request.zone, now);
   reply.activeGateways = leases_.gatewaySelector().activeCount(now);
   if (!reply.standby) {
-    for (const GrantedItem& granted : leases_.lease(caller.node, request.freeSlots, state_, now)) {
+    for (const GrantedItem& granted : leases_.lease(caller.node, request.freeSlots, state_, now,
+                                                    maxItemBytes(request.capacity))) {
       reply.leased.push_back(makeLeasedItem(granted, now));
     }
   }
@@ -281,6 +312,7 @@
   checkLeadership(now);
   registerNewJobs(now);
   replyToReads(now);
+  m_iterationReplyBytes = 0;
   transport::Outbox replies = std::exchange(service_.outbox(), {});
   messages.insert(messages.end(), std::make_move_iterator(replies.begin()),
                   std::make_move_iterator(replies.end()));
@@ -292,6 +324,8 @@
     return;
   }
   m_observedRevision = state_.jobsRevision();
+  std::erase_if(m_proposedBytes,
+                [&](const auto& proposed) { return state_.find(proposed.first) != nullptr; });
   std::erase_if(m_submissions, [&](const auto& known) {
     const Job* job = state_.find(known.first);
     return job == nullptr || job->submittedAt != known.second.index;
@@ -336,6 +370,7 @@
     m_intervalReporters.clear();
     m_longPoll.reset();
     m_leasedRevision.reset();
+    m_proposedBytes.clear();
   }
   was_leader_ = raft.isLeader();
   observed_term_ = raft.currentTerm();
@@ -357,11 +392,9 @@
       replyWith(pending.caller, reply);
       continue;
     }
-    if (shouldWait(pending, *job, now)) {
+    if (shouldWait(pending, *job, now) || !replyToRead(pending, *job)) {
       reads_.push_back(std::move(pending));
-      continue;
     }
-    replyToRead(pending, *job);
   }
 }
 
@@ -377,7 +410,7 @@
                                pending.receivedAt - submittedAt, pending.expiresAt - now);
 }
 
-void JobRole::replyToRead(const PendingRead& pending, const Job& job) {
+bool JobRole::replyToRead(const PendingRead& pending, const Job& job) {
   const std::uint64_t begin = std::min<std::uint64_t>(pending.read.after, job.results.size());
   std::uint64_t end = begin;
   std::size_t bytes = 0;
@@ -393,10 +426,13 @@
   const base::NodeId preferredReplica = pending.read.preferredReplica;
   if (preferredReplica.valid() && preferredReplica != self_ && bytes > settings_.maxInlineBytes) {
     reply.replicaResults = end - begin;
-  } else {
+  } else if (mayReply(bytes)) {
     reply.results = resultsOf(job, begin, end);
+  } else {
+    return false;
   }
   replyWith(pending.caller, reply);
+  return true;
 }
 
 std::optional<consensus::Membership> JobRole::stableMembership(base::TimePoint now) const {
--- a/src/jobs/job_role.h
+++ b/src/jobs/job_role.h
@@ -2,6 +2,7 @@
 /// The ledger role of a node: replicated jobs and the leases of their items.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,6 +43,11 @@
   /// Maximum size of results, in bytes, that are returned inline if the reader names a preferred
   /// replica.
   std::size_t maxInlineBytes = 4U << 10U;
+  /// Maximum memory of the items of all jobs. Above it, submissions are rejected.
+  std::size_t maxItemBytes = std::numeric_limits<std::size_t>::max();
+  /// Maximum size of the replies with items or results in one iteration of the event loop. Above
+  /// it, replies wait or are left to a repeated request; one is sent whatever its size.
+  std::size_t maxIterationReplyBytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Ledger role: handles requests about jobs. Only the leader replies, while it holds its read
@@ -52,7 +58,7 @@
           consensus::LogStore& log, base::Random& random, base::TimePoint now);
 
   void handle(base::NodeId from, const transport::RaftEnvelope& message, base::TimePoint now);
-  void handle(base::NodeId from, const transport::CommandRequest& message, base::TimePoint now);
+  void handle(base::NodeId from, transport::CommandRequest message, base::TimePoint now);
   /// Sets the ledgers known to the controllers.
   void setNodes(std::vector<cluster::GroupNode> nodes) { nodes_ = std::move(nodes); }
   /// Handles the loss of the connection to a node.
@@ -111,7 +117,7 @@
     base::TimePoint expiresAt{};
   };
 
-  void onRequest(const Caller& caller, const SubmitJob& request, base::TimePoint now);
+  void onRequest(const Caller& caller, SubmitJob& request, base::TimePoint now);
   void onRequest(const Caller& caller, const ReadJob& request, base::TimePoint now);
   void onRequest(const Caller& caller, const ReadItem& request, base::TimePoint now);
   void onRequest(const Caller& caller, const EndJob& request, base::TimePoint now);
@@ -122,6 +128,11 @@
   /// Fetches of results are also handled by replicas that are not the leader.
   void onRequest(const Caller& caller, const FetchResults& request, base::TimePoint now);
 
+  /// Counts a reply of `bytes` bytes. Returns false if it must not be sent in this iteration.
+  [[nodiscard]] bool mayReply(std::size_t bytes);
+  /// Whether the items of a new job fit beside those of the known jobs and of the submissions that
+  /// are not applied yet.
+  [[nodiscard]] bool fits(const JobSubmission& job) const;
   void replyWith(const Caller& caller, const JobReply& reply);
   void proposeFor(const Caller& caller, const JobCommand& command, base::TimePoint now);
   [[nodiscard]] OpenJob openJobOf(const std::string& id, const Job& job, base::TimePoint now) const;
@@ -138,7 +149,8 @@
   /// Adds jobs that are new to this leader to the leases.
   void registerNewJobs(base::TimePoint now);
   void replyToReads(base::TimePoint now);
-  void replyToRead(const PendingRead& pending, const Job& job);
+  /// Returns false if the reply does not fit into this iteration.
+  [[nodiscard]] bool replyToRead(const PendingRead& pending, const Job& job);
   /// Whether the read should be held.
   [[nodiscard]] bool shouldWait(const PendingRead& pending, const Job& job, base::TimePoint now);
   void expireJobs(base::TimePoint now);
@@ -159,8 +171,11 @@
   /// JobState::jobsRevision() at the last recordSubmissions()
   std::uint64_t m_observedRevision = 0;
   std::map<std::string, SubmissionRecord> m_submissions;  ///< by job
+  /// Memory of the items of submissions that this leader has proposed and not applied yet, by job.
+  std::map<std::string, std::size_t> m_proposedBytes;
   base::TimePoint m_maintenanceAt{};
   std::vector<PendingRead> reads_;
+  std::size_t m_iterationReplyBytes = 0;
   /// Gateways that reported event intervals in this term.
   std::set<base::NodeId> m_intervalReporters;
 };
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -5,6 +5,7 @@
 
 #include "base/compression.h"
 #include "base/large_value.h"
+#include "base/release_memory.h"
 
 namespace tackpick::jobs {
 
@@ -12,14 +13,6 @@
 
 constexpr std::size_t kMaxStateBytes = std::size_t{1} << 30U;
 
-/// Clears all but the id of an item that need not run any more.
-void clearRequest(Item& item) {
-  item.path = {};
-  item.headers = {};
-  item.body = {};
-  item.scoring.reset();
-}
-
 /// Whether `progress` continues the saved text or replaces it. A text consists of runs of
 /// successive gateways, each continuing after the last event of the previous one; a delta with
 /// any other predecessor would mix the texts of two runs.
@@ -66,7 +59,18 @@
   return true;
 }
 
-void addResult(Job& job, ItemResult result) {
+}  // namespace
+
+void JobState::clearRequest(Item& item) {
+  m_itemBytes -= memoryOf(item);
+  base::releaseMemory(item.path);
+  base::releaseMemory(item.headers);
+  base::releaseMemory(item.body);
+  item.scoring.reset();
+  m_itemBytes += memoryOf(item);
+}
+
+void JobState::addResult(Job& job, ItemResult result) {
   const std::uint32_t item = result.item;
   if (item >= job.hasResult.size() || job.hasResult[item] || !prependSaved(job, result)) {
     return;
@@ -77,28 +81,28 @@
   clearRequest(job.submission.items[item]);
 }
 
-}  // namespace
-
 base::Bytes encodeCommand(const JobCommand& command) {
   return base::compress(base::encode(command));
 }
 
 base::Bytes JobState::apply(consensus::LogIndex index, const base::Bytes& command) {
   const auto bytes = base::decompress(command, kMaxStateBytes);
-  const auto decoded = bytes ? base::decode<JobCommand>(*bytes) : std::nullopt;
+  auto decoded = bytes ? base::decode<JobCommand>(*bytes) : std::nullopt;
   if (decoded) {
-    std::visit([&](const auto& typed) { applyCommand(typed, index); }, *decoded);
+    std::visit([&](auto& typed) { applyCommand(typed, index); }, *decoded);
     ++revision_;
   }
   return {};
 }
 
-void JobState::applyCommand(const SubmitJob& command, consensus::LogIndex index) {
+void JobState::applyCommand(SubmitJob& command, consensus::LogIndex index) {
   const auto [entry, added] = jobs_.try_emplace(command.job.id);
   if (added) {
-    entry->second.submission = command.job;
-    entry->second.submittedAt = index;
-    entry->second.hasResult.assign(command.job.items.size(), false);
+    Job& job = entry->second;
+    job.submission = std::move(command.job);
+    job.submittedAt = index;
+    job.hasResult.assign(job.submission.items.size(), false);
+    m_itemBytes += memoryOfItems(job.submission);
     ++m_jobsRevision;
     ++m_workRevision;
   }
@@ -132,7 +136,11 @@
 
 void JobState::applyCommand(const RemoveJobs& command, consensus::LogIndex /*index*/) {
   for (const std::string& id : command.ids) {
-    jobs_.erase(id);
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end()) {
+      m_itemBytes -= memoryOfItems(found->second.submission);
+      jobs_.erase(found);
+    }
   }
 }
 
@@ -198,6 +206,10 @@
 void JobState::loadSnapshot(const base::Bytes& snapshot) {
   jobs_.clear();  // two states may exceed the available memory
   jobs_ = base::decode<Jobs>(snapshot).value_or(Jobs{});
+  m_itemBytes = 0;
+  for (const auto& [id, job] : jobs_) {
+    m_itemBytes += memoryOfItems(job.submission);
+  }
   ++revision_;
   ++m_jobsRevision;
   ++m_workRevision;
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -68,18 +68,24 @@
   [[nodiscard]] std::uint64_t jobsRevision() const { return m_jobsRevision; }
   /// Increases whenever a job is added, ends or completes.
   [[nodiscard]] std::uint64_t workRevision() const { return m_workRevision; }
+  /// Returns the memory of the items of all jobs.
+  [[nodiscard]] std::size_t itemBytes() const { return m_itemBytes; }
 
  private:
-  void applyCommand(const SubmitJob& command, consensus::LogIndex index);
+  void applyCommand(SubmitJob& command, consensus::LogIndex index);
   void applyCommand(const EndJob& command, consensus::LogIndex index);
   void applyCommand(const CommitResults& command, consensus::LogIndex index);
   void applyCommand(const RemoveJobs& command, consensus::LogIndex index);
   void applyCommand(const SaveProgress& command, consensus::LogIndex index);
+  void addResult(Job& job, ItemResult result);
+  /// Clears all but the id of an item that need not run any more.
+  void clearRequest(Item& item);
 
   Jobs jobs_;
   std::uint64_t revision_ = 0;
   std::uint64_t m_jobsRevision = 0;
   std::uint64_t m_workRevision = 0;
+  std::size_t m_itemBytes = 0;
 };
 
 }  // namespace tackpick::jobs
--- a/src/node/control_server.cpp
+++ b/src/node/control_server.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/release_memory.h"
 #include "directory/request_label.h"
 #include "edge/capacity_call.h"
 #include "edge/quarantine_call.h"
@@ -10,6 +11,7 @@
 #include "http/status.h"
 #include "node/node.h"
 #include "node/work_reader.h"
+#include "runtime/server_limits.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
@@ -22,8 +24,8 @@
 constexpr base::Duration kCallTimeout = base::milliseconds(1500);
 constexpr std::string_view kReadWork = "read_work";
 
-http::ExchangeLimits limits() {
-  http::ExchangeLimits limits;
+http::ExchangeLimits limits(const config::ResourceLimits& process) {
+  http::ExchangeLimits limits = runtime::serverLimits(process);
   limits.maxBodyBytes = kMaxBodyBytes;
   return limits;
 }
@@ -43,13 +45,13 @@
 ControlServer::ControlServer(Node& node)
     : node_(node),
       m_heartbeatRelay({}),
-      server_(
-          node.context(), node.settings().control.host, node.settings().control.port, limits(),
-          [this](const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange) {
-            onRequest(request, exchange);
-          }) {}
+      server_(node.context(), node.settings().control.host, node.settings().control.port,
+              limits(node.settings().limits),
+              [this](http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange) {
+                onRequest(std::move(request), exchange);
+              }) {}
 
-void ControlServer::onRequest(const http::RawRequest& request,
+void ControlServer::onRequest(http::RawRequest request,
                               const std::shared_ptr<http::Exchange>& exchange) {
   std::optional<edge::ControlCall> builtinCall = edge::quarantineCall(request);
   if (!builtinCall) {
@@ -58,7 +60,8 @@
   if (!builtinCall) {
     builtinCall = edge::workCall(request);
   }
-  edge::ControlCall call = builtinCall ? *builtinCall : node_.apiAdapter().controlCall(request);
+  edge::ControlCall call =
+      builtinCall ? std::move(*builtinCall) : node_.apiAdapter().controlCall(request);
   if (std::holds_alternative<edge::UnknownCall>(call)) {
     exchange->respond(kNotFound, {}, {});
     return;
@@ -72,8 +75,9 @@
     respondWithWork(exchange);
     return;
   }
-  const auto directoryCall =
-      std::make_shared<directory::DirectoryRequest>(std::get<directory::DirectoryRequest>(call));
+  base::releaseMemory(request.body);
+  const auto directoryCall = std::make_shared<directory::DirectoryRequest>(
+      std::move(std::get<directory::DirectoryRequest>(call)));
   const auto* heartbeat = std::get_if<directory::InstanceHeartbeat>(directoryCall.get());
   if (heartbeat != nullptr && tryAnswerHeartbeat(*heartbeat, exchange)) {
     return;
@@ -87,6 +91,10 @@
         exchange->respond(response.status, response.headers, response.body);
         recordReply(*directoryCall, reply, response.status, node_.now() - startedAt);
       });
+  if (auto* replaced = std::get_if<directory::ReplaceConfiguration>(directoryCall.get())) {
+    // The call holds the document in encoded form.
+    base::releaseMemory(replaced->configuration.document);
+  }
   node_.scheduleIteration();
 }
 
@@ -158,6 +166,7 @@
 }
 
 void ControlServer::tick() {
+  m_loadReporter.report(server_.load(), node_.metrics(), node_.now());
   const auto batch = m_heartbeatRelay.takeBatch(node_.now());
   if (!batch) {
     return;
--- a/src/node/control_server.h
+++ b/src/node/control_server.h
@@ -9,6 +9,7 @@
 #include "edge/api_adapter.h"
 #include "edge/work_call.h"
 #include "http/exchange_server.h"
+#include "node/server_load_reporter.h"
 #include "telemetry/log_rate_limiter.h"
 
 namespace tackpick::node {
@@ -24,7 +25,7 @@
   void tick();
 
  private:
-  void onRequest(const http::RawRequest& request, const std::shared_ptr<http::Exchange>& exchange);
+  void onRequest(http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange);
 
   /// Counts and logs a call that could not be parsed.
   void onMalformedCall(const http::RawRequest& request, const edge::MalformedCall& call);
@@ -47,6 +48,7 @@
   Node& node_;
   directory::HeartbeatRelay m_heartbeatRelay;
   http::ExchangeServer server_;
+  ServerLoadReporter m_loadReporter{"operators"};
   telemetry::LogRateLimiter m_malformedLogLimiter{base::seconds(1)};
 };
 
--- a/src/node/gateway_server.cpp
+++ b/src/node/gateway_server.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/release_memory.h"
 #include "edge/timeout_responses.h"
 #include "http/status.h"
 #include "jobs/request_label.h"
 #include "node/node.h"
+#include "runtime/server_limits.h"
 #include "telemetry/log.h"
 
 namespace tackpick::node {
@@ -22,6 +24,14 @@
 /// Partial texts are saved first, so that other gateways can continue the items.
 constexpr base::Duration kLeaseReleaseTime = base::milliseconds(700);
 
+/// Additional timeout of a submission for the transfer of its items.
+base::Duration transferTime(const jobs::JobRequest& request) {
+  constexpr std::size_t kMinBytesPerSecond = 8U << 20U;
+  const auto* submission = std::get_if<jobs::SubmitJob>(&request);
+  const std::size_t bytes = submission == nullptr ? 0 : jobs::memoryOfItems(submission->job);
+  return base::seconds(1) * bytes / kMinBytesPerSecond;
+}
+
 forwarding::InstanceTableSettings instanceSettings(const Node& node) {
   forwarding::InstanceTableSettings settings;
   settings.zone = node.settings().zone;
@@ -33,25 +43,17 @@
 /// receives the latest configuration within this time.
 constexpr const char* kRetryAfterSeconds = "0.5";
 
-/// Responds that the request was not run and may be retried, because this gateway has no
-/// configuration or an outdated one.
+/// Responds that the request was not run and may be retried, because this gateway has no memory for
+/// it, no configuration, or an outdated one.
 void respondRetryLater(http::Exchange& exchange) {
   http::HeaderList headers;
   headers.add("Retry-After", kRetryAfterSeconds);
   exchange.respond(kUnavailable, headers, {});
 }
 
-/// Divisor of the process's memory limit that gives the limit for unsent responses.
-constexpr std::size_t kUnsentMemoryDivisor = 8;
-
 http::ExchangeLimits toExchangeLimits(const directory::RequestLimits& limits,
                                       const config::ResourceLimits& process) {
-  constexpr unsigned kMegabyteShift = 20;
-  http::ExchangeLimits exchange;
-  if (process.memoryMb) {
-    const auto memory = static_cast<std::size_t>(*process.memoryMb) << kMegabyteShift;
-    exchange.maxTotalUnsentBytes = memory / kUnsentMemoryDivisor;
-  }
+  http::ExchangeLimits exchange = runtime::serverLimits(process);
   exchange.maxHeaderBytes = limits.headerBytes;
   exchange.maxBodyBytes = limits.bodyBytes;
   exchange.headerTimeout = limits.headerTimeout;
@@ -73,12 +75,14 @@
       result_reader_(ledgers_, ledgers_, node.clock()),
       m_itemRunner(node, instances_, routes_, ledgers_, m_quarantineClient),
       m_requestServer(
-          node.context(), node.settings().traffic.host, node.settings().traffic.port, {},
+          node.context(), node.settings().traffic.host, node.settings().traffic.port,
+          runtime::serverLimits(node.settings().limits),
           [this](http::RawRequest request, const std::shared_ptr<http::Exchange>& exchange) {
             onRequest(std::move(request), exchange);
           }),
       m_readinessServer(
-          node.context(), node.settings().readiness.host, node.settings().readiness.port, {},
+          node.context(), node.settings().readiness.host, node.settings().readiness.port,
+          runtime::probeServerLimits(node.settings().limits),
           [this](const http::RawRequest&, const std::shared_ptr<http::Exchange>& exchange) {
             onReadiness(exchange);
           }) {
@@ -118,6 +122,15 @@
     return;
   }
   const directory::Route* route = routes_.find(request.headers.value("Host"), request.target);
+  const bool isBatch = route != nullptr && route->kind == directory::RouteKind::kBatch;
+  // The items and the messages that submit them take twice as much as the text, which is freed once
+  // it is parsed.
+  if (isBatch && !exchange->reserveMemory(request.body.size())) {
+    node_.metrics().count(telemetry::CounterId::kClientsShed,
+                          toString(http::ShedReason::kNoMemory));
+    respondRetryLater(*exchange);
+    return;
+  }
   edge::GatewayCall call = node_.apiAdapter().gatewayCall(request, route);
   if (route == nullptr && std::holds_alternative<edge::ForwardCall>(call)) {
     rejectUnknown(kNotFound, exchange);
@@ -128,6 +141,7 @@
     return;
   }
   if (auto* job = std::get_if<edge::JobCall>(&call)) {
+    base::releaseMemory(request.body);
     handleJobCall(std::move(job->request), *tenant, exchange);
   } else if (std::holds_alternative<edge::MalformedCall>(call)) {
     exchange->respond(kBadRequest, {}, {});
@@ -188,18 +202,34 @@
 void GatewayServer::callLedgers(const jobs::JobRequest& request,
                                 const std::shared_ptr<http::Exchange>& exchange) {
   const base::TimePoint startedAt = node_.now();
-  const auto onReply = [this, request, exchange, startedAt](const jobs::JobReply* reply) {
-    const edge::Response response = reply == nullptr
-                                        ? edge::jobTimeoutResponse(request)
-                                        : node_.apiAdapter().jobResponse(request, *reply);
+  const auto onReply = [this, outline = jobs::outlineOf(request), exchange,
+                        startedAt](const jobs::JobReply* reply) {
+    edge::Response response = jobResponse(outline, reply);
+    const std::size_t bytes = response.body.size();
+    if (bytes > 0 && !m_requestServer.hasRoomForResponse(bytes)) {
+      // Responses that are not read by then are aborted, so this one may fit later.
+      response = edge::controlTimeoutResponse();
+      response.headers.add("Retry-After", kRetryAfterSeconds);
+    }
     exchange->respond(response.status, response.headers, response.body);
-    recordJobReply(request, reply, response, node_.now() - startedAt);
+    recordJobReply(outline, reply, response, node_.now() - startedAt);
   };
   if (const auto* read = std::get_if<jobs::ReadJob>(&request)) {
     result_reader_.read(*read, kLedgerCallTimeout + read->maxWait, onReply);
   } else {
-    ledgers_.call(request, kLedgerCallTimeout, startedAt, onReply);
+    ledgers_.call(request, kLedgerCallTimeout + transferTime(request), startedAt, onReply);
+  }
+}
+
+edge::Response GatewayServer::jobResponse(const jobs::JobRequest& request,
+                                          const jobs::JobReply* reply) const {
+  if (reply == nullptr) {
+    return edge::jobTimeoutResponse(request);
+  }
+  if (reply->status == jobs::JobStatus::kOverloaded) {
+    return edge::jobOverloadedResponse(*reply);
   }
+  return node_.apiAdapter().jobResponse(request, *reply);
 }
 
 void GatewayServer::recordJobReply(const jobs::JobRequest& request, const jobs::JobReply* reply,
@@ -261,6 +291,8 @@
   usage_.tick();
   m_quarantineClient.tick();
   logSlowReaders();
+  m_requestLoadReporter.report(m_requestServer.load(), node_.metrics(), node_.now());
+  m_readinessLoadReporter.report(m_readinessServer.load(), node_.metrics(), node_.now());
   if (!stopping_) {
     return;
   }
--- a/src/node/gateway_server.h
+++ b/src/node/gateway_server.h
@@ -14,6 +14,7 @@
 #include "node/member_ledger_client.h"
 #include "node/quarantine_client.h"
 #include "node/rejection_log.h"
+#include "node/server_load_reporter.h"
 #include "node/usage_sender.h"
 #include "telemetry/log_rate_limiter.h"
 #include "tenancy/tenant_table.h"
@@ -54,6 +55,9 @@
   void onReadiness(const std::shared_ptr<http::Exchange>& exchange) const;
   void callLedgers(const jobs::JobRequest& request,
                    const std::shared_ptr<http::Exchange>& exchange);
+  /// Returns the response to a job call; `reply` is null if there was none in time.
+  [[nodiscard]] edge::Response jobResponse(const jobs::JobRequest& request,
+                                           const jobs::JobReply* reply) const;
   /// Records the metrics and the log event of a finished job call.
   void recordJobReply(const jobs::JobRequest& request, const jobs::JobReply* reply,
                       const edge::Response& response, base::Duration took);
@@ -80,6 +84,8 @@
   ItemRunner m_itemRunner;
   http::ExchangeServer m_requestServer;
   http::ExchangeServer m_readinessServer;
+  ServerLoadReporter m_requestLoadReporter{"callers"};
+  ServerLoadReporter m_readinessLoadReporter{"readiness"};
   bool stopping_ = false;
   bool draining_ = false;
   bool m_leasesReleased = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,7 @@
 #include "node/tick_interval.h"
 #include "runtime/event_loop.h"
 #include "runtime/node_identity.h"
+#include "runtime/server_limits.h"
 #include "storage/posix_file_system.h"
 #include "telemetry/log.h"
 #include "transport/shared_key.h"
@@ -85,6 +86,7 @@
 base::Result<void> Node::open() {
   BOOST_LEAF_ASSIGN(self_, openIdentity());
   http::UpstreamClientSettings upstream;
+  upstream.maxConnections = runtime::maxUpstreamConnections(settings_.limits);
   if (settings_.role == directory::NodeRole::kController) {
     upstream.unacknowledgedTimeout = kUnacknowledgedTimeout;
   }
@@ -246,6 +248,8 @@
   jobs::JobRoleSettings settings;
   settings.repair.targetSize = 2 * settings_.toleratedLosses + 1;
   settings.retention = settings_.jobRetention;
+  settings.maxItemBytes = runtime::maxItemBytes(settings_.limits);
+  settings.maxIterationReplyBytes = runtime::maxReplyBytes(settings_.limits);
   ledger_ = std::make_unique<jobs::JobRole>(self_, directory::kLedgerGroup, settings, *log_,
                                             *random_, now());
   ledger_->setTenantPriorities(jobs::TenantPriorities(m_clusterMember->configuration().tenants));
@@ -261,11 +265,14 @@
   network.key = "self-formed cluster " + settings_.cluster;
   network.listen = {settings_.address, settings_.internalPort};
   network.derivedPeerPort = settings_.internalPort;
+  network.maxInboundHandshakes = runtime::maxPeerHandshakes(settings_.limits);
+  network.maxReceivingBytes = runtime::maxPeerMessageBytes(settings_.limits);
+  network.maxQueuedBytes = runtime::maxPeerMessageBytes(settings_.limits);
   network.onConnectionLost = [this](std::uint32_t number) { onPeerLost(number); };
   try {
     network_ = std::make_unique<transport::PeerNetwork>(
-        context_, network, [this](base::NodeId from, const transport::InternalMessage& message) {
-          onMessage(from, message);
+        context_, network, [this](base::NodeId from, transport::InternalMessage message) {
+          onMessage(from, std::move(message));
         });
     if (settings_.role == directory::NodeRole::kController) {
       m_controlServer = std::make_unique<ControlServer>(*this);
@@ -379,8 +386,8 @@
   const base::TimePoint startedAt = now();
   if (directory_) {
     m_leaderCalls->abortExpired();
-    const directory::DirectoryActions actions = directory_->finish(now());
-    sendAll(actions.messages);
+    directory::DirectoryActions actions = directory_->finish(now());
+    sendAll(std::move(actions.messages));
     for (const directory::LoadCommand& command : actions.loadCommands) {
       sendLoadCommand(command);
     }
@@ -406,13 +413,13 @@
   }
 }
 
-void Node::sendAll(const transport::Outbox& outbox) {
-  for (const transport::OutgoingMessage& outgoing : outbox) {
-    network_->send(outgoing.to, outgoing.message);
+void Node::sendAll(transport::Outbox outbox) {
+  for (transport::OutgoingMessage& outgoing : outbox) {
+    network_->send(outgoing.to, std::move(outgoing.message));
   }
 }
 
-void Node::onMessage(base::NodeId from, const transport::InternalMessage& message) {
+void Node::onMessage(base::NodeId from, transport::InternalMessage message) {
   const base::TimePoint at = now();
   if (const auto* raft = std::get_if<transport::RaftEnvelope>(&message)) {
     if (directory_ && raft->group == directory::kDirectoryGroup) {
@@ -420,11 +427,11 @@
     } else if (ledger_ && raft->group == directory::kLedgerGroup) {
       ledger_->handle(from, *raft, at);
     }
-  } else if (const auto* request = std::get_if<transport::CommandRequest>(&message)) {
+  } else if (auto* request = std::get_if<transport::CommandRequest>(&message)) {
     if (directory_ && request->group == directory::kDirectoryGroup) {
-      directory_->handle(from, *request, at);
+      directory_->handle(from, std::move(*request), at);
     } else if (ledger_ && request->group == directory::kLedgerGroup) {
-      ledger_->handle(from, *request, at);
+      ledger_->handle(from, std::move(*request), at);
     }
   } else if (const auto* response = std::get_if<transport::CommandResponse>(&message)) {
     m_clusterMember->onResponse(*response, at);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -85,7 +85,7 @@
   [[nodiscard]] directory::NodeRecord ownRecord() const;
   /// Creates the ClusterMember and connects it to the role.
   void createClusterMember();
-  void onMessage(base::NodeId from, const transport::InternalMessage& message);
+  void onMessage(base::NodeId from, transport::InternalMessage message);
   void onPeerLost(std::uint32_t number);
   void onView(const directory::DirectoryView& view);
   void sendLoadCommand(const directory::LoadCommand& command);
@@ -97,7 +97,7 @@
   void updateCapacityGauges();
   /// Queries the weights versions of an engine.
   void queryVersions(const directory::InstanceRecord& engine);
-  void sendAll(const transport::Outbox& outbox);
+  void sendAll(transport::Outbox outbox);
   void tick();
   /// One iteration of the event loop: syncs the role, sends its messages and makes its calls.
   void runIteration();
--- a/test/consensus/group_client_test.cpp
+++ b/test/consensus/group_client_test.cpp
@@ -88,3 +88,17 @@
   cr_assert(fixture.answer.empty());
   cr_assert_eq(fixture.client.outstanding(), 0U);
 }
+
+// Guards against a promise about a call of which another copy is still on its way.
+Test(group_client, unanswered_copy_of_an_answered_call_is_known) {
+  for (const bool resent : {false, true}) {
+    Fixture fixture;
+    fixture.call();
+    if (resent) {
+      (void)fixture.timeToNextSend();
+    }
+    fixture.respond(transport::CommandStatus::kOk);
+    cr_assert(fixture.ended);
+    cr_assert_eq(fixture.client.anotherCopyMayArrive(), resent);
+  }
+}
--- a/test/jobs/job_role_test.cpp
+++ b/test/jobs/job_role_test.cpp
@@ -20,7 +20,7 @@
 
 /// A ledger group with a single member.
 struct SingleLedger {
-  SingleLedger() {
+  explicit SingleLedger(jobs::JobRoleSettings initial = {}) : settings(initial) {
     log = base::recover(
         [&] {
           return storage::SegmentedLog::open(disk, {"cluster", kSelf, kGroup}, {{kSelf}, {}});
@@ -32,8 +32,7 @@
   /// Restarts the process on the same disk.
   void restart() {
     role.reset();
-    role =
-        std::make_unique<jobs::JobRole>(kSelf, kGroup, jobs::JobRoleSettings{}, *log, random, now);
+    role = std::make_unique<jobs::JobRole>(kSelf, kGroup, settings, *log, random, now);
     run(base::seconds(3));
   }
 
@@ -60,6 +59,7 @@
     return replies.front();
   }
 
+  const jobs::JobRoleSettings settings;
   simulation::SimulatedDisk disk;
   base::SeededRandom random{1};
   base::TimePoint now{base::seconds(100)};
@@ -336,3 +336,21 @@
   ledger.role->setEngines({{"e", 4, {{"m", 7}}}});
   cr_assert_eq(ledger.send(jobs::GetWorkReport{}).work->jobs[0].readySlots, 4U);
 }
+
+Test(job_role, submission_beyond_the_memory_for_items_is_rejected_until_others_end) {
+  jobs::JobRoleSettings settings;
+  jobs::SubmitJob first = submission("a");
+  first.job.items.front().body = std::string(1000, 'x');
+  settings.maxItemBytes = jobs::memoryOfItems(first.job) + 500;
+  SingleLedger ledger(settings);
+  cr_assert(ledger.send(first).status == jobs::JobStatus::kDone);
+  jobs::SubmitJob second = first;
+  second.job.id = "k";
+  cr_assert(ledger.send(second).status == jobs::JobStatus::kOverloaded);
+  cr_assert(ledger.send(first).status == jobs::JobStatus::kDone, "a repeated submission");
+  ledger.restart();
+  cr_assert(ledger.send(second).status == jobs::JobStatus::kOverloaded);
+  cr_assert(ledger.send(jobs::EndJob{"j", "a"}).status == jobs::JobStatus::kDone);
+  second.job.items.front().body.resize(500);
+  cr_assert(ledger.send(second).status == jobs::JobStatus::kDone);
+}
--- a/test/jobs/jobs_test.cpp
+++ b/test/jobs/jobs_test.cpp
@@ -156,6 +156,26 @@
   cr_assert_eq(leased.size(), 1U);
 }
 
+Test(item_leases, requests_of_a_gateways_items_fit_its_memory) {
+  LeaseFixture fixture;
+  jobs::JobSubmission large = submission("large", 6);
+  for (jobs::Item& item : large.items) {
+    item.body = std::string(1000, 'x');
+  }
+  apply(fixture.state, jobs::SubmitJob{large});
+  fixture.leases.addJob("large", *fixture.state.find("large"), fixture.now);
+  const std::size_t oneItem = jobs::memoryOf(large.items.front());
+  const auto countLarge = [&](base::NodeId gateway, std::size_t maxBytes) {
+    const auto leased =
+        fixture.leases.lease(gateway, slotsFor({{"", 20}}), fixture.state, fixture.now, maxBytes);
+    return std::count_if(leased.begin(), leased.end(),
+                         [](const auto& item) { return item.key.job == "large"; });
+  };
+  cr_assert_eq(countLarge(kGateway, 20 * oneItem), 6);
+  fixture.leases.release(kGateway, {}, fixture.state);
+  cr_assert_leq(countLarge(kOtherGateway, 4 * oneItem), 3);
+}
+
 Test(item_leases, each_model_has_its_own_slots) {
   LeaseFixture fixture;
   jobs::JobSubmission other = submission("k", 2);
