Connections to engines: read into buffers of their own again

Cause: reads into one buffer for all connections after waiting for data. Why waiting first is slower was not traced. Change: that part is taken back; a handled request counts 40 KB more for the buffers of its connections.

--- a/src/http/server_connection_input.cpp
+++ b/src/http/server_connection_input.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kShortBodyBytes = 64U << 10U;
 /// Number of copies of a head that exist while its request is handled.
 constexpr std::size_t kHeadCopies = 3;
+/// Memory of a handled request beside its head and body, mostly the buffers of its connections.
+constexpr std::size_t kHandlingBytes = 40U << 10U;
 
 base::TimePoint monotonicNow() { return base::MonotonicTimeSource().now(); }
 
@@ -298,7 +300,8 @@
   http_parser_init(&parser_, HTTP_REQUEST);
   m_headerBytes = 0;
   const std::size_t headMemory = std::exchange(m_headMemory, 0);
-  if (!m_requestMemory.tryResize(request_.body.capacity() + kHeadCopies * headMemory)) {
+  const std::size_t memory = request_.body.capacity() + kHeadCopies * headMemory + kHandlingBytes;
+  if (!m_requestMemory.tryResize(memory)) {
     m_serverState->countShed(ShedReason::kNoMemory);
     reject(kUnavailable);
     return;
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -181,7 +181,6 @@
 void UpstreamConnection::setSocketOptions() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket_.non_blocking(true, ignored);
   // The kernel delivers the bytes of a closed connection for as long as it can. With a linger time
   // of zero it discards them, even if this process is killed.
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -259,33 +258,19 @@
     return;
   }
   reading_ = true;
-  socket_.async_wait(asio::socket_base::wait_read,
-                     [self = shared_from_this()](const asio::error_code& error) {
-                       self->reading_ = false;
-                       if (self->closed_) {
-                         return;
-                       }
-                       if (error) {
-                         self->onReadError(error);
-                       } else {
-                         self->onReadable();
-                       }
-                     });
-}
-
-void UpstreamConnection::onReadable() {
-  if (m_paused) {
-    return;  // resume() reads
-  }
-  asio::error_code error;
-  const std::size_t count = socket_.read_some(asio::buffer(m_pool->readBuffer), error);
-  if (error == asio::error::would_block) {
-    read();
-  } else if (error) {
-    onReadError(error);
-  } else {
-    onBytes(count);
-  }
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
+        self->reading_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->onReadError(error);
+        } else {
+          self->onBytes(count);
+        }
+      });
 }
 
 void UpstreamConnection::onReadError(const asio::error_code& error) {
@@ -322,8 +307,8 @@
   }
   std::size_t offset = 0;
   while (offset < count && !m_responseComplete && !closed_) {
-    const std::size_t parsed = http_parser_execute(
-        &parser_, &parserSettings(), m_pool->readBuffer.data() + offset, count - offset);
+    const std::size_t parsed =
+        http_parser_execute(&parser_, &parserSettings(), buffer_.data() + offset, count - offset);
     const http_errno error = HTTP_PARSER_ERRNO(&parser_);
     if (closed_) {
       return;
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -51,8 +51,6 @@
   std::map<ExchangeId, std::shared_ptr<UpstreamConnection>> active;
   std::map<Address, std::vector<std::shared_ptr<UpstreamConnection>>> idle;
   UpstreamCounters counters;
-  /// Shared by all connections, which read only when data has arrived and parse it at once.
-  std::array<char, kUpstreamReadBytes> readBuffer{};
   ExchangeId nextExchangeId{1};
   bool stopped = false;
 };
@@ -132,7 +130,6 @@
   int onBody(std::string_view data);
   void write();
   void read();
-  void onReadable();
   void onBytes(std::size_t count);
   void onReadError(const asio::error_code& error);
   int onHeadersComplete();
@@ -158,6 +155,7 @@
   UpstreamEvents events_;
   std::string m_head;  ///< serialized
   http_parser parser_{};
+  std::array<char, kUpstreamReadBytes> buffer_{};
   HeaderCollector m_headerCollector;
   std::size_t m_headerBytes = 0;
   std::size_t m_bodyBytes = 0;
